--- a/src/main/kotlin/micatally/job/Owner.kt
+++ b/src/main/kotlin/micatally/job/Owner.kt
@@ -132,8 +132,9 @@
 
     // Attempts
 
-    fun place(job: Job, lap: Int, m: Machine): Attempt {
-        val a = Attempt(job, lap, job.nextAttempt++, m, m.session, job.service, AttemptState.INTENDED)
+    /** Numbers are the job's, each used once for a task; the members of a gang, which find each other by it, share one. */
+    fun place(job: Job, lap: Int, m: Machine, number: Long = job.nextAttempt++): Attempt {
+        val a = Attempt(job, lap, number, m, m.session, job.service, AttemptState.INTENDED)
         job.attempts[lap] = a
         attach(a)
         log.debug("task {}/{} attempt {} intended for {}", job.ref, lap, a.number, m.name)
@@ -232,7 +233,7 @@
                 continue
             }
             when (t.status) {
-                ListedTask.PULLING -> if (a.state < AttemptState.PULLING && a.state >= AttemptState.ORDERED) a.become(AttemptState.PULLING, now)
+                ListedTask.PULLING, ListedTask.WAITING -> if (a.state < AttemptState.PULLING && a.state >= AttemptState.ORDERED) a.become(AttemptState.PULLING, now)
                 ListedTask.RUNNING -> if (a.state < AttemptState.RUNNING && a.state >= AttemptState.ORDERED) {
                     a.become(AttemptState.RUNNING, now)
                     job.spec?.let { m.sawImage(it.image, it.imageGb, machines.flavors[m.type]?.cacheGb ?: 0.0) }
--- a/src/main/kotlin/micatally/placement/Rounds.kt
+++ b/src/main/kotlin/micatally/placement/Rounds.kt
@@ -79,9 +79,9 @@
         val spec = job.spec ?: return true
         if (!job.wantsTasks || now < job.retryAt) return true
         val room = MAX_ATTEMPTS - job.attempts.size
-        val laps = job.pending(if (spec.isService) spec.laps.coerceAtMost(room) else minOf(room, ROUND_TASKS))
+        val laps = job.pending(if (spec.isService || spec.isGang) spec.laps.coerceAtMost(room) else minOf(room, ROUND_TASKS))
         if (laps.isEmpty()) return true
-        if (spec.together && spec.isService) return gang(job, spec, laps, now)
+        if (spec.isGang) return gang(job, spec, laps, now)
         var placed = 0
         var blocked = false
         for (lap in laps) {
@@ -113,16 +113,16 @@
         )
     }
 
-    /** All or nothing: every pending task of a gang finds room in one zone, or none is placed. */
+    /** All or nothing: every pending task of a gang finds room, in one zone where it has to, or none is placed. */
     private fun gang(job: Job, spec: JobSpec, laps: List<Int>, now: Long): Boolean {
         val rule = Placement.zones(job, spec)
-        for (zone in settings.zones) {
-            if (!rule.allows(zone)) continue
+        for (zone in if (spec.together) settings.zones.filter { rule.allows(it) } else listOf(null)) {
             val placed = ArrayList<Attempt>()
+            val number = job.nextAttempt++
             for (lap in laps) {
                 if (!quota.allows(job)) break
                 val m = choose(job, spec, now, zone) ?: break
-                placed.add(owner.place(job, lap, m))
+                placed.add(owner.place(job, lap, m, number))
             }
             if (placed.size == laps.size) { store.touch(job, true); return true }
             for (a in placed) owner.gone(a, micatally.job.GoneProof.NEVER_SENT, "gang incomplete")
--- a/src/main/kotlin/micatally/wire/Jobs.kt
+++ b/src/main/kotlin/micatally/wire/Jobs.kt
@@ -4,7 +4,9 @@
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 
-enum class Format(val word: String) { ARRAY("sweep"), SERVICE("daemon") }
+/** The protocol page names the first two; the bench submits the third as well: tasks that run to completion and only
+ * together (see docs/questions.md). */
+enum class Format(val word: String) { ARRAY("sweep"), SERVICE("daemon"), GANG("gang") }
 
 /** The order is the order of importance, the first being the most important. */
 enum class Priority(val word: String) { PRODUCTION("production"), HIGH("high"), STANDARD("standard"), LOW("low") }
@@ -32,6 +34,7 @@
     val source: JsonObject,
 ) {
     val isService get() = format == Format.SERVICE
+    val isGang get() = format == Format.GANG || isService && together
 
     companion object {
         const val MAX_LAPS = 100_000
@@ -55,7 +58,7 @@
             val image = word(o, "livery")
             return JobSpec(
                 ref, word(o, "lane"), word(o, "crew"),
-                Format.entries.find { it.word == o.text("format") } ?: throw WireError("format must be sweep or daemon"),
+                Format.entries.find { it.word == o.text("format") } ?: throw WireError("format must be sweep, daemon or gang"),
                 Priority.entries.find { it.word == o.text("grid") }
                     ?: throw WireError("grid must be production, high, standard or low"),
                 laps.toInt(), Amount(amount(o, "cores"), amount(o, "cards"), amount(o, "ram_gb")),
--- a/src/main/kotlin/micatally/wire/Workers.kt
+++ b/src/main/kotlin/micatally/wire/Workers.kt
@@ -14,6 +14,8 @@
 
     companion object {
         const val PULLING = "pulling"
+        /** A gang's task that has its image and waits for the others. */
+        const val WAITING = "waiting"
         const val RUNNING = "running"
         const val SAVING = "saving"
         const val ENDED = "ended"
