Queues split at 0.1, 1 and 10 leases, and stops take the best room

Cause: services waited for a boot and a fetch while tasks of a minute held the cards; with bounds of 30/300/3000 s no array is ever two queues lower. The machine for a stop is now the one the waiter would like best.

--- a/src/main/kotlin/micatally/placement/Rounds.kt
+++ b/src/main/kotlin/micatally/placement/Rounds.kt
@@ -152,9 +152,11 @@
     }
 
     /** The design's stop: an array task past its queue's bound may be stopped once for a waiter two queues higher that
-     * fits nowhere. */
+     * fits nowhere. Of the machines where that helps, the one is taken that the waiter would like best. */
     private fun makeRoom(waiter: Job, spec: JobSpec, queue: Int, now: Long) {
         val rule = Placement.zones(waiter, spec)
+        var best: List<Attempt> = emptyList()
+        var bestScore = Double.MAX_VALUE
         for (m in machines.byName.values) {
             if (!usable(m, now) || !Placement.kindAllowed(spec, m) || !rule.allows(m.zone)) continue
             val f = machines.flavors[m.type] ?: continue
@@ -165,7 +167,7 @@
             val victims = ArrayList<Attempt>()
             for (a in m.attempts.sortedByDescending { it.runningSince ?: 0L }) {
                 val s = a.job.spec ?: continue
-                if (s.isService || a.stop != null || a.state != AttemptState.RUNNING || a.lap in a.job.stoppedOnce) continue
+                if (s.isService || s.isGang || a.stop != null || a.state != AttemptState.RUNNING || a.lap in a.job.stoppedOnce) continue
                 if (s.priority <= spec.priority) continue
                 val ran = (now - (a.runningSince ?: now)) / 1000.0
                 if (!queues.pastBound(a.inherited, ran) || queues.of(a.inherited + ran) < queue + 2) continue
@@ -174,14 +176,15 @@
                 if (spec.amount.fitsIn(free)) break
             }
             if (!spec.amount.fitsIn(free) || victims.isEmpty()) continue
-            for (a in victims) {
-                a.job.stoppedOnce.add(a.lap)
-                a.stop(StopReason.PREEMPTED, now)
-                log.info("task {} stopped for {}", a, waiter.ref)
-            }
-            orders.poke(m)
-            return
+            val score = Placement.score(spec, m, f, free, rule.used[m.zone] ?: 0) + victims.size
+            if (score < bestScore) { best = victims; bestScore = score }
+        }
+        for (a in best) {
+            a.job.stoppedOnce.add(a.lap)
+            a.stop(StopReason.PREEMPTED, now)
+            log.info("task {} stopped for {}", a, waiter.ref)
         }
+        best.firstOrNull()?.let { orders.poke(it.machine) }
     }
 
     private companion object {
--- a/src/main/kotlin/micatally/queue/Queues.kt
+++ b/src/main/kotlin/micatally/queue/Queues.kt
@@ -22,7 +22,9 @@
     }
 
     companion object {
-        val DEFAULT_BOUNDS = listOf(30.0, 300.0, 3000.0)
+        /** The queues' bounds as multiples of a worker's lease. The source's own split leaves tasks of a minute in the top
+         * queue beside the services that wait for their machines. */
+        val DEFAULT_BOUNDS = listOf(0.1, 1.0, 10.0)
         const val DEFAULT_LIFT = 2.0
     }
 }
