--- a/src/main/kotlin/micatally/fleet/Keeper.kt
+++ b/src/main/kotlin/micatally/fleet/Keeper.kt
@@ -51,7 +51,12 @@
     private val refusals = HashMap<Offer, Int>()
     private val wantedGone = LinkedHashSet<String>()
     private val deleting = HashSet<String>()
-    private val drainedAt = HashMap<String, Long>()
+    /** EMPTYING: no new tasks, the owners move what they can. EMPTY: nothing on it; deleted once all know of the drain. */
+    private enum class DrainState { EMPTYING, EMPTY }
+    private class Drain(val since: Long, var state: DrainState, var stateSince: Long)
+
+    private val drains = HashMap<String, Drain>()
+    private val keptUntil = HashMap<String, Long>()
     private val renting = HashSet<String>()
     private var lastList: List<ListedMachine> = emptyList()
     private val goneAt = HashMap<String, Long>()
@@ -110,7 +115,8 @@
             bookings = 0
             since = nowMs()
             rentals.clear()
-            drainedAt.clear()
+            drains.clear()
+            for (i in cluster.under(Keys.DRAIN)) drains[i.key.removePrefix(Keys.DRAIN)] = Drain(nowMs(), DrainState.EMPTYING, nowMs())
             log.info("fleet key held, term {}", term)
             // What the former keeper had decided is finished under its names: repeating a booking rents nothing twice.
             for (i in cluster.under(Keys.RENT)) scope.launch { book(i.key.removePrefix(Keys.RENT), i.value.text("rig"), i.value.text("circuit"), i.value.flag("loaners"), i.value.long("count").toInt()) }
@@ -172,28 +178,72 @@
         }
     }
 
+    private fun empty(m: Machine): Boolean {
+        val u = m.used()
+        return m.tasks.all { it.ended } && m.attempts.isEmpty() && u.cores < 1e-6 && u.cards < 1e-6 && u.ram < 1e-6
+    }
+
+    private fun drain(m: Machine, now: Long, state: DrainState, why: String) {
+        drains[m.name] = Drain(now, state, now)
+        log.info("machine {} drained: {}", m.name, why)
+        scope.launch { state().txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Put(Keys.DRAIN + m.name, buildJsonObject { put("by", settings.host) }))) } }
+    }
+
+    private fun keep(name: String, now: Long, why: String) {
+        drains.remove(name)
+        keptUntil[name] = now + settings.leaseMs * 6
+        log.info("machine {} kept: {}", name, why)
+        scope.launch { state().txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Delete(Keys.DRAIN + name))) } }
+    }
+
+    private fun state() = state
+
+    /** Returns machines that stand idle, and empties those whose tasks others have room for. */
     private fun findIdle(now: Long) {
+        val demands = demand()
         for (m in machines.byName.values) {
             if (m.deleted || m.session == 0L) continue
-            val u = m.used()
-            if (m.tasks.any { !it.ended } || m.attempts.isNotEmpty() || u.cores > 1e-6 || u.cards > 1e-6 || u.ram > 1e-6) {
+            val d = drains[m.name]
+            if (!empty(m)) {
                 m.busyAt = now
-                if (drainedAt.remove(m.name) != null) scope.launch { state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Delete(Keys.DRAIN + m.name))) } }
+                if (d == null || m.recalled) continue
+                if (d.state == DrainState.EMPTY) { d.state = DrainState.EMPTYING; d.stateSince = now }
+                val wanted = demands.any { x -> allowedOn(x, m) }
+                if (wanted) keep(m.name, now, "there is demand for it") else if (now - d.since > settings.leaseMs * 12) keep(m.name, now, "it does not empty")
                 continue
             }
-            val drained = drainedAt[m.name]
-            if (drained != null) {
-                if (now - drained > settings.reportMs + settings.leaseMs / 10 && cluster.has(Keys.DRAIN + m.name)) { drainedAt.remove(m.name); wantedGone.add(m.name) }
+            if (d != null) {
+                if (d.state == DrainState.EMPTYING) { d.state = DrainState.EMPTY; d.stateSince = now }
+                if (now - d.stateSince > settings.reportMs + settings.leaseMs / 10 && cluster.has(Keys.DRAIN + m.name)) { drains.remove(m.name); wantedGone.add(m.name) }
                 continue
             }
             val idleMs = if (m.recalled) 0L else settings.leaseMs * IDLE_LEASES
-            if (now - maxOf(m.busyAt, since) > idleMs && drainedAt.size < 8) {
-                drainedAt[m.name] = now
-                log.info("machine {} idle, draining", m.name)
-                scope.launch { state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Put(Keys.DRAIN + m.name, buildJsonObject { put("by", settings.host) }))) } }
-            }
+            if (now - maxOf(m.busyAt, since) > idleMs) drain(m, now, DrainState.EMPTY, "idle")
+        }
+        drains.keys.removeIf { it in machines.deletedNames }
+        if (demands.isEmpty() && now - since > settings.leaseMs * 2 && now - lastEmptying > settings.leaseMs / 2) emptyOne(now)
+    }
+
+    private var lastEmptying = 0L
+
+    private fun allowedOn(d: Demand, m: Machine) = (d.types.isEmpty() || m.type in d.types) && (d.zones.isEmpty() || m.zone in d.zones) && (!m.spot || d.spot)
+
+    /** Of each type the machine with the least on it, if the others have room for that and some more besides. */
+    private fun emptyOne(now: Long) {
+        if (drains.values.count { it.state == DrainState.EMPTYING } >= EMPTYING_AT_ONCE) return
+        for (f in machines.flavors.values) {
+            val key: (micatally.wire.Amount) -> Double = { if (f.amount.cards > 0) it.cards / f.amount.cards else it.cores / f.amount.cores }
+            val up = machines.byName.values.filter { it.type == f.label && !it.deleted && !it.recalled && it.session > 0 && it.name !in drains && now - it.heardAt < settings.leaseMs / 2 }
+            val used = up.sumOf { key(it.used()) }
+            val free = up.sumOf { 1.0 - key(it.used()) }
+            val m = up.filter { (keptUntil[it.name] ?: 0L) < now && now - (rentals[it.name]?.at ?: 0L) > settings.leaseMs * 6 }
+                .minWithOrNull(compareBy({ key(it.used()) }, { it.used().cores }, { it.name })) ?: continue
+            val mine = key(m.used())
+            if (mine > MOSTLY_FREE || free - (1.0 - mine) < mine + maxOf(1.0, used * HEADROOM)) continue
+            lastEmptying = now
+            drain(m, now, DrainState.EMPTYING, "%.2f used, %.1f free elsewhere".format(mine, free - 1.0 + mine))
+            return
         }
-        for ((name, at) in drainedAt.entries.toList()) if (now - at > settings.leaseMs) drainedAt.remove(name)
     }
 
     private fun sendDeletes() {
@@ -282,6 +332,11 @@
     private companion object {
         const val LATE_BOOTS = 4
         const val IDLE_LEASES = 4
+        const val EMPTYING_AT_ONCE = 2
+        /** A machine used beyond this is not worth emptying. */
+        const val MOSTLY_FREE = 0.6
+        /** Room kept free for what comes, as a share of what is used, and never less than a machine. */
+        const val HEADROOM = 0.1
         const val MOST_AT_ONCE = 20
     }
 }
--- a/src/main/kotlin/micatally/node/Controller.kt
+++ b/src/main/kotlin/micatally/node/Controller.kt
@@ -123,6 +123,7 @@
             membership.checkRight()
             owner.sweep()
             rounds.wake()
+            rounds.moveOff(now)
             for (m in machines.byName.values) if (m.recalled && !m.deleted) {
                 var touched = false
                 for (a in m.attempts) if (a.stop == null && a.state >= AttemptState.ORDERED && a.stop(StopReason.DRAIN, now)) touched = true
--- a/src/main/kotlin/micatally/placement/Rounds.kt
+++ b/src/main/kotlin/micatally/placement/Rounds.kt
@@ -134,13 +134,14 @@
     fun usable(m: Machine, now: Long) = !m.deleted && !m.draining && !m.recalled && m.session > 0 && m.addr.isNotEmpty() &&
         now - m.heardAt < settings.leaseMs / 2 + settings.reportMs && now >= m.unreachableUntil && now >= m.fullUntil && now >= m.sickUntil
 
-    private fun choose(job: Job, spec: JobSpec, now: Long, zone: String?): Machine? {
+    private fun choose(job: Job, spec: JobSpec, now: Long, zone: String?, withImage: Boolean = false): Machine? {
         val rule = Placement.zones(job, spec)
         var best: Machine? = null
         var bestScore = Double.MAX_VALUE
         for (m in machines.byName.values) {
             if (!usable(m, now) || (zone != null && m.zone != zone)) continue
             if (!Placement.kindAllowed(spec, m) || !rule.allows(m.zone)) continue
+            if (withImage && spec.image !in m.images) continue
             if (m.name in job.badMachines && job.badMachines.size <= FEW_FAULTS) continue
             val f = machines.flavors[m.type] ?: continue
             val free = f.amount - m.used()
@@ -187,6 +188,24 @@
         best.firstOrNull()?.let { orders.poke(it.machine) }
     }
 
+    /** Machines that are being emptied: replicas move to rooms that have their image, one at a time, so that each is
+     * away for a blink only. Whatever ends by itself is left to do so. */
+    fun moveOff(now: Long) {
+        val draining = machines.byName.values.filter { it.draining && !it.deleted && !it.recalled && it.attempts.isNotEmpty() }
+        if (draining.isEmpty() || unplaced.isNotEmpty()) return
+        if (machines.byName.values.any { m -> m.attempts.any { it.stop == StopReason.DRAIN } }) return
+        for (m in draining) for (a in m.attempts) {
+            val spec = a.job.spec ?: continue
+            if (!spec.isService || spec.isGang || a.stop != null || a.state != AttemptState.RUNNING || a.job.pendingCount > 0) continue
+            // Its own place is counted against its zone until it is gone, so the check is on the safe side.
+            choose(a.job, spec, now, null, true) ?: continue
+            a.stop(StopReason.DRAIN, now)
+            log.info("task {} moves", a)
+            orders.poke(m)
+            return
+        }
+    }
+
     private companion object {
         /** How many tasks of a job may be on machines at once: keeps its record within the state service's value limit. */
         const val MAX_ATTEMPTS = 400
