--- a/src/main/kotlin/micatally/api/WorkerApi.kt
+++ b/src/main/kotlin/micatally/api/WorkerApi.kt
@@ -30,6 +30,8 @@
     private val scope: CoroutineScope, private val settings: Settings, private val membership: Membership, private val machines: Machines,
     private val peers: Peers, private val nowMs: () -> Long,
 ) {
+    private val movedAt = HashMap<String, Long>()
+
     fun report(request: HttpRequest): HttpResponse {
         val report = try { Report.parse(parseObject(request.body)) } catch (e: WireError) { return errorResponse(400, e.message ?: "") }
         val m = machines.of(report.machine)
@@ -46,6 +48,15 @@
         // Others reach the state service and this node does not: they know of cancellations that it can't hear of.
         if (membership.viewAgeMs > settings.leaseMs * 3 / 10 && peers.somePeerHasState()) return refuse()
         if (known.deleted) return refuse()
+        // A worker that reports within its zone does not notice when zones lose each other. Sent there once in a while
+        // only, so that two nodes that see the peers differently don't toss it about.
+        if (known.zone != settings.zone && nowMs() - (movedAt[known.name] ?: Long.MIN_VALUE / 2) > settings.leaseMs * 3) {
+            val local = peers.peerIn(known.zone)
+            if (local != null) {
+                movedAt[known.name] = nowMs()
+                return HttpResponse(421, buildJsonObject { put("marshal", local) }.bytes())
+            }
+        }
         known.heardHereAt = nowMs()
         return HttpResponse(200, reportAnswer(membership.cluster.epoch, kills(report)).bytes())
     }
--- a/src/main/kotlin/micatally/fleet/Keeper.kt
+++ b/src/main/kotlin/micatally/fleet/Keeper.kt
@@ -36,7 +36,7 @@
 /** Whoever holds the fleet key rents, drains and returns machines for all owners. */
 class Keeper(
     private val scope: CoroutineScope, private val settings: Settings, private val state: StateClient, private val cloud: CloudClient,
-    private val membership: Membership, private val machines: Machines, private val demand: () -> List<Demand>, private val nowMs: () -> Long,
+    private val membership: Membership, private val machines: Machines, private val demand: () -> List<Demand>, private val peersInContact: () -> Boolean, private val nowMs: () -> Long,
 ) {
     private val log = LoggerFactory.getLogger("micatally.fleet")
     private val cluster: Cluster = membership.cluster
@@ -159,7 +159,9 @@
     /** Machines that nobody hears any more, and those that never came up. Deleting one is the proof that its tasks are
      * gone; while a whole zone is silent, a cut is likelier than so many ends, and waiting costs less. */
     private fun findDead(now: Long) {
-        val silentMs = settings.leaseMs * 8 / 10
+        // While a node can't be heard, its workers may be looking for another, or it may hear them and can't say so.
+        if (!peersInContact()) contactLostAt = now
+        val silentMs = if (now - contactLostAt < settings.leaseMs * 3 / 2) settings.leaseMs * 5 / 2 else settings.leaseMs
         val heard = HashMap<String, Int>()
         val silent = HashMap<String, ArrayList<Machine>>()
         for (m in machines.byName.values) {
@@ -214,7 +216,7 @@
             }
             if (d != null) {
                 if (d.state == DrainState.EMPTYING) { d.state = DrainState.EMPTY; d.stateSince = now }
-                if (now - d.stateSince > settings.reportMs + settings.leaseMs / 10 && cluster.has(Keys.DRAIN + m.name)) { drains.remove(m.name); wantedGone.add(m.name) }
+                if (now - d.stateSince > settings.reportMs + settings.leaseMs / 10 && cluster.has(Keys.DRAIN + m.name)) wantedGone.add(m.name)
                 continue
             }
             val idleMs = if (m.recalled) 0L else settings.leaseMs * IDLE_LEASES
@@ -225,6 +227,7 @@
     }
 
     private var lastEmptying = 0L
+    private var contactLostAt = Long.MIN_VALUE / 2
 
     private fun allowedOn(d: Demand, m: Machine) = (d.types.isEmpty() || m.type in d.types) && (d.zones.isEmpty() || m.zone in d.zones) && (!m.spot || d.spot)
 
--- a/src/main/kotlin/micatally/node/Controller.kt
+++ b/src/main/kotlin/micatally/node/Controller.kt
@@ -64,7 +64,7 @@
     private val quota = Quota(scope, state, membership.cluster, settings.teams, { owner.ledgers.values.filter { it.mine } }) { rounds.wake() }
     val rounds: Rounds = Rounds(scope, settings, owner, machines, store, quota, orders, Queues(Queues.DEFAULT_BOUNDS.map { it * settings.leaseMs / 1000.0 }, Queues.DEFAULT_LIFT), nowMs)
     private val peers = Peers(scope, http, settings, state, membership, machines, owner, rounds, nowMs)
-    private val keeper = Keeper(scope, settings, state, cloud, membership, machines, { rounds.unplaced.values.toList() + peers.demandOfPeers() }, nowMs)
+    private val keeper = Keeper(scope, settings, state, cloud, membership, machines, { rounds.unplaced.values.toList() + peers.demandOfPeers() }, { peers.allInContact() }, nowMs)
     private val users = UserApi(settings, state, membership, owner, store, machines, peers, rounds, nowMs)
     private val workers = WorkerApi(scope, settings, membership, machines, peers, nowMs)
 
--- a/src/main/kotlin/micatally/peer/Peers.kt
+++ b/src/main/kotlin/micatally/peer/Peers.kt
@@ -66,6 +66,10 @@
 
     /** A peer has said just now that it reaches the state service. */
     fun somePeerHasState(): Boolean = lines.any { nowMs() - it.contactAt < settings.leaseMs / 5 }
+    /** A peer in that zone which is in contact with us and with the state service. */
+    fun peerIn(zone: String): String? = lines.filter { it.peer.zone == zone && it.failures == 0 && nowMs() - it.contactAt < settings.leaseMs / 5 }.minByOrNull { it.peer.host }?.peer?.host
+    /** False while some peer can't be heard: then what it hears may not be known here. */
+    fun allInContact(): Boolean = lines.all { nowMs() - it.contactAt < settings.leaseMs * 3 / 10 }
     fun entitledPeer(): String? = lines.filter { nowMs() - it.contactAt < settings.leaseMs / 5 }.minByOrNull { it.peer.host }?.peer?.host
 
     fun demandOfPeers(): List<Demand> = summaries.values.flatMap { it.demand }
