--- a/src/main/kotlin/micatally/job/Owner.kt
+++ b/src/main/kotlin/micatally/job/Owner.kt
@@ -137,7 +137,7 @@
         val a = Attempt(job, lap, number, m, m.session, job.service, AttemptState.INTENDED)
         job.attempts[lap] = a
         attach(a)
-        log.debug("task {}/{} attempt {} intended for {}", job.ref, lap, a.number, m.name)
+        log.info("task {}/{} attempt {} intended for {}", job.ref, lap, a.number, m.name)
         return a
     }
 
@@ -237,7 +237,7 @@
                 ListedTask.RUNNING -> if (a.state < AttemptState.RUNNING && a.state >= AttemptState.ORDERED) {
                     a.become(AttemptState.RUNNING, now)
                     job.spec?.let { m.sawImage(it.image, it.imageGb, machines.flavors[m.type]?.cacheGb ?: 0.0) }
-                    log.debug("task {} runs", a)
+                    log.info("task {} runs", a)
                 }
                 ListedTask.SAVING -> if (a.state < AttemptState.SAVING && a.state >= AttemptState.ORDERED) a.become(AttemptState.SAVING, now)
                 ListedTask.ENDED -> when {
@@ -255,6 +255,7 @@
     fun create(spec: JobSpec, ledger: Ledger): Job {
         val job = Job(spec.ref, spec, ledger, spec.laps, wallMs(), JobState.NEW)
         ledger.jobs[spec.ref] = job
+        log.info("job {} of {} lane {}: {} tasks of {} cores {} cards", spec.ref, spec.crew, spec.lane, spec.laps, spec.amount.cores, spec.amount.cards)
         return job
     }
 
--- a/src/main/kotlin/micatally/node/Controller.kt
+++ b/src/main/kotlin/micatally/node/Controller.kt
@@ -72,6 +72,7 @@
         owner.orders = orders
         owner.quota = quota
         owner.wake = { rounds.wake() }
+        rounds.foreign = { peers.demandOfPeers() }
         owner.onFault = { m, a -> fault(m, a.job.ref) }
         store.onDurable = { job, written -> owner.durable(job, written) }
         store.onLedgerLost = { l -> owner.lose(l); scope.launch { membership.refresh() } }
--- a/src/main/kotlin/micatally/placement/Rounds.kt
+++ b/src/main/kotlin/micatally/placement/Rounds.kt
@@ -32,6 +32,13 @@
     private var lastAt = 0L
     private var resumeAfter: String? = null
 
+    /** What other owners could not place. An owner can stop only its own tasks, and does so for them too. */
+    var foreign: () -> List<Demand> = { emptyList() }
+    private var foreignServices: List<Demand> = emptyList()
+    /** Room that stops under way will leave, as far as it is meant for a waiter already; worked out anew each round. */
+    private val promised = HashMap<String, Amount>()
+    private val stoppedForPeersAt = HashMap<String, Long>()
+
     /** What found no room in the last full round, by job. */
     val unplaced = LinkedHashMap<String, Demand>()
 
@@ -56,7 +63,8 @@
         val jobs = ordered()
         var from = resumeAfter?.let { r -> jobs.indexOfFirst { it.ref == r } + 1 } ?: 0
         if (from >= jobs.size) from = 0
-        if (from == 0) unplaced.clear()
+        if (from == 0) { unplaced.clear(); promised.clear() }
+        foreignServices = foreign().filter { it.service }
         resumeAfter = null
         for (i in from until jobs.size) {
             placeJob(jobs[i], now)
@@ -66,6 +74,7 @@
                 return
             }
         }
+        makeRoomForPeers(now)
     }
 
     private fun tickWaits(now: Long) {
@@ -97,7 +106,8 @@
         }
         if (placed < laps.size && !blocked) {
             note(job, spec, job.pendingCount)
-            if (placed == 0) makeRoom(job, spec, q, now)
+            val rule = Placement.zones(job, spec)
+            for (i in 0 until minOf(laps.size - placed, STOPS_A_ROUND)) if (!makeRoom(Need(spec, rule, q, job.ref), now)) break
             return false
         }
         if (placed == laps.size && job.pendingCount > 0) wake()
@@ -146,46 +156,78 @@
             val f = machines.flavors[m.type] ?: continue
             val free = f.amount - m.used()
             if (!spec.amount.fitsIn(free)) continue
+            // Room that a more important service of another owner waits for is not filled again by arrays.
+            if (!spec.isService && foreignServices.any { it.priority < spec.priority.ordinal && wants(it, m) && Amount(it.cores, it.cards, it.ram).fitsIn(free) }) continue
             val s = Placement.score(spec, m, f, free, rule.used[m.zone] ?: 0)
             if (s < bestScore || (s == bestScore && m.name < best!!.name)) { best = m; bestScore = s }
         }
         return best
     }
 
+    private fun wants(d: Demand, m: Machine) =
+        (d.types.isEmpty() || m.type in d.types) && (d.zones.isEmpty() || m.zone in d.zones) && (!m.spot || d.spot)
+
+    /** A waiter that fits nowhere, of this owner's or of another's. */
+    private class Need(val amount: Amount, val priority: Int, val queue: Int, val name: String, val fits: (Machine) -> Boolean, val score: (Machine, micatally.wire.Flavor, Amount) -> Double)
+
+    private fun Need(spec: JobSpec, rule: Placement.ZoneRule, queue: Int, name: String) = Need(
+        spec.amount, spec.priority.ordinal, queue, name, { m -> Placement.kindAllowed(spec, m) && rule.allows(m.zone) },
+        { m, f, free -> Placement.score(spec, m, f, free, rule.used[m.zone] ?: 0) },
+    )
+
     /** The design's stop: an array task past its queue's bound may be stopped once for a waiter two queues higher that
-     * fits nowhere. Of the machines where that helps, the one is taken that the waiter would like best. */
-    private fun makeRoom(waiter: Job, spec: JobSpec, queue: Int, now: Long) {
-        val rule = Placement.zones(waiter, spec)
+     * fits nowhere. Of the machines where that helps, the one is taken that the waiter would like best. True if there
+     * is room under way now. */
+    private fun makeRoom(need: Need, now: Long): Boolean {
         var best: List<Attempt> = emptyList()
         var bestScore = Double.MAX_VALUE
         for (m in machines.byName.values) {
-            if (!usable(m, now) || !Placement.kindAllowed(spec, m) || !rule.allows(m.zone)) continue
+            if (!usable(m, now) || !need.fits(m)) continue
             val f = machines.flavors[m.type] ?: continue
-            var free = f.amount - m.used()
+            var free = f.amount - m.used() - (promised[m.name] ?: Amount.NONE)
             // Room that is on its way already.
             for (a in m.attempts) if (a.stop != null) free = free + (a.job.spec?.amount ?: Amount.NONE)
-            if (spec.amount.fitsIn(free)) return
+            if (need.amount.fitsIn(free)) { promised.merge(m.name, need.amount, Amount::plus); return true }
             val victims = ArrayList<Attempt>()
             for (a in m.attempts.sortedByDescending { it.runningSince ?: 0L }) {
                 val s = a.job.spec ?: continue
                 if (s.isService || s.isGang || a.stop != null || a.state != AttemptState.RUNNING || a.lap in a.job.stoppedOnce) continue
-                if (s.priority <= spec.priority) continue
+                if (s.priority.ordinal <= need.priority) continue
                 val ran = (now - (a.runningSince ?: now)) / 1000.0
-                if (!queues.pastBound(a.inherited, ran) || queues.of(a.inherited + ran) < queue + 2) continue
+                if (!queues.pastBound(a.inherited, ran) || queues.of(a.inherited + ran) < need.queue + 2) continue
                 victims.add(a)
                 free = free + s.amount
-                if (spec.amount.fitsIn(free)) break
+                if (need.amount.fitsIn(free)) break
             }
-            if (!spec.amount.fitsIn(free) || victims.isEmpty()) continue
-            val score = Placement.score(spec, m, f, free, rule.used[m.zone] ?: 0) + victims.size
+            if (!need.amount.fitsIn(free) || victims.isEmpty()) continue
+            val score = need.score(m, f, free) + victims.size
             if (score < bestScore) { best = victims; bestScore = score }
         }
+        val m = best.firstOrNull()?.machine ?: return false
         for (a in best) {
             a.job.stoppedOnce.add(a.lap)
             a.stop(StopReason.PREEMPTED, now)
-            log.info("task {} stopped for {}", a, waiter.ref)
+            log.info("task {} stopped for {}", a, need.name)
+        }
+        promised.merge(m.name, need.amount, Amount::plus)
+        orders.poke(m)
+        return true
+    }
+
+    /** Another owner's service still waits though that owner has stopped what it could: now it is this one's turn. The
+     * turns go round, so that not all make room for the same waiter. */
+    private fun makeRoomForPeers(now: Long) {
+        val turnMs = settings.reportMs * 2
+        val hosts = (settings.peers.map { it.host } + settings.host).sorted()
+        if ((now / turnMs % hosts.size).toInt() != hosts.indexOf(settings.host)) return
+        for (d in foreignServices) {
+            val key = "${d.image}/${d.cards}/${d.cores}"
+            if (now - (stoppedForPeersAt[key] ?: Long.MIN_VALUE / 2) < turnMs * hosts.size) continue
+            stoppedForPeersAt[key] = now
+            val amount = Amount(d.cores, d.cards, d.ram)
+            val need = Need(amount, d.priority, 0, "a peer's ${d.image}", { m -> wants(d, m) }, { m, f, free -> (if (d.image in m.images) 0.0 else 30.0) + (free - amount).cards / maxOf(1.0, f.amount.cards) })
+            for (i in 0 until minOf(d.count, STOPS_A_ROUND)) if (!makeRoom(need, now)) break
         }
-        best.firstOrNull()?.let { orders.poke(it.machine) }
     }
 
     /** Machines that are being emptied: replicas move to rooms that have their image, one at a time, so that each is
@@ -210,6 +252,7 @@
         /** How many tasks of a job may be on machines at once: keeps its record within the state service's value limit. */
         const val MAX_ATTEMPTS = 400
         const val ROUND_TASKS = 100
+        const val STOPS_A_ROUND = 8
         const val FEW_FAULTS = 6
     }
 }
