--- a/src/main/kotlin/micatally/placement/Placement.kt
+++ b/src/main/kotlin/micatally/placement/Placement.kt
@@ -34,8 +34,15 @@
 
     fun kindAllowed(spec: JobSpec, m: Machine) = (!m.spot || spec.spot) && (spec.types == null || m.type in spec.types)
 
-    /** How long the image will take, by the type's nominal rate; nothing if the machine has it. */
-    fun fetchS(spec: JobSpec, m: Machine, f: Flavor) = if (spec.image in m.images) 0.0 else spec.imageGb / f.pullGbPerS
+    /** How long the image will take, by the type's nominal rate; nothing if the machine has it, and part of it if a
+     * task of this node waits for it there already. */
+    fun fetchS(spec: JobSpec, m: Machine, f: Flavor): Double {
+        if (spec.image in m.images) return 0.0
+        val whole = spec.imageGb / f.pullGbPerS
+        return if (m.attempts.any { it.job.spec?.image == spec.image }) whole * COMING else whole
+    }
+
+    private const val COMING = 0.5
 
     /** Lower is better. The image counts most, then the tightest fit, so that whole machines stay free for large
      * tasks or can be returned. A task without cards avoids eating the cores that a machine's cards will need. */
