--- /dev/null
+++ b/src/main/kotlin/micatally/api/UserApi.kt
@@ -0,0 +1,185 @@
+package micatally.api
+
+import com.google.common.cache.CacheBuilder
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.json.JsonObject
+import micatally.http.HttpRequest
+import micatally.http.HttpResponse
+import micatally.http.errorResponse
+import micatally.job.Job
+import micatally.job.JobRecord
+import micatally.job.JobState
+import micatally.job.JobStore
+import micatally.job.Owner
+import micatally.ledger.Keys
+import micatally.ledger.Membership
+import micatally.ledger.Right
+import micatally.peer.Peers
+import micatally.placement.Placement
+import micatally.placement.Rounds
+import micatally.settings.Settings
+import micatally.state.ReadResult
+import micatally.state.StateClient
+import micatally.state.Urgency
+import micatally.wire.Format
+import micatally.wire.JobAnswer
+import micatally.wire.JobSpec
+import micatally.wire.PeerAnswer
+import micatally.wire.WireError
+import micatally.wire.bytes
+import micatally.wire.parseObject
+import micatally.wire.textOrNull
+import micatally.worker.Machines
+
+/** What users ask. Nothing is held back: what can't be decided now is answered 503 with the time to come back. */
+class UserApi(
+    private val settings: Settings, private val state: StateClient, private val membership: Membership, private val owner: Owner,
+    private val store: JobStore, private val machines: Machines, private val peers: Peers, private val rounds: Rounds, private val nowMs: () -> Long,
+) {
+    /** Which ledger a job belongs to never changes. */
+    private val ledgerOf = CacheBuilder.newBuilder().maximumSize(20_000).build<String, String>()
+    private val durableMs = settings.leaseMs * 3 / 10
+    private val askMs = settings.leaseMs / 10
+
+    private fun later(why: String) = errorResponse(503, why, 1)
+    private fun ok(a: JobAnswer) = HttpResponse(200, a.json().bytes())
+
+    fun health(): HttpResponse =
+        if (membership.checkRight() == Right.ENTITLED && owner.own() != null && machines.flavors.isNotEmpty()) HttpResponse(200, "{}".encodeToByteArray()) else later("starting")
+
+    private val stateReachable get() = membership.viewAgeMs < settings.leaseMs * 3 / 10
+
+    suspend fun submit(request: HttpRequest): HttpResponse {
+        val o = try { parseObject(request.body) } catch (e: WireError) { return errorResponse(400, e.message ?: "") }
+        val ref = try { o.textOrNull("ref") } catch (e: WireError) { null }
+        if (ref == null || !JobSpec.validRef(ref)) return errorResponse(400, "ref must look like j-000412")
+        local(ref)?.let { return ok(it) }
+        // From here on a repeat of an accepted job must not be judged by what it says now.
+        val spec = try { JobSpec.parse(o) } catch (e: WireError) { return knownOr(ref) { errorResponse(400, e.message ?: "") } }
+        if (machines.flavors.isEmpty()) return knownOr(ref) { later("the machine types are not known yet") }
+        impossible(spec)?.let { why -> return knownOr(ref) { errorResponse(422, why) } }
+        val ledger = owner.own()
+        if (ledger == null || !stateReachable || !membership.leaseHolds()) return later("no contact with the state service")
+        if (state.waitingWrites > settings.stateWriteRps) return later("too many submissions at once")
+        owner.job(ref)?.let { return waitFor(it, 200) }
+        val job = owner.create(spec, ledger)
+        rounds.placeJob(job, nowMs())
+        store.touch(job, true)
+        return waitFor(job, 201)
+    }
+
+    private suspend fun waitFor(job: Job, status: Int): HttpResponse {
+        val durable = withTimeoutOrNull(durableMs) { store.durable(job) }
+        if (durable == null) return later("not stored yet")
+        if (durable) return if (status == 201) HttpResponse(201, JobAnswer(job.ref, JobAnswer.PENDING, 0, 0).brief().bytes()) else ok(job.answer())
+        owner.forget(job)
+        return knownOr(job.ref) { later("not stored") }
+    }
+
+    /** 422 exactly where the protocol says so. */
+    private fun impossible(spec: JobSpec): String? {
+        val team = settings.teams[spec.crew] ?: return "unknown team ${spec.crew}"
+        if (!Placement.possible(spec, machines.flavors.values)) return "a task fits no allowed machine type"
+        val n = if (spec.format == Format.ARRAY) 1 else spec.laps
+        if (team.coresMax > 0 && spec.amount.cores * n > team.coresMax + 1e-6 || team.cardsMax > 0 && spec.amount.cards * n > team.cardsMax + 1e-6) {
+            return "the job needs more than the limit of team ${spec.crew}"
+        }
+        return null
+    }
+
+    private suspend fun knownOr(ref: String, otherwise: () -> HttpResponse): HttpResponse = when (val r = look(ref)) {
+        is Look.Known -> ok(r.answer)
+        Look.Missing -> otherwise()
+        Look.Unclear -> later("the job can't be looked up now")
+    }
+
+    suspend fun query(ref: String): HttpResponse {
+        if (!JobSpec.validRef(ref)) return errorResponse(404, "no such job")
+        local(ref)?.let { return ok(it) }
+        return when (val r = look(ref)) {
+            is Look.Known -> ok(r.answer)
+            Look.Missing -> errorResponse(404, "no such job")
+            Look.Unclear -> later("the job can't be looked up now")
+        }
+    }
+
+    /** What this node may say from memory: final states, which never change, and its own jobs while nobody else can
+     * have taken their ledger. */
+    private fun local(ref: String): JobAnswer? {
+        owner.final(ref)?.let { return it }
+        val job = owner.job(ref) ?: return null
+        if (job.durableState == JobState.NEW || !membership.leaseHolds()) return null
+        return job.answer()
+    }
+
+    private sealed interface Look {
+        class Known(val answer: JobAnswer) : Look
+        data object Missing : Look
+        data object Unclear : Look
+    }
+
+    private suspend fun look(ref: String): Look {
+        val cached = ledgerOf.getIfPresent(ref)
+        if (cached != null) askHolder(cached, Peers.QUERY, ref)?.let { return Look.Known(it) }
+        if (!stateReachable) return Look.Unclear
+        return when (val read = state.get(Keys.job(ref), Urgency.ACCEPTANCE)) {
+            is ReadResult.Unavailable -> Look.Unclear
+            is ReadResult.Missing -> Look.Missing
+            is ReadResult.Found -> {
+                ledgerOf.put(ref, JobRecord.ledgerOf(read.item.value))
+                Look.Known(fromRecord(ref, read.item.value))
+            }
+        }
+    }
+
+    private fun fromRecord(ref: String, o: JsonObject): JobAnswer {
+        val tasks = JobRecord.placed(o).size
+        val status = when (JobRecord.state(o)) {
+            JobState.DONE -> JobAnswer.DONE
+            JobState.WITHDRAWN -> JobAnswer.WITHDRAWN
+            else -> if (tasks > 0) JobAnswer.RUNNING else JobAnswer.PENDING
+        }
+        return JobAnswer(ref, status, JobRecord.doneCount(o), if (status == JobAnswer.RUNNING) tasks else 0).also { owner.rememberFinal(it) }
+    }
+
+    private suspend fun askHolder(ledger: String, what: String, ref: String): JobAnswer? {
+        val host = membership.cluster.holder(ledger)?.host ?: return null
+        if (host == settings.host || !membership.cluster.isLive(host)) return null
+        val a = peers.ask(host, what, ref, askMs) ?: return null
+        return JobAnswer(ref, a.status, a.done, a.running).also { owner.rememberFinal(it) }
+    }
+
+    suspend fun cancel(ref: String): HttpResponse {
+        if (!JobSpec.validRef(ref)) return errorResponse(404, "no such job")
+        owner.final(ref)?.let { return brief(it) }
+        withdrawHere(ref)?.let { return brief(it) }
+        if (owner.job(ref) != null) return later("not stored yet")
+        val cached = ledgerOf.getIfPresent(ref)
+        if (cached == null) when (val r = look(ref)) {
+            Look.Missing -> return errorResponse(404, "no such job")
+            Look.Unclear -> return later("the job can't be looked up now")
+            is Look.Known -> if (r.answer.status == JobAnswer.DONE || r.answer.status == JobAnswer.WITHDRAWN) return brief(r.answer)
+        }
+        val ledger = ledgerOf.getIfPresent(ref) ?: return later("the job's owner is not known")
+        withdrawHere(ref)?.let { return brief(it) }
+        return askHolder(ledger, Peers.CANCEL, ref)?.let { brief(it) } ?: later("the job's owner can't be reached")
+    }
+
+    private fun brief(a: JobAnswer) = HttpResponse(200, a.brief().bytes())
+
+    /** Withdraws a job of this node's; null if it isn't, or if the state service has not taken it in time. */
+    private suspend fun withdrawHere(ref: String): JobAnswer? {
+        val job = owner.job(ref) ?: return null
+        if (!membership.leaseHolds() && !stateReachable) return null
+        owner.withdraw(job)
+        val ok = withTimeoutOrNull(durableMs) { store.durable(job) } ?: false
+        if (!ok || job.durableState != JobState.WITHDRAWN && job.durableState != JobState.DONE) return null
+        return job.answer()
+    }
+
+    // The same for other controllers
+
+    fun peerQuery(ref: String): PeerAnswer = local(ref)?.let { PeerAnswer(true, it.status, it.done, it.running) } ?: PeerAnswer()
+    suspend fun peerCancel(ref: String): PeerAnswer =
+        (owner.final(ref) ?: withdrawHere(ref))?.let { PeerAnswer(true, it.status, it.done, it.running) } ?: PeerAnswer()
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/api/WorkerApi.kt
@@ -0,0 +1,66 @@
+package micatally.api
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import micatally.http.HttpRequest
+import micatally.http.HttpResponse
+import micatally.http.errorResponse
+import micatally.ledger.Keys
+import micatally.ledger.Membership
+import micatally.ledger.Right
+import micatally.peer.Peers
+import micatally.settings.Settings
+import micatally.wire.Command
+import micatally.wire.Report
+import micatally.wire.Verb
+import micatally.wire.WireError
+import micatally.wire.asLong
+import micatally.wire.asText
+import micatally.wire.bytes
+import micatally.wire.listOrNull
+import micatally.wire.parseObject
+import micatally.wire.reportAnswer
+import micatally.worker.Machines
+
+/** Workers' reports. A 200 keeps a worker's tasks alive, so it is given only while this node is entitled to. */
+class WorkerApi(
+    private val scope: CoroutineScope, private val settings: Settings, private val membership: Membership, private val machines: Machines,
+    private val peers: Peers, private val nowMs: () -> Long,
+) {
+    fun report(request: HttpRequest): HttpResponse {
+        val report = try { Report.parse(parseObject(request.body)) } catch (e: WireError) { return errorResponse(400, e.message ?: "") }
+        val m = machines.of(report.machine)
+        val before = m?.tasks
+        val news = machines.absorb(report, false)
+        val known = machines.known(report.machine, report.addr, report.type, report.zone, report.spot)
+        if (news && (before == null || differs(before, report))) peers.tell(known)
+        // The node does not know the epoch that the worker knows: it may have been replaced without having heard.
+        if (report.token > membership.cluster.epoch) {
+            scope.launch { membership.refresh() }
+            return refuse()
+        }
+        if (membership.checkRight() != Right.ENTITLED) return refuse()
+        // Others reach the state service and this node does not: they know of cancellations that it can't hear of.
+        if (membership.viewAgeMs > settings.leaseMs * 3 / 10 && peers.somePeerHasState()) return refuse()
+        if (known.deleted) return refuse()
+        known.heardHereAt = nowMs()
+        return HttpResponse(200, reportAnswer(membership.cluster.epoch, kills(report)).bytes())
+    }
+
+    private fun differs(before: List<micatally.wire.ListedTask>, r: Report) =
+        before.size != r.tasks.size || r.noticeS != null || before.zip(r.tasks).any { (a, b) -> a.ref != b.ref || a.lap != b.lap || a.attempt != b.attempt || a.status != b.status }
+
+    /** Tasks of withdrawn jobs whose owner can't reach the machine. */
+    private fun kills(r: Report): List<Command> {
+        val rows = membership.cluster.value(Keys.KILL + r.machine)?.listOrNull("tasks") ?: return emptyList()
+        return rows.map { it as JsonArray }.map { Command(Verb.KILL, it[0].asText(), it[1].asLong().toInt(), it[2].asLong(), 0.0) }
+    }
+
+    private fun refuse(): HttpResponse {
+        val other = peers.entitledPeer()
+        return HttpResponse(421, buildJsonObject { if (other != null) put("marshal", other) }.bytes())
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/cli/Main.kt
@@ -0,0 +1,104 @@
+package micatally.cli
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import micatally.http.Client
+import micatally.http.Server
+import micatally.node.Controller
+import micatally.settings.Settings
+import micatally.settings.SettingsError
+import micatally.standin.Rehearsal
+import org.slf4j.LoggerFactory
+import picocli.CommandLine
+import picocli.CommandLine.Model.CommandSpec
+import picocli.CommandLine.Model.OptionSpec
+import java.nio.channels.AsynchronousChannelGroup
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.Executors
+import java.util.concurrent.ScheduledThreadPoolExecutor
+import kotlin.random.Random
+import kotlin.system.exitProcess
+
+const val VERSION = "0.1.0"
+
+/** The event loop and its channel group: one thread decides, one waits for the kernel. */
+class Loop {
+    private val executor = ScheduledThreadPoolExecutor(1) { Thread(it, "loop") }.apply { removeOnCancelPolicy = true }
+    val group: AsynchronousChannelGroup = AsynchronousChannelGroup.withFixedThreadPool(1) { Thread(it, "io").apply { isDaemon = true } }
+    private val log = LoggerFactory.getLogger("micatally.node")
+    val scope = CoroutineScope(
+        SupervisorJob() + executor.asCoroutineDispatcher() +
+            kotlinx.coroutines.CoroutineExceptionHandler { _, e -> log.error("a task of the event loop failed", e) },
+    )
+
+    fun nowMs() = System.nanoTime() / 1_000_000
+}
+
+/** Starts a controller on the loop; returns its two servers. */
+fun startController(loop: Loop, settings: Settings): Pair<Server, Server> {
+    val client = Client(loop.group, settings.maxSockets * 6 / 10, loop::nowMs)
+    val controller = Controller(loop.scope, settings, client, Random(System.nanoTime()), loop::nowMs, System::currentTimeMillis)
+    val front = Server(loop.scope, loop.group, settings.listen, settings.maxSockets * 3 / 10, 64 * 1024L, controller::handle)
+    val back = Server(loop.scope, loop.group, settings.back, settings.maxSockets / 20 + 4, 4L * 1024 * 1024, controller::handlePeer)
+    loop.scope.launch {
+        controller.start()
+        front.start()
+        back.start()
+        while (true) { delay(settings.leaseMs); client.sweep() }
+    }
+    return front to back
+}
+
+private fun readSettings(file: String): Settings = try {
+    Settings.parse(Files.readAllBytes(Path.of(file)))
+} catch (e: java.io.IOException) {
+    throw SettingsError("settings file $file can't be read")
+}
+
+private fun serve(file: String): Int {
+    val settings = readSettings(file)
+    val loop = Loop()
+    startController(loop, settings)
+    LoggerFactory.getLogger("micatally.node").info("{} {} listens on {}", settings.host, VERSION, settings.listen)
+    Thread.currentThread().join()
+    return 0
+}
+
+/** Options are described to picocli in code, not by annotations: reading those costs a start more than the parsing. */
+fun main(args: Array<String>) {
+    val level = System.getenv("LOG_LEVEL")?.lowercase()?.takeIf { it in setOf("error", "info", "debug", "warn", "trace") } ?: "info"
+    System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level)
+    System.setProperty("org.slf4j.simpleLogger.showThreadName", "false")
+    System.setProperty("org.slf4j.simpleLogger.showLogName", "true")
+    System.setProperty("java.net.preferIPv4Stack", "true")
+    val spec = CommandSpec.create().name("micatally").version("micatally $VERSION").mixinStandardHelpOptions(true)
+    spec.usageMessage().description("A scheduler for fleets that serve language models.")
+    spec.addOption(OptionSpec.builder("--config").paramLabel("FILE").type(String::class.java).description("the platform's settings file (JSON); starts a controller").build())
+    spec.addSubcommand("check-config", CommandSpec.create().addOption(
+        OptionSpec.builder("--config").paramLabel("FILE").type(String::class.java).required(true).description("the settings file to check").build(),
+    ).apply { usageMessage().description("Checks a settings file and says what is wrong with it.") })
+    spec.addSubcommand("rehearse", CommandSpec.create().apply { usageMessage().description("Runs a controller against stand-ins for a few seconds, for the build's class archive.") })
+    val line = CommandLine(spec)
+    line.setExecutionStrategy { parsed ->
+        CommandLine.executeHelpRequest(parsed) ?: run {
+            val sub = parsed.subcommand()
+            try {
+                when {
+                    sub != null && sub.commandSpec().name() == "check-config" -> { readSettings(sub.matchedOptionValue("--config", "")); println("ok"); 0 }
+                    sub != null -> runBlocking { if (Rehearsal.run()) 0 else { System.err.println("micatally: the rehearsal failed"); 1 } }
+                    parsed.hasMatchedOption("--config") -> serve(parsed.matchedOptionValue("--config", ""))
+                    else -> { line.usage(System.err); 2 }
+                }
+            } catch (e: SettingsError) {
+                System.err.println("micatally: ${e.message}")
+                2
+            }
+        }
+    }
+    exitProcess(line.execute(*args))
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/fleet/Keeper.kt
@@ -0,0 +1,287 @@
+package micatally.fleet
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import micatally.ledger.Cluster
+import micatally.ledger.Keys
+import micatally.ledger.Membership
+import micatally.settings.Settings
+import micatally.state.Condition
+import micatally.state.Delete
+import micatally.state.Put
+import micatally.state.ReadResult
+import micatally.state.StateClient
+import micatally.state.Txn
+import micatally.state.TxnResult
+import micatally.state.Urgency
+import micatally.wire.Demand
+import micatally.wire.EMPTY_OBJECT
+import micatally.wire.Flavor
+import micatally.wire.ListedMachine
+import micatally.wire.WireError
+import micatally.wire.asText
+import micatally.wire.flag
+import micatally.wire.listOrNull
+import micatally.wire.long
+import micatally.wire.text
+import micatally.worker.Machine
+import micatally.worker.Machines
+import org.slf4j.LoggerFactory
+
+/** Whoever holds the fleet key rents, drains and returns machines for all owners. */
+class Keeper(
+    private val scope: CoroutineScope, private val settings: Settings, private val state: StateClient, private val cloud: CloudClient,
+    private val membership: Membership, private val machines: Machines, private val demand: () -> List<Demand>, private val nowMs: () -> Long,
+) {
+    private val log = LoggerFactory.getLogger("micatally.fleet")
+    private val cluster: Cluster = membership.cluster
+
+    private class Rental(val name: String, val offer: Offer, val at: Long) { var up = false }
+
+    private var term = 0L
+    private var bookings = 0
+    private var since = 0L
+    private val rentals = HashMap<String, Rental>()
+    private val refusedUntil = HashMap<Offer, Long>()
+    private val refusals = HashMap<Offer, Int>()
+    private val wantedGone = LinkedHashSet<String>()
+    private val deleting = HashSet<String>()
+    private val drainedAt = HashMap<String, Long>()
+    private val renting = HashSet<String>()
+    private var lastList: List<ListedMachine> = emptyList()
+    private val goneAt = HashMap<String, Long>()
+    var onFlavors: () -> Unit = {}
+
+    val keeping get() = term > 0 && cluster.mark(Keys.FLEET) == term
+
+    fun retire(names: List<String>) { wantedGone.addAll(names) }
+
+    fun start() {
+        scope.launch { flavorLoop() }
+        scope.launch { termLoop() }
+        scope.launch { listLoop() }
+        scope.launch { while (true) { delay(settings.reportMs / 4); if (keeping) step() } }
+    }
+
+    private suspend fun flavorLoop() {
+        var known: String? = null
+        while (true) {
+            if (machines.flavors.isEmpty()) {
+                val kept = state.get(Keys.FLAVORS, Urgency.ACCEPTANCE)
+                if (kept is ReadResult.Found) { known = kept.item.value.toString(); take(kept.item.value) }
+            }
+            if (machines.flavors.isEmpty() || keeping) {
+                val fresh = cloud.flavors()
+                if (fresh != null) {
+                    take(fresh)
+                    val text = fresh.toString()
+                    // Kept for nodes that start while the cloud can't be asked.
+                    if (text != known) if (state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Put(Keys.FLAVORS, fresh))) } is TxnResult.Applied) known = text
+                }
+            }
+            delay(if (machines.flavors.isEmpty()) settings.leaseMs / 20 else settings.leaseMs * 3)
+        }
+    }
+
+    private fun take(o: kotlinx.serialization.json.JsonObject) {
+        val list = try { Flavor.parseAll(o) } catch (e: WireError) { log.error("machine types: {}", e.message); return }
+        val first = machines.flavors.isEmpty()
+        machines.flavors = list.associateBy { it.label }
+        if (first) onFlavors()
+    }
+
+    private suspend fun termLoop() {
+        while (true) {
+            delay(settings.liveMs / 16)
+            val lease = membership.lease
+            if (lease == null || keeping || cluster.revision < 0 || cluster.has(Keys.FLEET)) continue
+            val r = state.txn(1, Urgency.SUMMARY) {
+                Txn(listOf(Condition(Keys.FLEET, 0), Condition(Keys.live(settings.host), cluster.mark(Keys.live(settings.host)))),
+                    listOf(Put(Keys.FLEET, buildJsonObject { put("host", settings.host) }, lease)))
+            }
+            if (r !is TxnResult.Applied) { delay(settings.liveMs / 16); continue }
+            membership.refresh()
+            term = r.revision
+            bookings = 0
+            since = nowMs()
+            rentals.clear()
+            drainedAt.clear()
+            log.info("fleet key held, term {}", term)
+            // What the former keeper had decided is finished under its names: repeating a booking rents nothing twice.
+            for (i in cluster.under(Keys.RENT)) scope.launch { book(i.key.removePrefix(Keys.RENT), i.value.text("rig"), i.value.text("circuit"), i.value.flag("loaners"), i.value.long("count").toInt()) }
+        }
+    }
+
+    private suspend fun listLoop() {
+        while (true) {
+            delay(maxOf(settings.listLagMs / 2, (3000 / settings.cloudRps).toLong()))
+            if (!keeping) continue
+            val l = cloud.list() ?: continue
+            lastList = l
+            val now = nowMs()
+            for (c in l) {
+                if (cluster.has(Keys.GONE + c.name) || c.name in machines.deletedNames) continue
+                if (c.status == ListedMachine.FAILED) { wantedGone.add(c.name); continue }
+                val r = rentals.getOrPut(c.name) { Rental(c.name, Offer(c.type, c.zone, c.spot), now - (c.ageS * 1000).toLong()) }
+                if (c.status != ListedMachine.STARTING) {
+                    r.up = true
+                    machines.known(c.name, c.addr, c.type, c.zone, c.spot)
+                }
+            }
+        }
+    }
+
+    private suspend fun step() {
+        val now = nowMs()
+        if (!membership.leaseHolds() || membership.viewAgeMs > settings.leaseMs / 2) return
+        for (m in machines.byName.values) {
+            if (m.deleted || m.session == 0L) continue
+            rentals.getOrPut(m.name) { Rental(m.name, Offer(m.type, m.zone, m.spot), m.busyAt) }.up = true
+        }
+        rentals.keys.removeIf { it in machines.deletedNames }
+        findDead(now)
+        findIdle(now)
+        sendDeletes()
+        rent(now)
+    }
+
+    /** Machines that nobody hears any more, and those that never came up. Deleting one is the proof that its tasks are
+     * gone; while a whole zone is silent, a cut is likelier than so many ends, and waiting costs less. */
+    private fun findDead(now: Long) {
+        val silentMs = settings.leaseMs * 8 / 10
+        val heard = HashMap<String, Int>()
+        val silent = HashMap<String, ArrayList<Machine>>()
+        for (m in machines.byName.values) {
+            val r = rentals[m.name]
+            if (m.deleted || r != null && !r.up) continue
+            if (now - maxOf(m.heardAt, since, r?.at ?: 0L) > silentMs) silent.getOrPut(m.zone) { ArrayList() }.add(m) else heard.merge(m.zone, 1, Int::plus)
+        }
+        for ((zone, list) in silent) {
+            val cut = list.size >= 3 && list.size >= (heard[zone] ?: 0)
+            for (m in list) if (!cut || now - maxOf(m.heardAt, since) > settings.rightMs + settings.leaseMs * 2) wantedGone.add(m.name)
+        }
+        for (r in rentals.values) {
+            if (r.up) continue
+            val ready = ((machines.flavors[r.offer.type]?.readyS ?: 60.0) * 1000).toLong()
+            if (now - r.at > ready * LATE_BOOTS) { log.info("machine {} never came up", r.name); wantedGone.add(r.name) }
+        }
+    }
+
+    private fun findIdle(now: Long) {
+        for (m in machines.byName.values) {
+            if (m.deleted || m.session == 0L) continue
+            val u = m.used()
+            if (m.tasks.any { !it.ended } || m.attempts.isNotEmpty() || u.cores > 1e-6 || u.cards > 1e-6 || u.ram > 1e-6) {
+                m.busyAt = now
+                if (drainedAt.remove(m.name) != null) scope.launch { state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Delete(Keys.DRAIN + m.name))) } }
+                continue
+            }
+            val drained = drainedAt[m.name]
+            if (drained != null) {
+                if (now - drained > settings.reportMs + settings.leaseMs / 10 && cluster.has(Keys.DRAIN + m.name)) { drainedAt.remove(m.name); wantedGone.add(m.name) }
+                continue
+            }
+            val idleMs = if (m.recalled) 0L else settings.leaseMs * IDLE_LEASES
+            if (now - maxOf(m.busyAt, since) > idleMs && drainedAt.size < 8) {
+                drainedAt[m.name] = now
+                log.info("machine {} idle, draining", m.name)
+                scope.launch { state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Put(Keys.DRAIN + m.name, buildJsonObject { put("by", settings.host) }))) } }
+            }
+        }
+        for ((name, at) in drainedAt.entries.toList()) if (now - at > settings.leaseMs) drainedAt.remove(name)
+    }
+
+    private fun sendDeletes() {
+        val names = wantedGone.filter { it !in deleting && !cluster.has(Keys.GONE + it) }.take(50)
+        wantedGone.clear()
+        if (names.isEmpty()) return
+        deleting.addAll(names)
+        scope.launch {
+            try {
+                if (!cloud.delete(names)) return@launch
+                log.info("machines deleted: {}", names)
+                goneAt.putAll(names.associateWith { nowMs() })
+                for (part in names.chunked(maxOf(1, settings.txnOps / 2))) {
+                    while (true) {
+                        val r = state.txn(part.size, Urgency.INTENT) {
+                            Txn(emptyList(), part.flatMap { n -> listOfNotNull(Put(Keys.GONE + n, EMPTY_OBJECT), if (cluster.has(Keys.DRAIN + n)) Delete(Keys.DRAIN + n) else null) })
+                        }
+                        if (r is TxnResult.Applied) break
+                        delay(settings.leaseMs / 20)
+                    }
+                }
+            } finally { deleting.removeAll(names.toSet()) }
+        }
+    }
+
+    private fun rent(now: Long) {
+        if (machines.flavors.isEmpty() || renting.isNotEmpty()) return
+        val demands = demand()
+        if (demands.isEmpty()) return
+        val coming = ArrayList<RentPlan.Room>()
+        val owned = HashMap<String, Int>()
+        for (r in rentals.values) {
+            owned.merge("${r.offer.type}/${r.offer.zone}", 1, Int::plus)
+            val f = machines.flavors[r.offer.type] ?: continue
+            if (!r.up) coming.add(RentPlan.Room(r.offer.type, r.offer.zone, r.offer.spot, f.amount))
+        }
+        val plan = RentPlan.plan(demands, coming, machines.flavors.values, { (refusedUntil[it] ?: 0L) > now }, owned, MOST_AT_ONCE)
+        for ((o, n) in plan) {
+            val name = "b$term-${++bookings}"
+            renting.add(name)
+            scope.launch {
+                try {
+                    val r = state.txn(1, Urgency.INTENT) {
+                        Txn(listOf(Condition(Keys.FLEET, term)), listOf(Put(Keys.RENT + name, buildJsonObject { put("rig", o.type); put("circuit", o.zone); put("loaners", o.spot); put("count", n) })))
+                    }
+                    if (r is TxnResult.Applied) book(name, o.type, o.zone, o.spot, n)
+                } finally { renting.remove(name) }
+            }
+        }
+    }
+
+    private suspend fun book(name: String, type: String, zone: String, spot: Boolean, count: Int) {
+        val offer = Offer(type, zone, spot)
+        val at = nowMs()
+        var silent = false
+        while (true) {
+            when (val r = cloud.rent(name, type, zone, spot, count)) {
+                is RentResult.Rented -> {
+                    log.info("rented {} of {} {} in {} spot={}: {}", r.names.size, count, type, zone, spot, r.names)
+                    for (n in r.names) if (n !in machines.deletedNames) rentals.getOrPut(n) { Rental(n, offer, at) }
+                    if (r.names.size < count) refuse(offer) else refusals.remove(offer)
+                    break
+                }
+                RentResult.NoCapacity -> { log.info("no capacity for {} in {} spot={}", type, zone, spot); refuse(offer); break }
+                RentResult.Refused -> { if (!silent) { refusedUntil[offer] = nowMs() + settings.leaseMs / 5; break } }
+                RentResult.Unknown -> silent = true
+            }
+            if (!keeping) return
+            delay(settings.leaseMs / 10)
+        }
+        state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Delete(Keys.RENT + name))) }
+    }
+
+    private fun refuse(o: Offer) {
+        val n = refusals.merge(o, 1, Int::plus)!!
+        refusedUntil[o] = nowMs() + minOf(n, 6) * settings.leaseMs / 2
+    }
+
+    /** Old proofs are dropped; a machine whose proof is missed is simply deleted again. */
+    suspend fun prune() {
+        val old = goneAt.filterValues { nowMs() - it > settings.leaseMs * 60 }.keys.take(settings.txnOps / 2)
+        if (old.isEmpty() || !keeping) return
+        if (state.txn(old.size, Urgency.SUMMARY) { Txn(emptyList(), old.map { Delete(Keys.GONE + it) }) } is TxnResult.Applied) goneAt.keys.removeAll(old.toSet())
+    }
+
+    private companion object {
+        const val LATE_BOOTS = 4
+        const val IDLE_LEASES = 4
+        const val MOST_AT_ONCE = 20
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/job/Attempt.kt
@@ -0,0 +1,48 @@
+package micatally.job
+
+import micatally.worker.Machine
+
+/** Where one start of one task stands.
+ *
+ * INTENDED: decided, not yet in the state service, so nothing may be sent.
+ * RECORDED: the intent is durable; no run has left.
+ * ORDERED: a run may have left. From here on only a proof ends the attempt.
+ * PULLING, RUNNING, SAVING: as the worker said last.
+ * GONE: proven not to be on its machine and not to come there any more. */
+enum class AttemptState { INTENDED, RECORDED, ORDERED, PULLING, RUNNING, SAVING, GONE }
+
+/** The proofs that an attempt is gone. Nothing else counts; above all no report that merely lacks it. */
+enum class GoneProof { NEVER_SENT, OWN_ANSWER, NEWER_SESSION, MACHINE_DELETED, COMPLETED }
+
+/** Why an attempt is to be stopped. */
+enum class StopReason { WITHDRAWN, DRAIN, PREEMPTED, STRAY }
+
+class Attempt(val job: Job, val lap: Int, val number: Long, val machine: Machine, val session: Long, val inherited: Double, startState: AttemptState) {
+    var state = startState
+        private set
+    var stop: StopReason? = null
+        private set
+    var stopSince = 0L
+        private set
+    var runningSince: Long? = null
+    var sentAt: Long? = null
+
+    /** The one place where an attempt changes its state. */
+    fun become(next: AttemptState, nowMs: Long) {
+        if (next == state) return
+        check(next.ordinal > state.ordinal) { "attempt ${job.ref}/$lap#$number may not go from $state to $next" }
+        state = next
+        if (next == AttemptState.RUNNING && runningSince == null) runningSince = nowMs
+    }
+
+    fun stop(reason: StopReason, nowMs: Long): Boolean {
+        if (stop != null && stop!!.ordinal <= reason.ordinal) return false
+        if (stop == null) stopSince = nowMs
+        stop = reason
+        return true
+    }
+
+    val maySend get() = state >= AttemptState.RECORDED && state != AttemptState.GONE
+    val live get() = state != AttemptState.GONE
+    override fun toString() = "${job.ref}/$lap#$number@${machine.name}"
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/job/Job.kt
@@ -0,0 +1,89 @@
+package micatally.job
+
+import kotlinx.coroutines.CompletableDeferred
+import micatally.ledger.Ledger
+import micatally.wire.JobAnswer
+import micatally.wire.JobSpec
+import java.util.BitSet
+import java.util.TreeMap
+
+/** NEW: not yet durable. OPEN: accepted. DONE and WITHDRAWN are final. DROPPED: this node does not own it any more. */
+enum class JobState { NEW, OPEN, DONE, WITHDRAWN, DROPPED }
+
+class Job(val ref: String, val spec: JobSpec?, val ledger: Ledger, val laps: Int, val submittedAt: Long, startState: JobState) {
+    var state = startState
+        private set
+
+    /** The state that the state service holds; users hear of no other. */
+    var durableState = if (startState == JobState.NEW) JobState.NEW else startState
+    val done = BitSet()
+    var doneCount = 0
+        private set
+    val attempts = TreeMap<Int, Attempt>()
+    var nextAttempt = 1L
+
+    /** The longest service path seen, in run seconds; the queue that it puts the job in; whether waiting lifted it. */
+    var service = 0.0
+    var queue = 0
+    var waitedSince = submittedAt
+    var waitedMs = 0L
+    var retryAt = 0L
+    var failures = 0
+    val badMachines = HashSet<String>()
+    val stoppedOnce = HashSet<Int>()
+
+    // What the store keeps about writing the record.
+    var mark = 0L
+    var version = 0L
+    var durableVersion = 0L
+    var writing = false
+    var dirtySoon = false
+    var maybeCreated = false
+    val waiters = ArrayList<Pair<Long, CompletableDeferred<Boolean>>>()
+
+    /** The one place where a job changes its state. */
+    fun become(next: JobState) {
+        if (next == state) return
+        val ok = when (next) {
+            JobState.OPEN -> state == JobState.NEW
+            JobState.DONE -> state == JobState.OPEN && doneCount == laps
+            JobState.WITHDRAWN -> state == JobState.OPEN || state == JobState.NEW
+            JobState.DROPPED -> true
+            JobState.NEW -> false
+        }
+        check(ok) { "job $ref may not go from $state to $next" }
+        state = next
+    }
+
+    fun markDone(lap: Int): Boolean {
+        if (lap !in 0 until laps || done[lap]) return false
+        done.set(lap)
+        doneCount++
+        return true
+    }
+
+    val wantsTasks get() = state == JobState.OPEN || state == JobState.NEW
+
+    /** The lap numbers that neither are done nor have an attempt, lowest first. */
+    fun pending(limit: Int): List<Int> {
+        val out = ArrayList<Int>()
+        var lap = done.nextClearBit(0)
+        while (lap < laps && out.size < limit) {
+            if (!attempts.containsKey(lap)) out.add(lap)
+            lap = done.nextClearBit(lap + 1)
+        }
+        return out
+    }
+
+    val pendingCount get() = if (!wantsTasks) 0 else laps - doneCount - attempts.size
+
+    fun answer(): JobAnswer {
+        val running = attempts.values.count { it.state == AttemptState.RUNNING || it.state == AttemptState.SAVING }
+        val status = when (durableState) {
+            JobState.DONE -> JobAnswer.DONE
+            JobState.WITHDRAWN -> JobAnswer.WITHDRAWN
+            else -> if (running > 0) JobAnswer.RUNNING else JobAnswer.PENDING
+        }
+        return JobAnswer(ref, status, doneCount, running)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/job/Owner.kt
@@ -0,0 +1,298 @@
+package micatally.job
+
+import com.google.common.cache.CacheBuilder
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import micatally.ledger.Holder
+import micatally.ledger.Keys
+import micatally.ledger.Ledger
+import micatally.ledger.LedgerState
+import micatally.ledger.Membership
+import micatally.placement.Quota
+import micatally.settings.Settings
+import micatally.state.StateClient
+import micatally.state.Urgency
+import micatally.wire.JobAnswer
+import micatally.wire.JobSpec
+import micatally.wire.ListedTask
+import micatally.worker.Machine
+import micatally.worker.Machines
+import micatally.worker.OrderBook
+import micatally.worker.Orders
+import org.slf4j.LoggerFactory
+
+/** The jobs of the ledgers that this node holds, and all that happens to their tasks. */
+class Owner(
+    private val scope: CoroutineScope, private val settings: Settings, private val state: StateClient, private val membership: Membership,
+    private val machines: Machines, private val store: JobStore, private val nowMs: () -> Long, private val wallMs: () -> Long,
+) : OrderBook {
+    private val log = LoggerFactory.getLogger("micatally.job")
+    val ledgers = HashMap<String, Ledger>()
+    lateinit var orders: Orders
+    lateinit var quota: Quota
+    var wake: () -> Unit = {}
+    /** A machine failed what it started. */
+    var onFault: (Machine, Attempt) -> Unit = { _, _ -> }
+
+    /** Final answers, which never change. */
+    private val finals = CacheBuilder.newBuilder().maximumSize(FINALS).build<String, JobAnswer>()
+
+    fun final(ref: String): JobAnswer? = finals.getIfPresent(ref)
+    fun rememberFinal(a: JobAnswer) { if (a.status == JobAnswer.DONE || a.status == JobAnswer.WITHDRAWN) finals.put(a.ref, a) }
+
+    fun own(): Ledger? = ledgers[settings.host]?.takeIf { it.mine }
+
+    fun job(ref: String): Job? {
+        for (l in ledgers.values) if (l.mine) l.jobs[ref]?.let { return it }
+        return null
+    }
+
+    fun openJobs(): List<Job> = ledgers.values.filter { it.state == LedgerState.ACTIVE }.flatMap { l -> l.jobs.values.filter { it.wantsTasks } }
+
+    override fun mine(ref: String) = ledgers.values.any { it.state == LedgerState.ACTIVE && ref in it.jobs }
+    override fun attempt(ref: String, lap: Int) = job(ref)?.attempts?.get(lap)
+
+    // Ledgers
+
+    fun acquired(name: String, holder: Holder) {
+        ledgers[name]?.let { if (it.mine) lose(it) }
+        val l = Ledger(name, holder)
+        ledgers[name] = l
+        scope.launch { load(l) }
+    }
+
+    /** The shared keys have changed: drop what is another node's now. */
+    fun checkLedgers() {
+        for (l in ledgers.values.toList()) {
+            if (!l.mine) continue
+            val h = membership.cluster.holder(l.name)
+            if (h == null || h.mark != l.holder.mark) lose(l)
+        }
+        for (name in membership.cluster.ledgers()) {
+            val h = membership.cluster.holder(name) ?: continue
+            if (h.host == settings.host && h.process == membership.process && ledgers[name]?.mine != true) acquired(name, h)
+        }
+    }
+
+    fun lose(l: Ledger) {
+        if (!l.mine) return
+        log.info("ledger {} lost with {} jobs", l.name, l.jobs.size)
+        l.become(LedgerState.LOST)
+        for (j in l.jobs.values) {
+            for (a in j.attempts.values) { a.machine.attempts.remove(a); a.machine.ownUsed = a.machine.ownUsed - (j.spec?.amount ?: continue) }
+            store.drop(j)
+        }
+        l.jobs.clear()
+        ledgers.remove(l.name, l)
+        quota.forget(l.name)
+    }
+
+    private suspend fun load(l: Ledger) {
+        val began = nowMs()
+        while (l.mine) {
+            val listing = state.list(Keys.JOB, Urgency.LEASE)
+            if (listing == null) { delay(settings.reportMs / 8); continue }
+            if (!l.mine) return
+            var open = 0
+            for (item in listing.items) {
+                if (JobRecord.ledgerOf(item.value) != l.name) continue
+                val ref = item.key.removePrefix(Keys.JOB)
+                // Accepted by this process while the list was on its way.
+                if (ref in l.jobs) continue
+                val job = JobRecord.decode(ref, item.value, l, item.mark)
+                if (JobRecord.isSettled(item.value)) { rememberFinal(job.answer()); continue }
+                l.jobs[ref] = job
+                open++
+                for (p in JobRecord.placed(item.value)) {
+                    val m = machines.known(p.machine, p.addr, p.type, p.zone, p.spot)
+                    if (m.session == 0L) m.session = p.session
+                    val a = Attempt(job, p.lap, p.number, m, p.session, job.service, AttemptState.ORDERED)
+                    job.attempts[p.lap] = a
+                    attach(a)
+                }
+            }
+            l.become(LedgerState.ACTIVE)
+            log.info("ledger {} loaded at epoch {}: {} jobs in {} ms", l.name, l.holder.epoch, open, nowMs() - began)
+            for (m in machines.byName.values.toList()) {
+                if (m.session > 0) newSession(m)
+                if (m.deleted) deleted(m)
+                if (m.attempts.isNotEmpty()) { listed(m, false); orders.poke(m) }
+            }
+            wake()
+            return
+        }
+    }
+
+    private fun attach(a: Attempt) {
+        a.machine.attempts.add(a)
+        a.job.spec?.let { a.machine.ownUsed = a.machine.ownUsed + it.amount }
+        quota.take(a.job)
+    }
+
+    // Attempts
+
+    fun place(job: Job, lap: Int, m: Machine): Attempt {
+        val a = Attempt(job, lap, job.nextAttempt++, m, m.session, job.service, AttemptState.INTENDED)
+        job.attempts[lap] = a
+        attach(a)
+        log.debug("task {}/{} attempt {} intended for {}", job.ref, lap, a.number, m.name)
+        return a
+    }
+
+    fun durable(job: Job, written: List<Attempt>) {
+        val touched = LinkedHashSet<Machine>()
+        for (a in written) if (a.live && a.state == AttemptState.INTENDED) {
+            a.become(AttemptState.RECORDED, nowMs())
+            touched.add(a.machine)
+        }
+        for (m in touched) orders.poke(m)
+        if (job.durableState == JobState.DONE || job.durableState == JobState.WITHDRAWN) {
+            rememberFinal(job.answer())
+            if (job.attempts.isEmpty() && job.durableVersion == job.version) {
+                // Kept in memory for a while so that its ended entries are still cleared from the machines.
+                val l = job.ledger
+                scope.launch { delay(settings.leaseMs * 2); if (job.attempts.isEmpty()) l.jobs.remove(job.ref, job) }
+            }
+        }
+    }
+
+    /** The one place where an attempt ends. A task may start elsewhere only after it. */
+    override fun gone(a: Attempt, proof: GoneProof, why: String) {
+        if (!a.live) return
+        val job = a.job
+        val now = nowMs()
+        val ran = a.runningSince?.let { now - it } ?: 0L
+        a.become(AttemptState.GONE, now)
+        a.machine.attempts.remove(a)
+        job.attempts.remove(a.lap, a)
+        job.spec?.let { a.machine.ownUsed = a.machine.ownUsed - it.amount }
+        quota.release(job)
+        log.info("task {} gone: {} {}", a, proof, why)
+        if (job.state == JobState.DROPPED) return
+        val word = why.substringBefore(' ')
+        if (proof == GoneProof.COMPLETED) finished(a, ran) else if (ran > 0 && job.spec?.isService == false) {
+            // Stopped or lost: its run time counts as service that the job has had.
+            lift(job, a.inherited + ran / 1000.0)
+        }
+        when (word) {
+            ListedTask.ERROR -> {
+                job.failures++
+                job.badMachines.add(a.machine.name)
+                if (job.badMachines.size > FAULTS_TO_PAUSE) {
+                    job.retryAt = now + minOf(settings.leaseMs * 6, settings.reportMs shl minOf(job.badMachines.size - FAULTS_TO_PAUSE, 5))
+                }
+                onFault(a.machine, a)
+            }
+            ListedTask.FULL -> a.machine.fullUntil = now + settings.reportMs
+            ListedTask.UNKNOWN, ListedTask.IN_USE -> job.retryAt = now + settings.reportMs
+        }
+        store.touch(job, job.state != JobState.OPEN || a.stop != null)
+        wake()
+    }
+
+    private fun finished(a: Attempt, ranMs: Long) {
+        val job = a.job
+        if (!job.markDone(a.lap)) return
+        a.machine.successes++
+        lift(job, a.inherited + ranMs / 1000.0)
+        if (job.doneCount == job.laps && job.state == JobState.OPEN) {
+            job.become(JobState.DONE)
+            log.info("job {} done", job.ref)
+            store.touch(job, true)
+        }
+    }
+
+    private fun lift(job: Job, to: Double) { if (to > job.service) job.service = to }
+
+    fun newSession(m: Machine) {
+        for (a in m.attempts.toList()) if (a.session < m.session) gone(a, GoneProof.NEWER_SESSION, "session ${m.session}")
+    }
+
+    fun deleted(m: Machine) {
+        m.deleted = true
+        m.loose.clear()
+        for (a in m.attempts.toList()) gone(a, GoneProof.MACHINE_DELETED, "machine gone")
+    }
+
+    /** A newer task list of a machine. Without an answer to our own request it proves only what can't change any more. */
+    fun listed(m: Machine, own: Boolean) {
+        val now = nowMs()
+        var poke = false
+        for (t in m.tasks) {
+            val job = job(t.ref) ?: continue
+            val a = job.attempts[t.lap]
+            if (a == null || a.number != t.attempt || a.machine !== m || a.session != m.session) {
+                poke = true
+                // Completed under an attempt that was given up for good reasons: the result counts all the same.
+                if (t.done && job.state == JobState.OPEN && a == null && job.markDone(t.lap)) {
+                    if (job.doneCount == job.laps) { job.become(JobState.DONE); log.info("job {} done", job.ref) }
+                    store.touch(job, job.state == JobState.DONE)
+                }
+                continue
+            }
+            when (t.status) {
+                ListedTask.PULLING -> if (a.state < AttemptState.PULLING && a.state >= AttemptState.ORDERED) a.become(AttemptState.PULLING, now)
+                ListedTask.RUNNING -> if (a.state < AttemptState.RUNNING && a.state >= AttemptState.ORDERED) {
+                    a.become(AttemptState.RUNNING, now)
+                    job.spec?.let { m.sawImage(it.image, it.imageGb, machines.flavors[m.type]?.cacheGb ?: 0.0) }
+                    log.debug("task {} runs", a)
+                }
+                ListedTask.SAVING -> if (a.state < AttemptState.SAVING && a.state >= AttemptState.ORDERED) a.become(AttemptState.SAVING, now)
+                ListedTask.ENDED -> when {
+                    t.done -> { gone(a, GoneProof.COMPLETED, "done"); poke = true }
+                    !own -> { m.mustAsk = true; poke = true }
+                }
+            }
+        }
+        if (poke) orders.poke(m)
+    }
+
+    // What users ask for
+
+    /** Creates a job of this node's own ledger; the caller waits for the store. */
+    fun create(spec: JobSpec, ledger: Ledger): Job {
+        val job = Job(spec.ref, spec, ledger, spec.laps, wallMs(), JobState.NEW)
+        ledger.jobs[spec.ref] = job
+        return job
+    }
+
+    fun forget(job: Job) {
+        for (a in job.attempts.values.toList()) gone(a, GoneProof.NEVER_SENT, "job not accepted")
+        job.ledger.jobs.remove(job.ref, job)
+    }
+
+    fun withdraw(job: Job) {
+        if (job.state != JobState.OPEN && job.state != JobState.NEW) return
+        job.become(JobState.WITHDRAWN)
+        log.info("job {} withdrawn with {} tasks", job.ref, job.attempts.size)
+        val now = nowMs()
+        val touched = LinkedHashSet<Machine>()
+        for (a in job.attempts.values.toList()) {
+            if (a.state == AttemptState.INTENDED) { gone(a, GoneProof.NEVER_SENT, "withdrawn"); continue }
+            a.stop(StopReason.WITHDRAWN, now)
+            touched.add(a.machine)
+        }
+        store.touch(job, true)
+        for (m in touched) orders.poke(m)
+    }
+
+    /** Adopted after a takeover: a withdrawn job's tasks must still go. */
+    fun sweep() {
+        val now = nowMs()
+        for (l in ledgers.values) {
+            if (l.state != LedgerState.ACTIVE) continue
+            for (j in l.jobs.values) if (j.state == JobState.WITHDRAWN) for (a in j.attempts.values) a.stop(StopReason.WITHDRAWN, now)
+        }
+        for (m in machines.byName.values) {
+            if (m.deleted || m.attempts.isEmpty() && m.tasks.none { it.ended && mine(it.ref) }) continue
+            if (m.flushing) continue
+            if (m.attempts.any { it.stop != null || it.state == AttemptState.RECORDED || it.state == AttemptState.ORDERED || m.confirmedToken < it.job.ledger.holder.epoch } || m.mustAsk || m.tasks.any { it.ended && mine(it.ref) }) orders.poke(m)
+        }
+    }
+
+    private companion object {
+        const val FINALS = 20_000L
+        const val FAULTS_TO_PAUSE = 3
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/ledger/Cluster.kt
@@ -0,0 +1,78 @@
+package micatally.ledger
+
+import kotlinx.serialization.json.JsonObject
+import micatally.state.Item
+import micatally.state.Listing
+import micatally.state.News
+import micatally.wire.longOrNull
+import micatally.wire.textOrNull
+
+/** The keys that every node keeps a copy of. All lie under one prefix, so one watch shows them at one revision. */
+object Keys {
+    const val PREFIX = "c/"
+    const val EPOCH = "c/epoch"
+    const val FLEET = "c/fleet"
+    const val LEDGER = "c/ledger/"
+    const val LIVE = "c/live/"
+    const val TEAM = "c/team/"
+    const val ROOM = "c/room/"
+    const val GONE = "c/gone/"
+    const val HEARD = "c/heard/"
+    const val RENT = "c/rent/"
+    const val KILL = "c/kill/"
+    const val DRAIN = "c/drain/"
+    const val JOB = "job/"
+    const val FLAVORS = "flavors"
+    fun job(ref: String) = JOB + ref
+    fun ledger(name: String) = LEDGER + name
+    fun live(host: String) = LIVE + host
+    fun team(name: String) = TEAM + name
+}
+
+class Holder(val host: String, val process: String, val epoch: Long, val mark: Long)
+
+/** This node's copy of the shared keys, always as of one revision. */
+class Cluster {
+    private val items = HashMap<String, Item>()
+    var revision = -1L
+        private set
+
+    val epoch get() = items[Keys.EPOCH]?.value?.longOrNull("n") ?: 0L
+    fun mark(key: String) = items[key]?.mark ?: 0L
+    fun value(key: String): JsonObject? = items[key]?.value
+    fun under(prefix: String): List<Item> = items.values.filter { it.key.startsWith(prefix) }
+    fun has(key: String) = items.containsKey(key)
+
+    fun holder(ledger: String): Holder? {
+        val i = items[Keys.ledger(ledger)] ?: return null
+        return Holder(i.value.textOrNull("host") ?: "", i.value.textOrNull("process") ?: "", i.value.longOrNull("epoch") ?: 0, i.mark)
+    }
+
+    fun ledgers(): List<String> = under(Keys.LEDGER).map { it.key.removePrefix(Keys.LEDGER) }
+    fun isLive(host: String) = has(Keys.live(host))
+
+    /** Takes a full listing; returns the keys that differ. */
+    fun load(listing: Listing): Set<String> {
+        if (listing.revision < revision) return emptySet()
+        val fresh = listing.items.associateBy { it.key }
+        val changed = HashSet<String>()
+        for (k in items.keys) if (k !in fresh) changed.add(k)
+        for ((k, i) in fresh) if (items[k]?.mark != i.mark) changed.add(k)
+        items.clear()
+        items.putAll(fresh)
+        revision = listing.revision
+        return changed
+    }
+
+    fun apply(news: News): Set<String> {
+        val changed = HashSet<String>()
+        for (e in news.events) {
+            if (e.mark <= revision && (items[e.key]?.mark ?: 0) >= e.mark) continue
+            val value = e.value
+            if (value == null) items.remove(e.key) else items[e.key] = Item(e.key, value, e.mark)
+            changed.add(e.key)
+        }
+        if (news.revision > revision) revision = news.revision
+        return changed
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/ledger/Ledger.kt
@@ -0,0 +1,21 @@
+package micatally.ledger
+
+import micatally.job.Job
+
+/** ACTIVE: its jobs are known and may be moved. LOST: another node holds it; nothing may be written or sent for it. */
+enum class LedgerState { LOADING, ACTIVE, LOST }
+
+/** A ledger in this node's hands: the jobs accepted by one controller. */
+class Ledger(val name: String, val holder: Holder) {
+    var state = LedgerState.LOADING
+        private set
+    val jobs = HashMap<String, Job>()
+
+    /** The one place where a ledger changes its state. */
+    fun become(next: LedgerState) {
+        check(next.ordinal > state.ordinal) { "ledger $name may not go from $state to $next" }
+        state = next
+    }
+
+    val mine get() = state != LedgerState.LOST
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/ledger/Membership.kt
@@ -0,0 +1,188 @@
+package micatally.ledger
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import micatally.settings.Settings
+import micatally.state.Condition
+import micatally.state.Put
+import micatally.state.StateClient
+import micatally.state.Txn
+import micatally.state.TxnResult
+import micatally.state.Urgency
+import org.slf4j.LoggerFactory
+import kotlin.random.Random
+
+/** Whether this node may answer workers' reports. */
+enum class Right { STARTING, ENTITLED, LAPSED }
+
+/** Life of this node as the state service sees it: its lease, the shared keys, the ledgers that it holds. */
+class Membership(
+    private val scope: CoroutineScope, private val settings: Settings, private val state: StateClient, val cluster: Cluster,
+    private val random: Random, private val nowMs: () -> Long,
+) {
+    private val log = LoggerFactory.getLogger("micatally.ledger")
+
+    /** Names this process, so that a restarted node does not mistake its predecessor's entries for its own. */
+    val process: String = java.lang.Long.toString(random.nextLong(1, Long.MAX_VALUE), 36)
+    var lease: Long? = null
+        private set
+    private var leaseProvenAt = Long.MIN_VALUE / 2
+    private var viewProvenAt = Long.MIN_VALUE / 2
+    private var started = false
+    private val deadSince = HashMap<String, Long>()
+    private var ownLostAt: Long? = null
+
+    /** Told which shared keys have changed. */
+    var onChange: (Set<String>) -> Unit = {}
+    /** Told of a ledger acquired, with the mark and epoch of the acquisition. */
+    var onAcquired: (String, Holder) -> Unit = { _, _ -> }
+
+    var right = Right.STARTING
+        private set
+
+    /** The one place where the node's right changes. */
+    private fun become(next: Right, why: String) {
+        if (right == next) return
+        log.info("right {} -> {}: {} epoch={}", right, next, why, cluster.epoch)
+        right = next
+    }
+
+    val viewAgeMs get() = nowMs() - viewProvenAt
+
+    /** Looks at the clock: a right lapses by time alone. */
+    fun checkRight(): Right {
+        when {
+            !started -> {}
+            viewAgeMs > settings.rightMs -> become(Right.LAPSED, "no proof of state contact for ${settings.rightMs} ms")
+            right != Right.ENTITLED -> become(Right.ENTITLED, "state contact")
+        }
+        return right
+    }
+
+    /** True while no other node can have taken this node's ledgers: its lease at the state service cannot have ended. */
+    fun leaseHolds(): Boolean = lease != null && nowMs() < leaseProvenAt + settings.liveMs * 97 / 100
+
+    fun holds(ledger: String): Boolean = cluster.holder(ledger)?.let { it.host == settings.host && it.process == process } == true
+
+    fun start() {
+        scope.launch { leaseLoop() }
+        scope.launch { viewLoop() }
+        scope.launch { takeoverLoop() }
+    }
+
+    private suspend fun leaseLoop() {
+        while (true) {
+            val sent = nowMs()
+            val held = lease
+            if (held == null) {
+                val l = state.grant(settings.liveMs)
+                if (l == null) { delay(pause()); continue }
+                val r = state.txn(1, Urgency.LEASE) {
+                    Txn(emptyList(), listOf(Put(Keys.live(settings.host), buildJsonObject { put("process", process) }, l)))
+                }
+                if (r is TxnResult.Applied) { lease = l; leaseProvenAt = sent; log.info("live with lease {}", l) } else delay(pause())
+                continue
+            }
+            when (state.renew(held)) {
+                true -> { leaseProvenAt = sent; delay(settings.liveMs / 4) }
+                false -> { log.info("lease {} has ended", held); lease = null }
+                null -> delay(pause())
+            }
+        }
+    }
+
+    private fun pause() = settings.liveMs / 32 + random.nextLong(settings.liveMs / 32)
+
+    private suspend fun viewLoop() {
+        while (true) {
+            val sent = nowMs()
+            if (cluster.revision < 0) {
+                val l = state.list(Keys.PREFIX, Urgency.LEASE)
+                if (l == null) { delay(pause()); continue }
+                seen(cluster.load(l), sent)
+                continue
+            }
+            val news = state.watch(Keys.PREFIX, cluster.revision, settings.leaseMs / 10)
+            when {
+                news == null -> delay(pause())
+                news.tooOld -> {
+                    val l = state.list(Keys.PREFIX, Urgency.LEASE)
+                    if (l == null) delay(pause()) else seen(cluster.load(l), sent)
+                }
+                else -> seen(cluster.apply(news), sent)
+            }
+        }
+    }
+
+    private fun seen(changed: Set<String>, provenAt: Long) {
+        viewProvenAt = maxOf(viewProvenAt, provenAt)
+        if (changed.isNotEmpty()) onChange(changed)
+        checkRight()
+    }
+
+    /** Takes the node's own ledger at the start, and those of nodes whose lease has ended. */
+    private suspend fun takeoverLoop() {
+        while (cluster.revision < 0 || lease == null) delay(settings.liveMs / 200)
+        while (!acquire(settings.host, "start")) delay(pause())
+        started = true
+        checkRight()
+        while (true) {
+            delay(settings.liveMs / 16)
+            if (!leaseHolds() || viewAgeMs > settings.liveMs / 2) { deadSince.clear(); continue }
+            val now = nowMs()
+            if (!holds(settings.host)) {
+                // Lost while cut off. Taken back when contact has been steady for a while.
+                val since = ownLostAt ?: now.also { ownLostAt = now }
+                if (now - since > settings.liveMs / 2) { ownLostAt = null; acquire(settings.host, "taken back") }
+            } else ownLostAt = null
+            for (l in cluster.ledgers()) {
+                val h = cluster.holder(l) ?: continue
+                if (cluster.isLive(h.host)) { deadSince.remove(l); continue }
+                val since = deadSince.getOrPut(l) { now + random.nextLong(settings.liveMs / 16) }
+                if (now - since > settings.liveMs / 16) { deadSince.remove(l); acquire(l, "its holder ${h.host} is dead") }
+            }
+        }
+    }
+
+    /** One transaction: the ledger's new holder and a raised epoch, on the condition that neither has changed. */
+    suspend fun acquire(ledger: String, why: String): Boolean {
+        var epoch = 0L
+        val r = state.txn(2, Urgency.LEASE) {
+            epoch = cluster.epoch + 1
+            Txn(
+                listOf(Condition(Keys.EPOCH, cluster.mark(Keys.EPOCH)), Condition(Keys.ledger(ledger), cluster.mark(Keys.ledger(ledger)))),
+                listOf(
+                    Put(Keys.EPOCH, buildJsonObject { put("n", epoch) }),
+                    Put(Keys.ledger(ledger), buildJsonObject { put("host", settings.host); put("process", process); put("epoch", epoch) }),
+                ),
+            )
+        }
+        if (r !is TxnResult.Applied) {
+            log.info("ledger {} not acquired ({}): {}", ledger, why, r::class.simpleName)
+            // The view that the conditions came from was too old, or nobody knows the outcome: look again.
+            refresh()
+            return holds(ledger)
+        }
+        log.info("ledger {} acquired at epoch {}: {}", ledger, epoch, why)
+        if (cluster.revision < r.revision) refresh()
+        return holds(ledger)
+    }
+
+    /** Raises the epoch alone: what was sent with a lower token can no longer be carried out where the new one is known. */
+    suspend fun raiseEpoch(why: String): Boolean {
+        val r = state.txn(1, Urgency.LEASE) {
+            Txn(listOf(Condition(Keys.EPOCH, cluster.mark(Keys.EPOCH))), listOf(Put(Keys.EPOCH, buildJsonObject { put("n", cluster.epoch + 1) })))
+        }
+        log.info("epoch raised: {} {}", why, r::class.simpleName)
+        return r is TxnResult.Applied
+    }
+
+    suspend fun refresh() {
+        val sent = nowMs()
+        val l = state.list(Keys.PREFIX, Urgency.LEASE) ?: return
+        seen(cluster.load(l), sent)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/node/Controller.kt
@@ -0,0 +1,204 @@
+package micatally.node
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonArray
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.protobuf.ProtoBuf
+import micatally.api.UserApi
+import micatally.api.WorkerApi
+import micatally.fleet.CloudClient
+import micatally.fleet.Keeper
+import micatally.http.HttpCaller
+import micatally.http.HttpRequest
+import micatally.http.HttpResponse
+import micatally.http.errorResponse
+import micatally.job.AttemptState
+import micatally.job.JobStore
+import micatally.job.Owner
+import micatally.job.StopReason
+import micatally.ledger.Cluster
+import micatally.ledger.Keys
+import micatally.ledger.Membership
+import micatally.peer.Peers
+import micatally.placement.Quota
+import micatally.placement.Rounds
+import micatally.queue.Queues
+import micatally.settings.Settings
+import micatally.state.Delete
+import micatally.state.Put
+import micatally.state.RateBudget
+import micatally.state.StateClient
+import micatally.state.Txn
+import micatally.state.Urgency
+import micatally.wire.PeerAsk
+import micatally.worker.Machine
+import micatally.worker.Machines
+import micatally.worker.Orders
+import org.slf4j.LoggerFactory
+import kotlin.random.Random
+
+/** One controller: all parts, put together. Requests leave through [http], time and randomness come from outside, so
+ * several controllers can run in one simulation. */
+class Controller(
+    private val scope: CoroutineScope, private val settings: Settings, http: HttpCaller, random: Random,
+    private val nowMs: () -> Long, wallMs: () -> Long,
+) {
+    private val log = LoggerFactory.getLogger("micatally.node")
+    private val share = 0.95 / settings.controllers
+    private val state = StateClient(
+        http, settings.stateAddr, RateBudget(scope, settings.stateRps * share, nowMs), RateBudget(scope, settings.stateWriteRps * share, nowMs), settings.leaseMs / 8,
+    )
+    private val cloud = CloudClient(http, settings.cloudAddr, RateBudget(scope, settings.cloudRps * 0.9, nowMs), settings.leaseMs / 2)
+    val membership = Membership(scope, settings, state, Cluster(), random, nowMs)
+    val machines = Machines(nowMs)
+    private val store = JobStore(scope, state, membership.process, settings.reportMs / 4)
+    val owner = Owner(scope, settings, state, membership, machines, store, nowMs, wallMs)
+    private val orders = Orders(scope, http, settings, membership, machines, owner, nowMs)
+    private val quota = Quota(scope, state, membership.cluster, settings.teams, { owner.ledgers.values.filter { it.mine } }) { rounds.wake() }
+    val rounds: Rounds = Rounds(scope, settings, owner, machines, store, quota, orders, Queues(Queues.DEFAULT_BOUNDS, Queues.DEFAULT_LIFT), nowMs)
+    private val peers = Peers(scope, http, settings, state, membership, machines, owner, rounds, nowMs)
+    private val keeper = Keeper(scope, settings, state, cloud, membership, machines, { rounds.unplaced.values.toList() + peers.demandOfPeers() }, nowMs)
+    private val users = UserApi(settings, state, membership, owner, store, machines, peers, rounds, nowMs)
+    private val workers = WorkerApi(scope, settings, membership, machines, peers, nowMs)
+
+    fun start() {
+        owner.orders = orders
+        owner.quota = quota
+        owner.wake = { rounds.wake() }
+        owner.onFault = { m, a -> fault(m, a.job.ref) }
+        store.onDurable = { job, written -> owner.durable(job, written) }
+        store.onLedgerLost = { l -> owner.lose(l); scope.launch { membership.refresh() } }
+        machines.onSession = { owner.newSession(it) }
+        machines.onTasks = { m, own -> owner.listed(m, own); rounds.wake() }
+        keeper.onFlavors = { rounds.wake() }
+        peers.onRetire = { keeper.retire(it) }
+        peers.onNews = { rounds.wake() }
+        membership.onChange = { sharedChanged(it) }
+        membership.start()
+        keeper.start()
+        peers.start()
+        scope.launch { housekeeping() }
+    }
+
+    private fun sharedChanged(keys: Set<String>) {
+        owner.checkLedgers()
+        for (k in keys) {
+            if (k.startsWith(Keys.GONE)) {
+                val name = k.removePrefix(Keys.GONE)
+                if (membership.cluster.has(k)) {
+                    machines.deletedNames.add(name)
+                    machines.of(name)?.let { owner.deleted(it) }
+                }
+            }
+            if (k.startsWith(Keys.DRAIN)) machines.of(k.removePrefix(Keys.DRAIN))?.draining = membership.cluster.has(k)
+        }
+        peers.sharedChanged(keys)
+        rounds.wake()
+    }
+
+    /** A machine that fails tasks of several jobs in a row is left alone for a while, longer each time. */
+    private fun fault(m: Machine, ref: String) {
+        m.errorRefs.add(ref)
+        if (m.errorRefs.size < 2 && m.successes > 0) return
+        m.errorRefs.clear()
+        m.successes = 0
+        m.sickTimes++
+        m.sickUntil = nowMs() + settings.leaseMs * 3 * minOf(m.sickTimes, 4)
+        log.info("machine {} fails what it starts", m.name)
+    }
+
+    private suspend fun housekeeping() {
+        var round = 0
+        var bumpedAt = nowMs()
+        while (true) {
+            delay(settings.reportMs / 4)
+            val now = nowMs()
+            membership.checkRight()
+            owner.sweep()
+            rounds.wake()
+            for (m in machines.byName.values) if (m.recalled && !m.deleted) {
+                var touched = false
+                for (a in m.attempts) if (a.stop == null && a.state >= AttemptState.ORDERED && a.stop(StopReason.DRAIN, now)) touched = true
+                if (touched) orders.poke(m)
+            }
+            if (orders.wantsHigherToken && now - bumpedAt > settings.leaseMs / 2) {
+                orders.wantsHigherToken = false
+                bumpedAt = now
+                membership.raiseEpoch("a run without an answer must not come late")
+            }
+            if (++round % 20 == 0) { quota.handBack(); keeper.prune() }
+            if (round % 4 == 0) publishKills(now)
+            if (round % 8 == 0) askForEnds(now)
+            if (round % 100 == 0) machines.byName.values.removeIf { it.deleted && it.attempts.isEmpty() && now - it.heardAt > settings.leaseMs * 6 }
+        }
+    }
+
+    /** Tasks of withdrawn jobs on machines that don't answer here: whichever node hears the machine passes it on. */
+    private fun publishKills(now: Long) {
+        for (m in machines.byName.values) {
+            val late = if (m.deleted) emptyList() else m.attempts.filter { it.stop == StopReason.WITHDRAWN && now - it.stopSince > settings.leaseMs / 10 }
+            val key = Keys.KILL + m.name
+            if (late.isEmpty()) {
+                if (membership.cluster.has(key) && membership.cluster.value(key)?.get("by")?.toString() == "\"${settings.host}\"") {
+                    scope.launch { state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Delete(key))) } }
+                }
+                continue
+            }
+            val rows = buildJsonArray { for (a in late.take(200)) add(JsonArray(listOf(JsonPrimitive(a.job.ref), JsonPrimitive(a.lap), JsonPrimitive(a.number)))) }
+            val value = buildJsonObject { put("by", settings.host); put("tasks", rows) }
+            if (membership.cluster.value(key)?.toString() != value.toString()) scope.launch { state.txn(1, Urgency.ACCEPTANCE) { Txn(emptyList(), listOf(Put(key, value))) } }
+        }
+    }
+
+    /** Machines that hold attempts of this node but that nobody hears: their end must be proven before the tasks move. */
+    private fun askForEnds(now: Long) {
+        for (m in machines.byName.values) {
+            if (m.deleted || m.attempts.isEmpty()) continue
+            if (now - m.heardAt > settings.leaseMs * 2 && m.heardAt == 0L || now - m.heardAt > settings.leaseMs + settings.rightMs + settings.leaseMs) {
+                keeper.retire(listOf(m.name))
+                peers.retire(m.name)
+            }
+        }
+    }
+
+    /** Requests on the address for users and workers. */
+    suspend fun handle(r: HttpRequest): HttpResponse {
+        val path = r.path
+        return when {
+            path == "/v1/report" -> if (r.method == "POST") workers.report(r) else errorResponse(405, "use POST")
+            path == "/healthz" -> users.health()
+            path == "/work" -> if (r.method == "POST") users.submit(r) else errorResponse(405, "use POST")
+            path.startsWith("/work/") -> {
+                val rest = path.removePrefix("/work/")
+                if (rest.endsWith("/cancel")) {
+                    if (r.method == "POST") users.cancel(rest.removeSuffix("/cancel")) else errorResponse(405, "use POST")
+                } else if (r.method == "GET") users.query(rest) else errorResponse(405, "use GET")
+            }
+            else -> errorResponse(404, "no such resource")
+        }
+    }
+
+    /** Requests on the address for other controllers. */
+    @OptIn(kotlinx.serialization.ExperimentalSerializationApi::class)
+    suspend fun handlePeer(r: HttpRequest): HttpResponse {
+        if (r.method != "POST") return errorResponse(405, "use POST")
+        val bytes = try {
+            when (r.path) {
+                Peers.NEWS -> peers.takeNews(r.body)
+                Peers.QUERY -> ProtoBuf.encodeToByteArray(users.peerQuery(ProtoBuf.decodeFromByteArray<PeerAsk>(r.body).ref))
+                Peers.CANCEL -> ProtoBuf.encodeToByteArray(users.peerCancel(ProtoBuf.decodeFromByteArray<PeerAsk>(r.body).ref))
+                else -> return errorResponse(404, "no such resource")
+            }
+        } catch (e: kotlinx.serialization.SerializationException) {
+            return errorResponse(400, "malformed message")
+        }
+        return HttpResponse(200, bytes, HttpResponse.BINARY)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/placement/Placement.kt
@@ -0,0 +1,61 @@
+package micatally.placement
+
+import micatally.job.Job
+import micatally.wire.Amount
+import micatally.wire.Flavor
+import micatally.wire.JobSpec
+import micatally.worker.Machine
+
+/** Where a task may go, and where it goes best. Decisions only; no I/O and no clock of its own. */
+object Placement {
+    fun typeAllowed(spec: JobSpec, f: Flavor) = (spec.types == null || f.label in spec.types) && spec.amount.fitsIn(f.amount)
+
+    /** Whether any machine type could ever take one task of the job. */
+    fun possible(spec: JobSpec, flavors: Collection<Flavor>) =
+        flavors.any { typeAllowed(spec, it) && (spec.zone == null || spec.zone in it.zones) }
+
+    /** At most half of the tasks, rounded up, in one zone. */
+    fun zoneCap(spec: JobSpec) = if (spec.scatter) (spec.laps + 1) / 2 else spec.laps
+
+    /** The zones in which a further task of the job may start, given its live attempts; null: any. */
+    fun zones(job: Job, spec: JobSpec): ZoneRule {
+        val used = HashMap<String, Int>()
+        for (a in job.attempts.values) used.merge(a.machine.zone, 1, Int::plus)
+        return ZoneRule(spec, used)
+    }
+
+    class ZoneRule(private val spec: JobSpec, val used: Map<String, Int>) {
+        fun allows(zone: String): Boolean {
+            if (spec.zone != null && spec.zone != zone) return false
+            if (spec.together && used.isNotEmpty() && zone !in used) return false
+            return !spec.scatter || (used[zone] ?: 0) < zoneCap(spec)
+        }
+    }
+
+    fun kindAllowed(spec: JobSpec, m: Machine) = (!m.spot || spec.spot) && (spec.types == null || m.type in spec.types)
+
+    /** How long the image will take, by the type's nominal rate; nothing if the machine has it. */
+    fun fetchS(spec: JobSpec, m: Machine, f: Flavor) = if (spec.image in m.images) 0.0 else spec.imageGb / f.pullGbPerS
+
+    /** Lower is better. The image counts most, then the tightest fit, so that whole machines stay free for large
+     * tasks or can be returned. A task without cards avoids eating the cores that a machine's cards will need. */
+    fun score(spec: JobSpec, m: Machine, f: Flavor, free: Amount, zoneUse: Int): Double {
+        var s = fetchS(spec, m, f)
+        val left = free - spec.amount
+        val share = maxOf(left.cards / maxOf(f.amount.cards, 1.0), if (f.amount.cards > 0 && spec.amount.cards > 0) 0.0 else left.cores / f.amount.cores)
+        s += share * FIT_WEIGHT
+        if (spec.amount.cards == 0.0 && f.amount.cards > 0) {
+            val perCard = f.amount.cores / f.amount.cards * CORES_KEPT
+            if (left.cores < left.cards * perCard) s += STARVES_CARDS
+        }
+        if (m.spot && spec.spot) s -= SPOT_BONUS
+        if (spec.scatter) s += zoneUse * SCATTER_WEIGHT
+        return s
+    }
+
+    private const val FIT_WEIGHT = 8.0
+    private const val STARVES_CARDS = 60.0
+    private const val CORES_KEPT = 0.7
+    private const val SPOT_BONUS = 4.0
+    private const val SCATTER_WEIGHT = 0.5
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/placement/Rounds.kt
@@ -0,0 +1,193 @@
+package micatally.placement
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import micatally.job.Attempt
+import micatally.job.AttemptState
+import micatally.job.Job
+import micatally.job.JobStore
+import micatally.job.Owner
+import micatally.job.StopReason
+import micatally.queue.Queues
+import micatally.settings.Settings
+import micatally.wire.Amount
+import micatally.wire.Demand
+import micatally.wire.JobSpec
+import micatally.worker.Machine
+import micatally.worker.Machines
+import micatally.worker.Orders
+import org.slf4j.LoggerFactory
+
+/** Decision rounds: from the top queue down, skipping what finds no room. They run on events, with a budget of time
+ * for each, and the next one goes on where the last one stopped. */
+class Rounds(
+    private val scope: CoroutineScope, private val settings: Settings, private val owner: Owner, private val machines: Machines,
+    private val store: JobStore, private val quota: Quota, private val orders: Orders, private val queues: Queues, private val nowMs: () -> Long,
+) {
+    private val log = LoggerFactory.getLogger("micatally.placement")
+    private val gapMs = maxOf(5L, settings.reportMs / 40)
+    private val budgetMs = maxOf(5L, settings.reportMs / 40)
+    private var asked = false
+    private var lastAt = 0L
+    private var resumeAfter: String? = null
+
+    /** What found no room in the last full round, by job. */
+    val unplaced = LinkedHashMap<String, Demand>()
+
+    fun wake() {
+        if (asked) return
+        asked = true
+        scope.launch {
+            val wait = lastAt + gapMs - nowMs()
+            if (wait > 0) delay(wait)
+            asked = false
+            round()
+        }
+    }
+
+    private fun ordered(): List<Job> = owner.openJobs().filter { it.pendingCount > 0 }
+        .sortedWith(compareBy<Job>({ queues.current(it) }, { it.spec?.priority?.ordinal ?: 9 }, { it.submittedAt }, { it.ref }))
+
+    private fun round() {
+        val now = nowMs()
+        tickWaits(now)
+        lastAt = now
+        val jobs = ordered()
+        var from = resumeAfter?.let { r -> jobs.indexOfFirst { it.ref == r } + 1 } ?: 0
+        if (from >= jobs.size) from = 0
+        if (from == 0) unplaced.clear()
+        resumeAfter = null
+        for (i in from until jobs.size) {
+            placeJob(jobs[i], now)
+            if (nowMs() - now > budgetMs && i + 1 < jobs.size) {
+                resumeAfter = jobs[i].ref
+                wake()
+                return
+            }
+        }
+    }
+
+    private fun tickWaits(now: Long) {
+        val step = now - lastAt
+        if (lastAt == 0L || step <= 0) return
+        for (j in owner.openJobs()) if (j.pendingCount > 0 && j.attempts.values.none { it.state >= AttemptState.RUNNING }) j.waitedMs += step
+    }
+
+    /** Places what can be placed of one job. Returns whether all of it found room. */
+    fun placeJob(job: Job, now: Long): Boolean {
+        val spec = job.spec ?: return true
+        if (!job.wantsTasks || now < job.retryAt) return true
+        val room = MAX_ATTEMPTS - job.attempts.size
+        val laps = job.pending(if (spec.isService) spec.laps.coerceAtMost(room) else minOf(room, ROUND_TASKS))
+        if (laps.isEmpty()) return true
+        if (spec.together && spec.isService) return gang(job, spec, laps, now)
+        var placed = 0
+        var blocked = false
+        for (lap in laps) {
+            if (!quota.allows(job)) { blocked = true; break }
+            val m = choose(job, spec, now, null) ?: break
+            owner.place(job, lap, m)
+            placed++
+        }
+        val q = queues.current(job)
+        if (placed > 0) {
+            job.queue = q
+            store.touch(job, true)
+        }
+        if (placed < laps.size && !blocked) {
+            note(job, spec, job.pendingCount)
+            if (placed == 0) makeRoom(job, spec, q, now)
+            return false
+        }
+        if (placed == laps.size && job.pendingCount > 0) wake()
+        return !blocked
+    }
+
+    private fun note(job: Job, spec: JobSpec, count: Int) {
+        val rule = Placement.zones(job, spec)
+        val zones = settings.zones.filter { rule.allows(it) }
+        unplaced[job.ref] = Demand(
+            spec.amount.cores, spec.amount.cards, spec.amount.ram, spec.types?.toList() ?: emptyList(), zones, spec.spot, count,
+            spec.priority.ordinal, spec.isService, spec.estimateS, spec.image,
+        )
+    }
+
+    /** All or nothing: every pending task of a gang finds room in one zone, or none is placed. */
+    private fun gang(job: Job, spec: JobSpec, laps: List<Int>, now: Long): Boolean {
+        val rule = Placement.zones(job, spec)
+        for (zone in settings.zones) {
+            if (!rule.allows(zone)) continue
+            val placed = ArrayList<Attempt>()
+            for (lap in laps) {
+                if (!quota.allows(job)) break
+                val m = choose(job, spec, now, zone) ?: break
+                placed.add(owner.place(job, lap, m))
+            }
+            if (placed.size == laps.size) { store.touch(job, true); return true }
+            for (a in placed) owner.gone(a, micatally.job.GoneProof.NEVER_SENT, "gang incomplete")
+        }
+        note(job, spec, laps.size)
+        return false
+    }
+
+    fun usable(m: Machine, now: Long) = !m.deleted && !m.draining && !m.recalled && m.session > 0 && m.addr.isNotEmpty() &&
+        now - m.heardAt < settings.leaseMs / 2 + settings.reportMs && now >= m.unreachableUntil && now >= m.fullUntil && now >= m.sickUntil
+
+    private fun choose(job: Job, spec: JobSpec, now: Long, zone: String?): Machine? {
+        val rule = Placement.zones(job, spec)
+        var best: Machine? = null
+        var bestScore = Double.MAX_VALUE
+        for (m in machines.byName.values) {
+            if (!usable(m, now) || (zone != null && m.zone != zone)) continue
+            if (!Placement.kindAllowed(spec, m) || !rule.allows(m.zone)) continue
+            if (m.name in job.badMachines && job.badMachines.size <= FEW_FAULTS) continue
+            val f = machines.flavors[m.type] ?: continue
+            val free = f.amount - m.used()
+            if (!spec.amount.fitsIn(free)) continue
+            val s = Placement.score(spec, m, f, free, rule.used[m.zone] ?: 0)
+            if (s < bestScore || (s == bestScore && m.name < best!!.name)) { best = m; bestScore = s }
+        }
+        return best
+    }
+
+    /** The design's stop: an array task past its queue's bound may be stopped once for a waiter two queues higher that
+     * fits nowhere. */
+    private fun makeRoom(waiter: Job, spec: JobSpec, queue: Int, now: Long) {
+        val rule = Placement.zones(waiter, spec)
+        for (m in machines.byName.values) {
+            if (!usable(m, now) || !Placement.kindAllowed(spec, m) || !rule.allows(m.zone)) continue
+            val f = machines.flavors[m.type] ?: continue
+            var free = f.amount - m.used()
+            // Room that is on its way already.
+            for (a in m.attempts) if (a.stop != null) free = free + (a.job.spec?.amount ?: Amount.NONE)
+            if (spec.amount.fitsIn(free)) return
+            val victims = ArrayList<Attempt>()
+            for (a in m.attempts.sortedByDescending { it.runningSince ?: 0L }) {
+                val s = a.job.spec ?: continue
+                if (s.isService || a.stop != null || a.state != AttemptState.RUNNING || a.lap in a.job.stoppedOnce) continue
+                if (s.priority <= spec.priority) continue
+                val ran = (now - (a.runningSince ?: now)) / 1000.0
+                if (!queues.pastBound(a.inherited, ran) || queues.of(a.inherited + ran) < queue + 2) continue
+                victims.add(a)
+                free = free + s.amount
+                if (spec.amount.fitsIn(free)) break
+            }
+            if (!spec.amount.fitsIn(free) || victims.isEmpty()) continue
+            for (a in victims) {
+                a.job.stoppedOnce.add(a.lap)
+                a.stop(StopReason.PREEMPTED, now)
+                log.info("task {} stopped for {}", a, waiter.ref)
+            }
+            orders.poke(m)
+            return
+        }
+    }
+
+    private companion object {
+        /** How many tasks of a job may be on machines at once: keeps its record within the state service's value limit. */
+        const val MAX_ATTEMPTS = 400
+        const val ROUND_TASKS = 100
+        const val FEW_FAULTS = 6
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/settings/Settings.kt
@@ -0,0 +1,91 @@
+package micatally.settings
+
+import kotlinx.serialization.json.JsonObject
+import micatally.wire.WireError
+import micatally.wire.asObject
+import micatally.wire.asText
+import micatally.wire.child
+import micatally.wire.listOrNull
+import micatally.wire.number
+import micatally.wire.numberOrNull
+import micatally.wire.parseObject
+import micatally.wire.text
+
+/** A setting that is missing or makes no sense; the text names the field. */
+class SettingsError(message: String) : Exception(message)
+
+class Peer(val host: String, val zone: String, val addr: String)
+
+/** A team's guarantee and limit. As the deployment page says, 0 means none: no guarantee, no limit. */
+class Team(val name: String, val cores: Double, val coresMax: Double, val cards: Double, val cardsMax: Double)
+
+class Objective(val kind: String, val lane: String?, val withinS: Double?)
+
+class Settings(
+    val host: String, val zone: String, val listen: String, val back: String, val peers: List<Peer>,
+    val cloudAddr: String, val stateAddr: String, val zones: List<String>, val teams: Map<String, Team>,
+    val objectives: List<Objective>, val reportMs: Long, val leaseMs: Long, val cancelMs: Long,
+    val stateRps: Double, val stateWriteRps: Double, val valueBytes: Int, val txnOps: Int,
+    val cloudRps: Double, val listLagMs: Long, val maxSockets: Int, val coreShare: Double,
+) {
+    val controllers get() = peers.size + 1
+
+    /** For how long a node may answer reports after its last proof of contact with the state service: together
+     * with the worker's lease and a margin of three tenths of it, this fits in the time a cancellation has. */
+    val rightMs get() = maxOf(leaseMs / 2, cancelMs - leaseMs * 13 / 10)
+
+    /** A node's own lease at the state service. */
+    val liveMs get() = leaseMs * 8 / 10
+
+    companion object {
+        fun parse(body: ByteArray): Settings = try {
+            read(parseObject(body))
+        } catch (e: WireError) {
+            throw SettingsError(e.message ?: "bad settings")
+        }
+
+        private fun read(o: JsonObject): Settings {
+            val services = need(o, "services")
+            val params = need(o, "params")
+            val workers = need(params, "workers")
+            val state = need(params, "state")
+            val cloud = need(params, "cloud")
+            val limits = need(params, "machine_limits")
+            val teams = (params.listOrNull("teams") ?: throw SettingsError("params.teams is missing")).map {
+                val t = it.asObject()
+                Team(t.text("name"), t.numberOrNull("cpus") ?: 0.0, t.numberOrNull("cpus_max") ?: 0.0,
+                    t.numberOrNull("gpus") ?: 0.0, t.numberOrNull("gpus_max") ?: 0.0)
+            }
+            return Settings(
+                o.text("host_name"), o.text("location"), address(o, "listen"), address(o, "back"),
+                (o.listOrNull("seeds") ?: emptyList()).map {
+                    val p = it.asObject()
+                    Peer(p.text("host_name"), p.text("location"), address(p, "peer_addr"))
+                },
+                address(services, "cloud"), address(services, "state"),
+                (params.listOrNull("zones") ?: emptyList()).map { it.asText() }, teams.associateBy { it.name },
+                (params.listOrNull("objectives") ?: emptyList()).map {
+                    val t = it.asObject()
+                    Objective(t.text("kind"), (t["class"])?.asText(), t.numberOrNull("within_s"))
+                },
+                millis(workers, "report_s"), millis(workers, "lease_s"), millis(workers, "cancel_s"),
+                positive(state, "rps"), positive(state, "write_rps"), (positive(state, "value_kb") * 1024).toInt(),
+                positive(state, "txn_ops").toInt(), positive(cloud, "rps"), millis(cloud, "list_lag_s"),
+                positive(limits, "max_sockets").toInt(), positive(limits, "core_share"),
+            )
+        }
+
+        private fun need(o: JsonObject, name: String) = o.child(name) ?: throw SettingsError("$name is missing")
+
+        private fun positive(o: JsonObject, name: String) = o.number(name).also {
+            if (it <= 0) throw SettingsError("$name must be above 0")
+        }
+
+        private fun millis(o: JsonObject, name: String) = (positive(o, name) * 1000).toLong()
+
+        private fun address(o: JsonObject, name: String) = o.text(name).also {
+            val port = it.substringAfterLast(':', "").toIntOrNull()
+            if (port == null || port !in 0..65535 || it.substringBeforeLast(':').isEmpty()) throw SettingsError("$name must look like 10.0.0.1:8080")
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/standin/StateStandin.kt
@@ -0,0 +1,157 @@
+package micatally.standin
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import micatally.http.HttpRequest
+import micatally.http.HttpResponse
+import micatally.http.errorResponse
+import micatally.wire.EMPTY_OBJECT
+import micatally.wire.asObject
+import micatally.wire.child
+import micatally.wire.listOrNull
+import micatally.wire.long
+import micatally.wire.longOrNull
+import micatally.wire.parseObject
+import micatally.wire.text
+import micatally.wire.textOrNull
+import java.util.TreeMap
+
+/** The state service as the protocol page describes it, kept in memory. */
+class StateStandin(private val nowMs: () -> Long) {
+    private class Entry(val value: JsonObject, val mark: Long, val lease: Long?)
+    private class Lease(val lifeMs: Long, var endsAt: Long)
+    private class Change(val key: String, val value: JsonObject?, val mark: Long)
+
+    private val keys = TreeMap<String, Entry>()
+    private val leases = HashMap<Long, Lease>()
+    private val changes = ArrayDeque<Change>()
+    private var dropped = 0L
+    private var nextLease = 1L
+    private var waiters = ArrayList<CompletableDeferred<Unit>>()
+    var revision = 0L
+        private set
+    var down = false
+        set(v) { field = v; if (!v) for (l in leases.values) l.endsAt = nowMs() + l.lifeMs }
+
+    fun value(key: String) = keys[key]?.value
+    fun keysUnder(prefix: String) = keys.keys.filter { it.startsWith(prefix) }
+
+    fun expire() {
+        if (down) return
+        val now = nowMs()
+        for (id in leases.filterValues { it.endsAt < now }.keys) end(id)
+    }
+
+    private fun end(id: Long) {
+        leases.remove(id)
+        val gone = keys.filterValues { it.lease == id }.keys.toList()
+        if (gone.isEmpty()) return
+        revision++
+        for (k in gone) { keys.remove(k); log(Change(k, null, revision)) }
+        wake()
+    }
+
+    private fun log(c: Change) {
+        changes.addLast(c)
+        while (changes.size > 10_000) dropped = changes.removeFirst().mark
+    }
+
+    private fun wake() {
+        val w = waiters
+        waiters = ArrayList()
+        for (d in w) d.complete(Unit)
+    }
+
+    private fun json(status: Int, o: JsonObject) = HttpResponse(status, o.toString().encodeToByteArray())
+    private fun item(k: String, e: Entry) = buildJsonObject { put("k", k); put("value", e.value); put("mark", e.mark); if (e.lease != null) put("permit", e.lease) }
+
+    suspend fun handle(r: HttpRequest): HttpResponse {
+        if (r.path == "/watch") return watch(r)
+        if (down) return errorResponse(503, "trouble")
+        expire()
+        return when {
+            r.path == "/txn" -> txn(parseObject(r.body))
+            r.path == "/keys" -> list(r)
+            r.path.startsWith("/keys/") -> {
+                val k = r.path.removePrefix("/keys/")
+                keys[k]?.let { json(200, item(k, it)) } ?: json(404, buildJsonObject { put("odometer", revision) })
+            }
+            r.path == "/grants" -> {
+                val id = nextLease++
+                val life = parseObject(r.body).long("life_ms")
+                leases[id] = Lease(life, nowMs() + life)
+                json(200, buildJsonObject { put("permit", id) })
+            }
+            r.path.endsWith("/renew") -> {
+                val l = leases[r.path.removePrefix("/grants/").removeSuffix("/renew").toLongOrNull()]
+                if (l == null) errorResponse(404, "no such lease") else { l.endsAt = nowMs() + l.lifeMs; json(200, EMPTY_OBJECT) }
+            }
+            r.path.startsWith("/grants/") && r.method == "DELETE" -> { r.path.removePrefix("/grants/").toLongOrNull()?.let { end(it) }; json(200, EMPTY_OBJECT) }
+            else -> errorResponse(400, "malformed")
+        }
+    }
+
+    private fun txn(o: JsonObject): HttpResponse {
+        val failed = (o.listOrNull("when") ?: emptyList()).map { it.asObject() }.filter { (keys[it.text("k")]?.mark ?: 0L) != it.long("mark") }.map { it.text("k") }
+        if (failed.isNotEmpty()) return json(409, buildJsonObject { put("failed", JsonArray(failed.map { JsonPrimitive(it) })); put("odometer", revision) })
+        val then = (o.listOrNull("then") ?: emptyList()).map { it.asObject() }
+        for (c in then) { val l = c.longOrNull("permit"); if (l != null && l !in leases) return errorResponse(400, "no such lease") }
+        if (then.isNotEmpty()) {
+            revision++
+            for (c in then) {
+                val k = c.textOrNull("put")
+                if (k != null) {
+                    val v = c.child("value") ?: EMPTY_OBJECT
+                    keys[k] = Entry(v, revision, c.longOrNull("permit"))
+                    log(Change(k, v, revision))
+                } else {
+                    val d = c.text("delete")
+                    if (keys.remove(d) != null) log(Change(d, null, revision))
+                }
+            }
+            wake()
+        }
+        return json(200, buildJsonObject { put("odometer", revision) })
+    }
+
+    private fun list(r: HttpRequest): HttpResponse {
+        val prefix = r.query["under"] ?: ""
+        val since = r.query["since"]
+        val page = minOf(r.query["page"]?.toIntOrNull() ?: 1000, 1000)
+        val all = keys.tailMap(if (since != null && since >= prefix) since else prefix, since == null || since < prefix).entries.takeWhile { it.key.startsWith(prefix) }
+        return json(200, buildJsonObject {
+            put("items", JsonArray(all.take(page).map { item(it.key, it.value) }))
+            put("more", all.size > page)
+            put("odometer", revision)
+        })
+    }
+
+    private suspend fun watch(r: HttpRequest): HttpResponse {
+        val prefix = r.query["under"] ?: ""
+        val since = r.query["since"]?.toLongOrNull() ?: 0L
+        val until = nowMs() + (r.query["hold_ms"]?.toLongOrNull() ?: 0L)
+        while (true) {
+            if (!down) {
+                expire()
+                if (since < dropped) return errorResponse(410, "too old")
+                val news = changes.filter { it.mark > since && it.key.startsWith(prefix) }
+                if (news.isNotEmpty() || nowMs() >= until) return json(200, buildJsonObject {
+                    put("odometer", revision)
+                    put("news", JsonArray(news.map { c -> buildJsonObject {
+                        if (c.value != null) { put("put", c.key); put("value", c.value) } else put("delete", c.key)
+                        put("mark", c.mark)
+                    } }))
+                })
+            }
+            val d = CompletableDeferred<Unit>()
+            waiters.add(d)
+            withTimeoutOrNull(if (down) 100L else minOf(100L, maxOf(1L, until - nowMs()))) { d.await() }
+            waiters.remove(d)
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/standin/WorkerStandin.kt
@@ -0,0 +1,219 @@
+package micatally.standin
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import micatally.http.HttpCaller
+import micatally.http.HttpRequest
+import micatally.http.HttpResponse
+import micatally.http.Outcome
+import micatally.http.errorResponse
+import micatally.wire.Amount
+import micatally.wire.JobSpec
+import micatally.wire.WireError
+import micatally.wire.asObject
+import micatally.wire.bytes
+import micatally.wire.listOrNull
+import micatally.wire.long
+import micatally.wire.longOrNull
+import micatally.wire.numberOrNull
+import micatally.wire.parseObject
+import micatally.wire.text
+import micatally.wire.textOrNull
+import kotlin.random.Random
+
+/** What tells the stand-in of a worker about jobs, and what hears of starts and ends. */
+interface WorkerWorld {
+    fun spec(ref: String): JobSpec?
+    /** How long a task takes without its image; null: until it is stopped. */
+    fun runMs(ref: String, lap: Int): Long?
+    fun completed(ref: String, lap: Int): Boolean
+    fun started(machine: WorkerStandin, ref: String, lap: Int)
+    fun left(machine: WorkerStandin, ref: String, lap: Int, done: Boolean)
+}
+
+/** A worker as the protocol page describes it. */
+class WorkerStandin(
+    private val scope: CoroutineScope, private val http: HttpCaller, private val world: WorkerWorld, private val random: Random,
+    val name: String, val addr: String, val type: String, val zone: String, val spot: Boolean, private val total: Amount,
+    private val pullGbPerS: Double, private val reportMs: Long, private val leaseMs: Long,
+    private val controllers: Map<String, String>, private val nowMs: () -> Long,
+) {
+    class Task(val ref: String, val lap: Int, val attempt: Long, val amount: Amount) {
+        var status = "pulling"
+        var why: String? = null
+        var saved = false
+        var job: Job? = null
+    }
+
+    val tasks = LinkedHashMap<Triple<String, Int, Long>, Task>()
+    private val images = HashSet<String>()
+    var session = 1L
+        private set
+    private var tick = 0L
+    var token = 0L
+        private set
+    private var renewedAt = nowMs()
+    var sick = false
+    var hung = false
+    var noticeS: Double? = null
+    private var alive = true
+    private var reporter: Job? = null
+    private var leaser: Job? = null
+    private var changed = false
+    val onMachine get() = tasks.values.filter { alive && (it.status == "running" || it.status == "saving") }
+
+    fun start() {
+        reporter = scope.launch { reportLoop() }
+        leaser = scope.launch { while (true) { delay(100); if (!hung) checkLease() } }
+    }
+
+    /** The machine is gone, and everything on it. */
+    fun stop() {
+        if (!alive) return
+        alive = false
+        reporter?.cancel()
+        leaser?.cancel()
+        for (t in tasks.values.toList()) drop(t)
+        tasks.clear()
+    }
+
+    private fun drop(t: Task) {
+        t.job?.cancel()
+        if (t.status == "running" || t.status == "saving") world.left(this, t.ref, t.lap, false)
+    }
+
+    private fun checkLease() {
+        if (nowMs() - renewedAt <= leaseMs) return
+        for (t in tasks.values.toList()) drop(t)
+        tasks.clear()
+        session++
+        renewedAt = nowMs()
+        changed = true
+    }
+
+    private fun report(): JsonObject = buildJsonObject {
+        put("car", name); put("addr", addr); put("rig", type); put("circuit", zone); put("loaners", spot)
+        put("stint", session); put("tick", ++tick); put("baton", token); put("recall_s", noticeS)
+        put("laps", JsonArray(tasks.values.map { t -> buildJsonObject {
+            put("lap", "${t.ref}/${t.lap}"); put("start", t.attempt); put("status", t.status)
+            if (t.why != null) put("retire_reason", t.why)
+            if (t.saved) put("saved", true)
+        } }))
+    }
+
+    private suspend fun reportLoop() {
+        val names = controllers.keys.sorted()
+        var at = random.nextInt(names.size)
+        delay(random.nextLong(maxOf(1L, reportMs)))
+        while (true) {
+            while (hung) delay(50)
+            checkLease()
+            val sent = nowMs()
+            val mySession = session
+            changed = false
+            val out = http.call(controllers.getValue(names[at]), "POST", "/v1/report", report().bytes(), 4000)
+            while (hung) delay(50)
+            checkLease()
+            if (out is Outcome.Answer && out.status == 200) {
+                val o = parseObject(out.body)
+                val t = o.longOrNull("baton") ?: 0L
+                if (t >= token && mySession == session && nowMs() - sent <= 4000) {
+                    token = t
+                    renewedAt = maxOf(renewedAt, sent)
+                    execute(o)
+                }
+                val until = nowMs() + reportMs * 3 / 4 + random.nextLong(reportMs / 2 + 1)
+                delay(minOf(500L, reportMs / 2))
+                while (nowMs() < until && !changed) delay(50)
+            } else {
+                val marshal = if (out is Outcome.Answer && out.status == 421) try { parseObject(out.body).textOrNull("marshal") } catch (e: WireError) { null } else null
+                if (marshal != null && marshal in controllers && names[at] != marshal) { at = names.indexOf(marshal); delay(100) } else { at = (at + 1) % names.size; delay(1000) }
+            }
+        }
+    }
+
+    suspend fun handle(r: HttpRequest): HttpResponse {
+        while (hung) delay(50)
+        if (!alive) return errorResponse(503, "gone")
+        checkLease()
+        if (r.path == "/show") return HttpResponse(200, report().bytes())
+        if (r.path != "/orders") return errorResponse(404, "no such resource")
+        val o = parseObject(r.body)
+        val t = o.longOrNull("baton") ?: return errorResponse(400, "baton is missing")
+        val s = o.longOrNull("stint") ?: return errorResponse(400, "stint is missing")
+        if (t < token || s != session) return HttpResponse(409, report().bytes())
+        token = t
+        execute(o)
+        return HttpResponse(200, report().bytes())
+    }
+
+    private fun execute(o: JsonObject) {
+        for (c in (o.listOrNull("radio") ?: emptyList()).map { it.asObject() }) {
+            val name = c.text("lap")
+            val ref = name.substringBeforeLast('/')
+            val lap = name.substringAfterLast('/').toInt()
+            val id = Triple(ref, lap, c.long("start"))
+            when (c.text("call")) {
+                "run" -> run(id)
+                "kill" -> tasks[id]?.let { kill(it, c.numberOrNull("cooldown_s") ?: 0.0) }
+                "clear" -> if (tasks[id]?.status == "ended") tasks.remove(id)
+            }
+        }
+    }
+
+    private fun end(t: Task, why: String) {
+        val was = t.status
+        t.status = "ended"
+        t.why = why
+        changed = true
+        if (was == "running" || was == "saving") world.left(this, t.ref, t.lap, why == "done")
+    }
+
+    private fun run(id: Triple<String, Int, Long>) {
+        if (id in tasks) return
+        val spec = world.spec(id.first)
+        val t = Task(id.first, id.second, id.third, spec?.amount ?: Amount.NONE)
+        tasks[id] = t
+        changed = true
+        val live = tasks.values.filter { it !== t && it.status != "ended" }
+        when {
+            spec == null || t.lap !in 0 until spec.laps -> end(t, "unknown")
+            live.any { it.ref == t.ref && it.lap == t.lap } -> end(t, "in_use")
+            !t.amount.fitsIn(live.fold(total) { a, b -> a - b.amount }) -> end(t, "full")
+            else -> t.job = scope.launch {
+                if (spec.image !in images) { delay((spec.imageGb / pullGbPerS * 1000).toLong()); images.add(spec.image) }
+                while (hung) delay(50)
+                t.status = "running"
+                changed = true
+                world.started(this@WorkerStandin, t.ref, t.lap)
+                if (sick) { delay(500); end(t, "error"); return@launch }
+                if (world.completed(t.ref, t.lap)) { end(t, "done"); return@launch }
+                val ms = world.runMs(t.ref, t.lap) ?: return@launch
+                delay(ms)
+                while (hung) delay(50)
+                end(t, "done")
+            }
+        }
+    }
+
+    private fun kill(t: Task, grace: Double) {
+        if (t.status == "ended") return
+        val spec = world.spec(t.ref)
+        if (t.status == "running" && spec != null && spec.checkpointS > 0 && grace >= spec.saveS && grace > 0) {
+            t.job?.cancel()
+            t.status = "saving"
+            changed = true
+            t.job = scope.launch { delay((spec.saveS * 1000).toLong()); t.saved = true; end(t, "stopped") }
+            return
+        }
+        if (t.status == "saving" && grace > 0) return
+        t.job?.cancel()
+        end(t, "stopped")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/state/StateClient.kt
@@ -0,0 +1,159 @@
+package micatally.state
+
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.buildJsonArray
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import micatally.http.HttpCaller
+import micatally.http.Outcome
+import micatally.http.queryPart
+import micatally.wire.EMPTY_OBJECT
+import micatally.wire.asObject
+import micatally.wire.asText
+import micatally.wire.bytes
+import micatally.wire.child
+import micatally.wire.listOrNull
+import micatally.wire.long
+import micatally.wire.longOrNull
+import micatally.wire.parseObject
+import micatally.wire.text
+import micatally.wire.textOrNull
+
+class Item(val key: String, val value: JsonObject, val mark: Long)
+
+class Condition(val key: String, val mark: Long)
+
+sealed interface Change { val key: String }
+class Put(override val key: String, val value: JsonObject, val lease: Long? = null) : Change
+class Delete(override val key: String) : Change
+
+class Txn(val conditions: List<Condition>, val changes: List<Change>)
+
+sealed interface TxnResult {
+    class Applied(val revision: Long) : TxnResult
+    /** The keys whose marks did not hold. Nothing was changed. */
+    class Failed(val keys: Set<String>) : TxnResult
+    data object NoSuchLease : TxnResult
+    /** Certainly not carried out: refused (503, 429) or never sent. */
+    data object Refused : TxnResult
+    /** Perhaps carried out, perhaps carried out later. */
+    data object Unknown : TxnResult
+}
+
+sealed interface ReadResult {
+    class Found(val item: Item) : ReadResult
+    data object Missing : ReadResult
+    data object Unavailable : ReadResult
+}
+
+class Listing(val items: List<Item>, val revision: Long)
+
+class News(val revision: Long, val events: List<Event>, val tooOld: Boolean = false)
+class Event(val key: String, val value: JsonObject?, val mark: Long)
+
+/** The state service's protocol, within this node's share of its limits. */
+class StateClient(
+    private val http: HttpCaller, private val addr: String, private val requests: RateBudget, private val writes: RateBudget,
+    private val timeoutMs: Long,
+) {
+    val waitingWrites get() = writes.waiting
+
+    private suspend fun send(method: String, target: String, body: JsonObject?, urgency: Urgency, timeout: Long = timeoutMs): Outcome {
+        requests.take(1, urgency)
+        return call(method, target, body, timeout)
+    }
+
+    private suspend fun call(method: String, target: String, body: JsonObject?, timeout: Long): Outcome {
+        val out = http.call(addr, method, target, body?.bytes(), timeout)
+        if (out is Outcome.Answer && out.status == 429) requests.drained()
+        return out
+    }
+
+    suspend fun get(key: String, urgency: Urgency): ReadResult {
+        val out = send("GET", "/keys/$key", null, urgency)
+        if (out !is Outcome.Answer) return ReadResult.Unavailable
+        return when (out.status) {
+            200 -> ReadResult.Found(item(parseObject(out.body)))
+            404 -> ReadResult.Missing
+            else -> ReadResult.Unavailable
+        }
+    }
+
+    private fun item(o: JsonObject) = Item(o.text("k"), o.child("value") ?: EMPTY_OBJECT, o.long("mark"))
+
+    /** All keys under [prefix], page by page, or null when a page could not be had. The revision is that of the
+     * first page, so that a watch from there misses nothing. */
+    suspend fun list(prefix: String, urgency: Urgency, pageSize: Int = 500): Listing? {
+        val items = ArrayList<Item>()
+        var since: String? = null
+        var revision = -1L
+        while (true) {
+            val from = if (since == null) "" else "&since=${queryPart(since)}"
+            val out = send("GET", "/keys?under=${queryPart(prefix)}$from&page=$pageSize", null, urgency)
+            if (out !is Outcome.Answer || out.status != 200) return null
+            val o = parseObject(out.body)
+            if (revision < 0) revision = o.long("odometer")
+            val page = (o.listOrNull("items") ?: emptyList()).map { item(it.asObject()) }
+            items.addAll(page)
+            if (o["more"]?.toString() != "true" || page.isEmpty()) return Listing(items, revision)
+            since = page.last().key
+        }
+    }
+
+    /** Runs a transaction of [count] changes. It is put together only when the budget allows it to leave, so that
+     * what waited meanwhile goes along. Null from [build]: nothing to do any more. */
+    suspend fun txn(count: Int, urgency: Urgency, build: () -> Txn?): TxnResult {
+        writes.take(count, urgency)
+        requests.take(1, urgency)
+        val txn = build() ?: return TxnResult.Refused
+        val body = buildJsonObject {
+            put("when", JsonArray(txn.conditions.map { c -> buildJsonObject { put("k", c.key); put("mark", c.mark) } }))
+            put("then", buildJsonArray {
+                for (c in txn.changes) add(buildJsonObject {
+                    when (c) {
+                        is Put -> { put("put", c.key); put("value", c.value); if (c.lease != null) put("permit", c.lease) }
+                        is Delete -> put("delete", c.key)
+                    }
+                })
+            })
+        }
+        return when (val out = call("POST", "/txn", body, timeoutMs)) {
+            is Outcome.NotSent -> TxnResult.Refused
+            is Outcome.Silence -> TxnResult.Unknown
+            is Outcome.Answer -> when (out.status) {
+                200 -> TxnResult.Applied(parseObject(out.body).long("odometer"))
+                409 -> TxnResult.Failed((parseObject(out.body).listOrNull("failed") ?: emptyList()).map { it.asText() }.toSet())
+                400 -> if (out.body.decodeToString().contains("no such lease")) TxnResult.NoSuchLease else throw IllegalStateException("state service: " + out.body.decodeToString())
+                429 -> { writes.drained(); TxnResult.Refused }
+                503 -> TxnResult.Refused
+                else -> TxnResult.Unknown
+            }
+        }
+    }
+
+    suspend fun grant(lifeMs: Long): Long? {
+        val out = send("POST", "/grants", buildJsonObject { put("life_ms", lifeMs) }, Urgency.LEASE)
+        return if (out is Outcome.Answer && out.status == 200) parseObject(out.body).longOrNull("permit") else null
+    }
+
+    /** True: renewed; false: the lease has ended; null: nobody knows. */
+    suspend fun renew(lease: Long): Boolean? {
+        val out = send("POST", "/grants/$lease/renew", EMPTY_OBJECT, Urgency.LEASE)
+        if (out !is Outcome.Answer) return null
+        return when (out.status) { 200 -> true; 404 -> false; else -> null }
+    }
+
+    suspend fun watch(prefix: String, since: Long, holdMs: Long): News? {
+        val out = send("GET", "/watch?under=${queryPart(prefix)}&since=$since&hold_ms=$holdMs", null, Urgency.LEASE, holdMs + timeoutMs)
+        if (out !is Outcome.Answer) return null
+        if (out.status == 410) return News(since, emptyList(), true)
+        if (out.status != 200) return null
+        val o = parseObject(out.body)
+        return News(o.long("odometer"), (o.listOrNull("news") ?: emptyList()).map {
+            val e = it.asObject()
+            val put = e.textOrNull("put")
+            if (put != null) Event(put, e.child("value") ?: EMPTY_OBJECT, e.long("mark")) else Event(e.text("delete"), null, e.long("mark"))
+        })
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/wire/Jobs.kt
@@ -0,0 +1,91 @@
+package micatally.wire
+
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+
+enum class Format(val word: String) { ARRAY("sweep"), SERVICE("daemon") }
+
+/** The order is the order of importance, the first being the most important. */
+enum class Priority(val word: String) { PRODUCTION("production"), HIGH("high"), STANDARD("standard"), LOW("low") }
+
+/** What a task takes of its machine. */
+data class Amount(val cores: Double, val cards: Double, val ram: Double) {
+    operator fun plus(o: Amount) = Amount(cores + o.cores, cards + o.cards, ram + o.ram)
+    operator fun minus(o: Amount) = Amount(cores - o.cores, cards - o.cards, ram - o.ram)
+    operator fun times(n: Int) = Amount(cores * n, cards * n, ram * n)
+    fun fitsIn(o: Amount) = cores <= o.cores + SLACK && cards <= o.cards + SLACK && ram <= o.ram + SLACK
+
+    companion object {
+        /** Sums of decimal amounts are compared with this much room for rounding. */
+        const val SLACK = 1e-6
+        val NONE = Amount(0.0, 0.0, 0.0)
+    }
+}
+
+/** A job as its user submitted it. Parsed once, checked field by field. */
+class JobSpec(
+    val ref: String, val lane: String, val crew: String, val format: Format, val priority: Priority, val laps: Int,
+    val amount: Amount, val image: String, val imageGb: Double, val types: Set<String>?, val zone: String?,
+    val together: Boolean, val scatter: Boolean, val spot: Boolean,
+    val estimateS: Double, val checkpointS: Double, val saveS: Double, val deadlineS: Double?,
+    val source: JsonObject,
+) {
+    val isService get() = format == Format.SERVICE
+
+    companion object {
+        const val MAX_LAPS = 100_000
+        private val REF = Regex("j-[0-9]{1,18}")
+        private val FIELDS = setOf(
+            "ref", "lane", "crew", "format", "grid", "laps", "cores", "cards", "ram_gb", "livery", "size_gb", "chassis",
+            "circuit", "together", "scatter", "loaners", "lap_time_s", "sector_s", "pit_stop_s", "flag_s",
+        )
+
+        fun validRef(ref: String) = REF.matches(ref)
+
+        fun parse(o: JsonObject): JobSpec {
+            val ref = o.text("ref")
+            if (!validRef(ref)) throw WireError("ref must look like j-000412")
+            val laps = o.long("laps")
+            if (laps !in 1..MAX_LAPS) throw WireError("laps must be from 1 to $MAX_LAPS")
+            val types = o.listOrNull("chassis")?.map {
+                try { it.asText() } catch (e: WireError) { throw WireError("chassis must hold strings") }
+            }?.toSet()
+            if (types != null && types.isEmpty()) throw WireError("chassis must not be empty")
+            val image = word(o, "livery")
+            return JobSpec(
+                ref, word(o, "lane"), word(o, "crew"),
+                Format.entries.find { it.word == o.text("format") } ?: throw WireError("format must be sweep or daemon"),
+                Priority.entries.find { it.word == o.text("grid") }
+                    ?: throw WireError("grid must be production, high, standard or low"),
+                laps.toInt(), Amount(amount(o, "cores"), amount(o, "cards"), amount(o, "ram_gb")),
+                image, amount(o, "size_gb"), types, o.textOrNull("circuit"),
+                o.flag("together"), o.flag("scatter"), o.flag("loaners"),
+                amount(o, "lap_time_s"), amount(o, "sector_s"), amount(o, "pit_stop_s"),
+                o.numberOrNull("flag_s")?.also { if (it < 0) throw WireError("flag_s must not be negative") },
+                JsonObject(o.filterKeys { it in FIELDS }),
+            )
+        }
+
+        private fun word(o: JsonObject, name: String) = o.text(name).also {
+            if (it.isEmpty() || it.length > 200) throw WireError("$name must have 1 to 200 characters")
+        }
+
+        private fun amount(o: JsonObject, name: String) = o.number(name).also {
+            if (it < 0) throw WireError("$name must not be negative")
+        }
+    }
+}
+
+/** What users are told of a job. */
+data class JobAnswer(val ref: String, val status: String, val done: Int, val running: Int) {
+    fun json() = buildJsonObject { put("ref", ref); put("status", status); put("done", done); put("running", running) }
+    fun brief() = buildJsonObject { put("ref", ref); put("status", status) }
+
+    companion object {
+        const val PENDING = "pending"
+        const val RUNNING = "running"
+        const val DONE = "done"
+        const val WITHDRAWN = "withdrawn"
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/wire/Json.kt
@@ -0,0 +1,78 @@
+package micatally.wire
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.booleanOrNull
+import kotlinx.serialization.json.doubleOrNull
+import kotlinx.serialization.json.longOrNull
+
+/** Thrown when a message from outside is not what the protocol describes; the text names the field. */
+class WireError(message: String) : Exception(message)
+
+val EMPTY_OBJECT = JsonObject(emptyMap())
+
+fun parseObject(body: ByteArray): JsonObject {
+    val element = try {
+        Json.parseToJsonElement(body.decodeToString())
+    } catch (e: Exception) {
+        throw WireError("the body is not JSON")
+    }
+    return element as? JsonObject ?: throw WireError("the body is not a JSON object")
+}
+
+fun JsonObject.present(name: String): JsonElement? = this[name]?.takeUnless { it is JsonNull }
+
+fun JsonObject.textOrNull(name: String): String? {
+    val value = present(name) ?: return null
+    return (value as? JsonPrimitive)?.takeIf { it.isString }?.content ?: throw WireError("$name must be a string")
+}
+
+fun JsonObject.text(name: String): String = textOrNull(name) ?: throw WireError("$name is missing")
+
+fun JsonObject.numberOrNull(name: String): Double? {
+    val value = present(name) ?: return null
+    val number = (value as? JsonPrimitive)?.takeUnless { it.isString }?.doubleOrNull
+    if (number == null || !number.isFinite()) throw WireError("$name must be a finite number")
+    return number
+}
+
+fun JsonObject.number(name: String): Double = numberOrNull(name) ?: throw WireError("$name is missing")
+
+fun JsonObject.longOrNull(name: String): Long? {
+    val value = present(name) ?: return null
+    val primitive = (value as? JsonPrimitive)?.takeUnless { it.isString } ?: throw WireError("$name must be an integer")
+    primitive.longOrNull?.let { return it }
+    val number = primitive.doubleOrNull
+    if (number == null || number != Math.rint(number) || Math.abs(number) > 9.0e15) throw WireError("$name must be an integer")
+    return number.toLong()
+}
+
+fun JsonObject.long(name: String): Long = longOrNull(name) ?: throw WireError("$name is missing")
+
+fun JsonObject.flag(name: String): Boolean {
+    val value = present(name) ?: throw WireError("$name is missing")
+    return (value as? JsonPrimitive)?.takeUnless { it.isString }?.booleanOrNull ?: throw WireError("$name must be true or false")
+}
+
+fun JsonObject.listOrNull(name: String): List<JsonElement>? {
+    val value = present(name) ?: return null
+    return value as? JsonArray ?: throw WireError("$name must be a list")
+}
+
+fun JsonObject.child(name: String): JsonObject? {
+    val value = present(name) ?: return null
+    return value as? JsonObject ?: throw WireError("$name must be an object")
+}
+
+fun JsonElement.asObject(): JsonObject = this as? JsonObject ?: throw WireError("an object was expected")
+
+fun JsonElement.asText(): String =
+    (this as? JsonPrimitive)?.takeIf { it.isString }?.content ?: throw WireError("a string was expected")
+
+fun JsonElement.asLong(): Long = (this as? JsonPrimitive)?.longOrNull ?: throw WireError("an integer was expected")
+
+fun JsonElement.bytes(): ByteArray = toString().encodeToByteArray()
--- /dev/null
+++ b/src/main/kotlin/micatally/wire/Peers.kt
@@ -0,0 +1,69 @@
+package micatally.wire
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.protobuf.ProtoNumber
+
+/** A task line of a report, handed on to other controllers. */
+@Serializable
+class NoteTask(
+    @ProtoNumber(1) val ref: String, @ProtoNumber(2) val lap: Int, @ProtoNumber(3) val attempt: Long,
+    @ProtoNumber(4) val status: String, @ProtoNumber(5) val why: String = "", @ProtoNumber(6) val saved: Boolean = false,
+)
+
+/** A worker's report as handed on by the controller that got it. */
+@Serializable
+class MachineNote(
+    @ProtoNumber(1) val machine: String, @ProtoNumber(2) val addr: String, @ProtoNumber(3) val type: String,
+    @ProtoNumber(4) val zone: String, @ProtoNumber(5) val spot: Boolean, @ProtoNumber(6) val session: Long,
+    @ProtoNumber(7) val tick: Long, @ProtoNumber(8) val noticeS: Double = -1.0, @ProtoNumber(9) val tasks: List<NoteTask> = emptyList(),
+    /** How long ago the report came, in milliseconds. */
+    @ProtoNumber(10) val ageMs: Long = 0,
+)
+
+/** What one owner holds on one machine, together with the images that it knows to be there. */
+@Serializable
+class HeldRoom(
+    @ProtoNumber(1) val machine: String, @ProtoNumber(2) val cores: Double = 0.0, @ProtoNumber(3) val cards: Double = 0.0,
+    @ProtoNumber(4) val ram: Double = 0.0, @ProtoNumber(5) val images: List<String> = emptyList(),
+)
+
+/** Tasks of one shape that find no room. */
+@Serializable
+class Demand(
+    @ProtoNumber(1) val cores: Double, @ProtoNumber(2) val cards: Double, @ProtoNumber(3) val ram: Double,
+    @ProtoNumber(4) val types: List<String> = emptyList(), @ProtoNumber(5) val zones: List<String> = emptyList(),
+    @ProtoNumber(6) val spot: Boolean = false, @ProtoNumber(7) val count: Int = 1, @ProtoNumber(8) val priority: Int = 0,
+    @ProtoNumber(9) val service: Boolean = false, @ProtoNumber(10) val estimateS: Double = 0.0, @ProtoNumber(11) val image: String = "",
+)
+
+/** An owner's free-room summary: what it holds where, and what it could not place. */
+@Serializable
+class RoomSummary(
+    @ProtoNumber(1) val host: String, @ProtoNumber(2) val process: String, @ProtoNumber(3) val number: Long,
+    @ProtoNumber(4) val rooms: List<HeldRoom> = emptyList(), @ProtoNumber(5) val demand: List<Demand> = emptyList(),
+)
+
+@Serializable
+class PeerNews(
+    @ProtoNumber(1) val notes: List<MachineNote> = emptyList(), @ProtoNumber(2) val summary: RoomSummary? = null,
+    /** Machines that the sender wants deleted, because they are silent or fail what they start. */
+    @ProtoNumber(3) val retire: List<String> = emptyList(),
+    /** Machines that the sender has heard itself, without their tasks. */
+    @ProtoNumber(4) val heard: List<MachineNote> = emptyList(),
+    /** Whether the sender has proof of contact with the state service from just now. */
+    @ProtoNumber(5) val stateContact: Boolean = false,
+    @ProtoNumber(6) val host: String = "",
+)
+
+/** What a node writes to the state service for nodes that can't be told directly. */
+@Serializable
+class HeardList(@ProtoNumber(1) val notes: List<MachineNote>)
+
+@Serializable
+class PeerAsk(@ProtoNumber(1) val ref: String)
+
+@Serializable
+class PeerAnswer(
+    @ProtoNumber(1) val known: Boolean = false, @ProtoNumber(2) val status: String = "",
+    @ProtoNumber(3) val done: Int = 0, @ProtoNumber(4) val running: Int = 0,
+)
--- /dev/null
+++ b/src/main/kotlin/micatally/wire/Workers.kt
@@ -0,0 +1,67 @@
+package micatally.wire
+
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.booleanOrNull
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+
+/** One task on one machine under one attempt, as a worker lists it. */
+class ListedTask(val ref: String, val lap: Int, val attempt: Long, val status: String, val why: String?, val saved: Boolean) {
+    val ended get() = status == ENDED
+    val done get() = ended && why == DONE
+
+    companion object {
+        const val PULLING = "pulling"
+        const val RUNNING = "running"
+        const val SAVING = "saving"
+        const val ENDED = "ended"
+        const val DONE = "done"
+        const val ERROR = "error"
+        const val STOPPED = "stopped"
+        const val FULL = "full"
+        const val IN_USE = "in_use"
+        const val UNKNOWN = "unknown"
+    }
+}
+
+/** A worker's report; the protocol's stint is the session, its tick the order of messages, its baton the token. */
+class Report(
+    val machine: String, val addr: String, val type: String, val zone: String, val spot: Boolean,
+    val session: Long, val tick: Long, val token: Long, val noticeS: Double?, val tasks: List<ListedTask>,
+) {
+    companion object {
+        fun parse(o: JsonObject): Report = Report(
+            o.text("car"), o.text("addr"), o.text("rig"), o.text("circuit"), o.flag("loaners"),
+            o.long("stint"), o.long("tick"), o.longOrNull("baton") ?: 0, o.numberOrNull("recall_s"),
+            (o.listOrNull("laps") ?: emptyList()).map { task(it.asObject()) },
+        )
+
+        private fun task(o: JsonObject): ListedTask {
+            val name = o.text("lap")
+            val slash = name.lastIndexOf('/')
+            val lap = if (slash < 0) null else name.substring(slash + 1).toIntOrNull()
+            if (lap == null) throw WireError("lap must look like j-000412/3")
+            val saved = (o["saved"] as? JsonPrimitive)?.booleanOrNull ?: false
+            return ListedTask(name.substring(0, slash), lap, o.long("start"), o.text("status"), o.textOrNull("retire_reason"), saved)
+        }
+    }
+}
+
+enum class Verb(val word: String) { RUN("run"), KILL("kill"), CLEAR("clear") }
+
+class Command(val verb: Verb, val ref: String, val lap: Int, val attempt: Long, val graceS: Double? = null) {
+    fun json() = buildJsonObject {
+        put("call", verb.word); put("lap", "$ref/$lap"); put("start", attempt)
+        if (graceS != null) put("cooldown_s", graceS)
+    }
+}
+
+fun ordersBody(token: Long, session: Long, commands: List<Command>): JsonObject = buildJsonObject {
+    put("baton", token); put("stint", session); put("radio", JsonArray(commands.map { it.json() }))
+}
+
+fun reportAnswer(token: Long, commands: List<Command>): JsonObject = buildJsonObject {
+    put("baton", token); put("radio", JsonArray(commands.map { it.json() }))
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/worker/Machines.kt
@@ -0,0 +1,65 @@
+package micatally.worker
+
+import micatally.wire.Flavor
+import micatally.wire.ListedTask
+import micatally.wire.MachineNote
+import micatally.wire.NoteTask
+import micatally.wire.Report
+
+/** All machines that this node knows of, by name. Knowledge is only as new as the newest (session, tick). */
+class Machines(private val nowMs: () -> Long) {
+    val byName = HashMap<String, Machine>()
+    var flavors: Map<String, Flavor> = emptyMap()
+    /** Names of machines that a delete is known to have ended: late reports must not bring them back. */
+    val deletedNames = HashSet<String>()
+
+    var onSession: (Machine) -> Unit = {}
+    var onTasks: (Machine, Boolean) -> Unit = { _, _ -> }
+
+    fun of(name: String) = byName[name]
+
+    fun known(name: String, addr: String, type: String, zone: String, spot: Boolean): Machine =
+        byName.getOrPut(name) { Machine(name, addr, type, zone, spot).also { it.deleted = name in deletedNames; it.busyAt = nowMs() } }
+            .also { it.describe(addr, type, zone, spot) }
+
+    /** A report from the worker itself; [ownAnswer] when it is the answer to an order of ours. True if it was news. */
+    fun absorb(r: Report, ownAnswer: Boolean): Boolean {
+        val m = known(r.machine, r.addr, r.type, r.zone, r.spot)
+        if (ownAnswer) m.answeredAt = nowMs()
+        return absorb(m, r.session, r.tick, r.noticeS, r.tasks, ownAnswer, 0)
+    }
+
+    fun absorb(n: MachineNote): Boolean {
+        val m = known(n.machine, n.addr, n.type, n.zone, n.spot)
+        val tasks = n.tasks.map { ListedTask(it.ref, it.lap, it.attempt, it.status, it.why.ifEmpty { null }, it.saved) }
+        return absorb(m, n.session, n.tick, if (n.noticeS < 0) null else n.noticeS, tasks, false, n.ageMs)
+    }
+
+    private fun absorb(m: Machine, session: Long, tick: Long, noticeS: Double?, tasks: List<ListedTask>, own: Boolean, ageMs: Long): Boolean {
+        if (session < m.session || (session == m.session && tick <= m.tick)) return false
+        val newSession = session > m.session
+        m.session = session
+        m.tick = tick
+        m.tasks = tasks
+        // Copies of reports come late; only one that is newer than all before shows life, and the age is its sender's.
+        m.heardAt = maxOf(m.heardAt, nowMs() - ageMs)
+        m.noticeAt = if (noticeS == null) null else nowMs() + (noticeS * 1000).toLong()
+        if (newSession) { m.loose.clear(); m.images.clear(); onSession(m) }
+        onTasks(m, own)
+        return true
+    }
+
+    /** Another node hears this machine, without its task list being known here. */
+    fun heard(n: MachineNote) {
+        val m = known(n.machine, n.addr, n.type, n.zone, n.spot)
+        m.heardAt = maxOf(m.heardAt, nowMs() - n.ageMs)
+    }
+
+    fun note(m: Machine, withTasks: Boolean) = MachineNote(
+        m.name, m.addr, m.type, m.zone, m.spot, m.session, m.tick, m.noticeAt?.let { maxOf(0L, it - nowMs()) / 1000.0 } ?: -1.0,
+        if (withTasks) m.tasks.map { NoteTask(it.ref, it.lap, it.attempt, it.status, it.why ?: "", it.saved) } else emptyList(),
+        maxOf(0L, nowMs() - m.heardAt),
+    )
+
+    fun total(m: Machine) = flavors[m.type]?.amount
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/worker/Orders.kt
@@ -0,0 +1,173 @@
+package micatally.worker
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import micatally.http.HttpCaller
+import micatally.http.Outcome
+import micatally.job.Attempt
+import micatally.job.AttemptState
+import micatally.job.GoneProof
+import micatally.job.StopReason
+import micatally.ledger.LedgerState
+import micatally.ledger.Membership
+import micatally.settings.Settings
+import micatally.wire.Command
+import micatally.wire.Report
+import micatally.wire.Verb
+import micatally.wire.bytes
+import micatally.wire.ordersBody
+import micatally.wire.parseObject
+import org.slf4j.LoggerFactory
+
+/** What the order channel needs to know of the jobs of this node. */
+interface OrderBook {
+    /** The job's live attempt at this task, or null; [mine] tells whether the job is in an active ledger of this node. */
+    fun mine(ref: String): Boolean
+    fun attempt(ref: String, lap: Int): Attempt?
+    fun gone(a: Attempt, proof: GoneProof, why: String)
+}
+
+/** Brings each machine to what this node wants of it. What to send is worked out anew from the attempts each time,
+ * one request a machine at a time, so repeating is the normal case and nothing is lost with an answer. */
+class Orders(
+    private val scope: CoroutineScope, private val http: HttpCaller, private val settings: Settings,
+    private val membership: Membership, private val machines: Machines, private val book: OrderBook, private val nowMs: () -> Long,
+) {
+    private val log = LoggerFactory.getLogger("micatally.worker")
+    private val answerMs = settings.leaseMs * 4 / 10
+    private val killEveryMs = settings.reportMs
+    private val killedAt = HashMap<Attempt, Long>()
+    /** Set when a run may still be under way that only a higher token can stop. */
+    var wantsHigherToken = false
+
+    fun poke(m: Machine) {
+        m.poked = true
+        if (m.flushing || m.deleted) return
+        m.flushing = true
+        scope.launch { try { flush(m) } finally { m.flushing = false } }
+    }
+
+    private class Batch(val token: Long, val commands: List<Command>, val covered: List<Attempt>)
+
+    private fun build(m: Machine): Batch? {
+        val now = nowMs()
+        val token = membership.cluster.epoch
+        val commands = ArrayList<Command>()
+        var ask = m.mustAsk
+        val covered = ArrayList<Attempt>()
+        val listed = m.tasks.associateBy { AttemptId(it.ref, it.lap, it.attempt) }
+        for (a in m.attempts.toList()) {
+            if (!a.maySend || a.job.ledger.state != LedgerState.ACTIVE) continue
+            if (a.session != m.session) continue
+            val entry = listed[AttemptId(a.job.ref, a.lap, a.number)]
+            val reconciled = m.confirmedToken >= a.job.ledger.holder.epoch
+            val stop = a.stop
+            if (stop != null) {
+                if (a.state == AttemptState.RECORDED) { book.gone(a, GoneProof.NEVER_SENT, stop.name); continue }
+                covered.add(a)
+                if (entry?.ended == true) { ask = true; continue }
+                val grace = if (stop == StopReason.WITHDRAWN || stop == StopReason.STRAY) 0.0 else a.job.spec?.saveS ?: 0.0
+                val last = killedAt[a]
+                if (last == null || now - last >= killEveryMs) commands.add(Command(Verb.KILL, a.job.ref, a.lap, a.number, grace))
+            } else if (a.state == AttemptState.RECORDED) {
+                if (!reconciledOrOwn(a, reconciled)) { ask = true; continue }
+                commands.add(Command(Verb.RUN, a.job.ref, a.lap, a.number))
+                covered.add(a)
+            } else if (a.state == AttemptState.ORDERED && entry == null) {
+                covered.add(a)
+                // Taken over: whether it ever left is not known, so the machine is asked before anything else.
+                if (a.sentAt == null) ask = true else commands.add(Command(Verb.RUN, a.job.ref, a.lap, a.number))
+            } else {
+                covered.add(a)
+                if (!reconciled) ask = true
+            }
+        }
+        for (t in m.tasks) {
+            if (!book.mine(t.ref)) continue
+            val a = book.attempt(t.ref, t.lap)
+            if (a != null && a.number == t.attempt && a.machine === m) continue
+            if (!t.ended) { commands.add(Command(Verb.KILL, t.ref, t.lap, t.attempt, 0.0)); continue }
+            // A clear makes the worker forget, and a copy of the run that comes after it would start the task again.
+            val loose = m.loose[AttemptId(t.ref, t.lap, t.attempt)]
+            if (loose == null || loose < m.confirmedToken) {
+                if (m.confirmedToken >= 1) commands.add(Command(Verb.CLEAR, t.ref, t.lap, t.attempt)) else ask = true
+            } else wantsHigherToken = true
+        }
+        if (commands.isEmpty() && !ask) return null
+        if (commands.size > MAX_COMMANDS) {
+            val sent = commands.take(MAX_COMMANDS)
+            m.poked = true
+            return Batch(token, sent, covered.filter { a -> a.state != AttemptState.RECORDED || sent.any { it.verb == Verb.RUN && it.ref == a.job.ref && it.attempt == a.number } })
+        }
+        return Batch(token, commands, covered)
+    }
+
+    /** An attempt made by this process needs no reconciling: no earlier holder can have sent it. */
+    private fun reconciledOrOwn(a: Attempt, reconciled: Boolean) = reconciled || a.sentAt == null
+
+    private suspend fun flush(m: Machine) {
+        while (m.poked && !m.deleted) {
+            m.poked = false
+            // Without the lease a node can't tell whether its ledgers are still its own; the token guards, this saves work.
+            val b = build(m) ?: continue
+            val now = nowMs()
+            val session = m.session
+            for (c in b.commands) when (c.verb) {
+                Verb.RUN -> book.attempt(c.ref, c.lap)?.let { it.sentAt = now; it.become(AttemptState.ORDERED, now) }
+                Verb.KILL -> book.attempt(c.ref, c.lap)?.let { killedAt[it] = now }
+                Verb.CLEAR -> {}
+            }
+            m.mustAsk = false
+            val out = http.call(m.addr, "POST", "/orders", ordersBody(b.token, session, b.commands).bytes(), answerMs)
+            if (out is Outcome.Answer && (out.status == 200 || out.status == 409)) {
+                m.failuresInRow = 0
+                m.unreachableUntil = 0
+                answered(m, b, out.status, session, Report.parse(parseObject(out.body)))
+                continue
+            }
+            if (out is Outcome.Silence) for (c in b.commands) if (c.verb == Verb.RUN) m.loose[AttemptId(c.ref, c.lap, c.attempt)] = b.token
+            m.mustAsk = true
+            m.poked = true
+            m.failuresInRow++
+            val pause = minOf(settings.reportMs * m.failuresInRow / 4, settings.reportMs * 2)
+            m.unreachableUntil = nowMs() + pause + settings.reportMs
+            if (m.failuresInRow == 1 || m.failuresInRow % 10 == 0) log.info("no answer from {}: {} in a row", m.name, m.failuresInRow)
+            delay(pause)
+        }
+    }
+
+    private fun answered(m: Machine, b: Batch, status: Int, session: Long, r: Report) {
+        if (status == 409) {
+            machines.absorb(r, true)
+            if (r.session == session) {
+                m.poked = true
+                m.mustAsk = true
+                if (r.token > b.token) scope.launch { membership.refresh(); poke(m) }
+            }
+            return
+        }
+        m.confirmedToken = maxOf(m.confirmedToken, b.token)
+        m.loose.values.removeIf { it < m.confirmedToken }
+        machines.absorb(r, true)
+        val listed = r.tasks.associateBy { AttemptId(it.ref, it.lap, it.attempt) }
+        for (a in b.covered) {
+            if (!a.live || a.state < AttemptState.ORDERED || a.session != session) continue
+            val id = AttemptId(a.job.ref, a.lap, a.number)
+            val e = listed[id]
+            // Its place in the list is known from our own request, made after the intent. A run whose answer was lost
+            // may still come, though, until the machine has seen a higher token than it carries.
+            if (e == null) {
+                if (id in m.loose) { wantsHigherToken = true; m.mustAsk = true } else { killedAt.remove(a); book.gone(a, GoneProof.OWN_ANSWER, "not on the machine") }
+            } else if (e.ended) {
+                killedAt.remove(a)
+                book.gone(a, if (e.done) GoneProof.COMPLETED else GoneProof.OWN_ANSWER, (e.why ?: "") + if (e.saved) " saved" else "")
+                m.poked = true
+            }
+        }
+        if (m.tasks.any { it.ended && book.mine(it.ref) }) m.poked = true
+        if (m.poked && build(m) == null) m.poked = false
+    }
+
+    private companion object { const val MAX_COMMANDS = 200 }
+}
