--- a/src/main/kotlin/micatally/cli/Main.kt
+++ b/src/main/kotlin/micatally/cli/Main.kt
@@ -9,6 +9,7 @@
 import micatally.http.Client
 import micatally.http.Server
 import micatally.node.Controller
+import micatally.settings.Operator
 import micatally.settings.Settings
 import micatally.settings.SettingsError
 import micatally.standin.Rehearsal
@@ -40,9 +41,9 @@
 }
 
 /** Starts a controller on the loop; returns its two servers. */
-fun startController(loop: Loop, settings: Settings): Pair<Server, Server> {
+fun startController(loop: Loop, settings: Settings, operator: Operator = Operator.DEFAULT): Pair<Server, Server> {
     val client = Client(loop.group, settings.maxSockets * 6 / 10, loop::nowMs)
-    val controller = Controller(loop.scope, settings, client, Random(System.nanoTime()), loop::nowMs, System::currentTimeMillis)
+    val controller = Controller(loop.scope, settings, client, Random(System.nanoTime()), loop::nowMs, System::currentTimeMillis, operator)
     val front = Server(loop.scope, loop.group, settings.listen, settings.maxSockets * 3 / 10, 64 * 1024L, controller::handle)
     val back = Server(loop.scope, loop.group, settings.back, settings.maxSockets / 20 + 4, 4L * 1024 * 1024, controller::handlePeer)
     loop.scope.launch {
@@ -60,10 +61,18 @@
     throw SettingsError("settings file $file can't be read")
 }
 
-private fun serve(file: String): Int {
+private fun readOperator(file: String?): Operator {
+    if (file == null) return Operator.DEFAULT
+    val p = java.util.Properties()
+    try { Files.newBufferedReader(Path.of(file)).use { p.load(it) } } catch (e: java.io.IOException) { throw SettingsError("properties file $file can't be read") }
+    return Operator.parse(p)
+}
+
+private fun serve(file: String, properties: String?): Int {
     val settings = readSettings(file)
+    val operator = readOperator(properties)
     val loop = Loop()
-    startController(loop, settings)
+    startController(loop, settings, operator)
     LoggerFactory.getLogger("micatally.node").info("{} {} listens on {}", settings.host, VERSION, settings.listen)
     Thread.currentThread().join()
     return 0
@@ -79,9 +88,11 @@
     val spec = CommandSpec.create().name("micatally").version("micatally $VERSION").mixinStandardHelpOptions(true)
     spec.usageMessage().description("A scheduler for fleets that serve language models.")
     spec.addOption(OptionSpec.builder("--config").paramLabel("FILE").type(String::class.java).description("the platform's settings file (JSON); starts a controller").build())
+    val properties = { OptionSpec.builder("--properties").paramLabel("FILE").type(String::class.java).description("operators' own settings (Java properties)").build() }
+    spec.addOption(properties())
     spec.addSubcommand("check-config", CommandSpec.create().addOption(
         OptionSpec.builder("--config").paramLabel("FILE").type(String::class.java).required(true).description("the settings file to check").build(),
-    ).apply { usageMessage().description("Checks a settings file and says what is wrong with it.") })
+    ).addOption(properties()).apply { usageMessage().description("Checks a settings file and says what is wrong with it.") })
     spec.addSubcommand("rehearse", CommandSpec.create().apply { usageMessage().description("Runs a controller against stand-ins for a few seconds, for the build's class archive.") })
     val line = CommandLine(spec)
     line.setExecutionStrategy { parsed ->
@@ -89,9 +100,14 @@
             val sub = parsed.subcommand()
             try {
                 when {
-                    sub != null && sub.commandSpec().name() == "check-config" -> { readSettings(sub.matchedOptionValue("--config", "")); println("ok"); 0 }
+                    sub != null && sub.commandSpec().name() == "check-config" -> {
+                        readSettings(sub.matchedOptionValue("--config", ""))
+                        readOperator(sub.matchedOptionValue("--properties", null as String?))
+                        println("ok")
+                        0
+                    }
                     sub != null -> runBlocking { if (Rehearsal.run()) 0 else { System.err.println("micatally: the rehearsal failed"); 1 } }
-                    parsed.hasMatchedOption("--config") -> serve(parsed.matchedOptionValue("--config", ""))
+                    parsed.hasMatchedOption("--config") -> serve(parsed.matchedOptionValue("--config", ""), parsed.matchedOptionValue("--properties", null as String?))
                     else -> { line.usage(System.err); 2 }
                 }
             } catch (e: SettingsError) {
--- a/src/main/kotlin/micatally/fleet/Keeper.kt
+++ b/src/main/kotlin/micatally/fleet/Keeper.kt
@@ -10,6 +10,7 @@
 import micatally.ledger.Cluster
 import micatally.ledger.Keys
 import micatally.ledger.Membership
+import micatally.settings.Operator
 import micatally.settings.Settings
 import micatally.state.Condition
 import micatally.state.Delete
@@ -36,7 +37,8 @@
 /** Whoever holds the fleet key rents, drains and returns machines for all owners. */
 class Keeper(
     private val scope: CoroutineScope, private val settings: Settings, private val state: StateClient, private val cloud: CloudClient,
-    private val membership: Membership, private val machines: Machines, private val demand: () -> List<Demand>, private val peersInContact: () -> Boolean, private val nowMs: () -> Long,
+    private val membership: Membership, private val machines: Machines, private val demand: () -> List<Demand>, private val peersInContact: () -> Boolean,
+    private val operator: Operator, private val nowMs: () -> Long,
 ) {
     private val log = LoggerFactory.getLogger("micatally.fleet")
     private val cluster: Cluster = membership.cluster
@@ -185,21 +187,19 @@
         return m.tasks.all { it.ended } && m.attempts.isEmpty() && u.cores < 1e-6 && u.cards < 1e-6 && u.ram < 1e-6
     }
 
-    private fun drain(m: Machine, now: Long, state: DrainState, why: String) {
-        drains[m.name] = Drain(now, state, now)
+    private fun drain(m: Machine, now: Long, to: DrainState, why: String) {
+        drains[m.name] = Drain(now, to, now)
         log.info("machine {} drained: {}", m.name, why)
-        scope.launch { state().txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Put(Keys.DRAIN + m.name, buildJsonObject { put("by", settings.host) }))) } }
+        scope.launch { state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Put(Keys.DRAIN + m.name, buildJsonObject { put("by", settings.host) }))) } }
     }
 
     private fun keep(name: String, now: Long, why: String) {
         drains.remove(name)
         keptUntil[name] = now + settings.leaseMs * 6
         log.info("machine {} kept: {}", name, why)
-        scope.launch { state().txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Delete(Keys.DRAIN + name))) } }
+        scope.launch { state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Delete(Keys.DRAIN + name))) } }
     }
 
-    private fun state() = state
-
     /** Returns machines that stand idle, and empties those whose tasks others have room for. */
     private fun findIdle(now: Long) {
         val demands = demand()
@@ -219,7 +219,7 @@
                 if (now - d.stateSince > settings.reportMs + settings.leaseMs / 10 && cluster.has(Keys.DRAIN + m.name)) wantedGone.add(m.name)
                 continue
             }
-            val idleMs = if (m.recalled) 0L else settings.leaseMs * IDLE_LEASES
+            val idleMs = if (m.recalled) 0L else (settings.leaseMs * operator.fleetIdleLeases).toLong()
             if (now - maxOf(m.busyAt, since) > idleMs) drain(m, now, DrainState.EMPTY, "idle")
         }
         drains.keys.removeIf { it in machines.deletedNames }
@@ -231,7 +231,8 @@
 
     private fun allowedOn(d: Demand, m: Machine) = (d.types.isEmpty() || m.type in d.types) && (d.zones.isEmpty() || m.zone in d.zones) && (!m.spot || d.spot)
 
-    /** Of each type the machine with the least on it, if the others have room for that and some more besides. */
+    /** Of each type the machine with the least on it, if the others have room for that and some more besides: the
+     * headroom, a share of what is used and never less than a machine. */
     private fun emptyOne(now: Long) {
         if (drains.values.count { it.state == DrainState.EMPTYING } >= EMPTYING_AT_ONCE) return
         for (f in machines.flavors.values) {
@@ -242,7 +243,7 @@
             val m = up.filter { (keptUntil[it.name] ?: 0L) < now && now - (rentals[it.name]?.at ?: 0L) > settings.leaseMs * 6 }
                 .minWithOrNull(compareBy({ key(it.used()) }, { it.used().cores }, { it.name })) ?: continue
             val mine = key(m.used())
-            if (mine > MOSTLY_FREE || free - (1.0 - mine) < mine + maxOf(1.0, used * HEADROOM)) continue
+            if (mine > MOSTLY_FREE || free - (1.0 - mine) < mine + maxOf(1.0, used * operator.fleetHeadroom)) continue
             lastEmptying = now
             drain(m, now, DrainState.EMPTYING, "%.2f used, %.1f free elsewhere".format(mine, free - 1.0 + mine))
             return
@@ -334,12 +335,9 @@
 
     private companion object {
         const val LATE_BOOTS = 4
-        const val IDLE_LEASES = 4
         const val EMPTYING_AT_ONCE = 2
         /** A machine used beyond this is not worth emptying. */
         const val MOSTLY_FREE = 0.6
-        /** Room kept free for what comes, as a share of what is used, and never less than a machine. */
-        const val HEADROOM = 0.1
         const val MOST_AT_ONCE = 20
     }
 }
--- a/src/main/kotlin/micatally/node/Controller.kt
+++ b/src/main/kotlin/micatally/node/Controller.kt
@@ -30,6 +30,7 @@
 import micatally.placement.Quota
 import micatally.placement.Rounds
 import micatally.queue.Queues
+import micatally.settings.Operator
 import micatally.settings.Settings
 import micatally.state.Delete
 import micatally.state.Put
@@ -48,7 +49,7 @@
  * several controllers can run in one simulation. */
 class Controller(
     private val scope: CoroutineScope, private val settings: Settings, http: HttpCaller, random: Random,
-    private val nowMs: () -> Long, wallMs: () -> Long,
+    private val nowMs: () -> Long, wallMs: () -> Long, operator: Operator = Operator.DEFAULT,
 ) {
     private val log = LoggerFactory.getLogger("micatally.node")
     private val share = 0.95 / settings.controllers
@@ -62,9 +63,9 @@
     val owner = Owner(scope, settings, state, membership, machines, store, nowMs, wallMs)
     private val orders = Orders(scope, http, settings, membership, machines, owner, nowMs)
     private val quota = Quota(scope, state, membership.cluster, settings.teams, { owner.ledgers.values.filter { it.mine } }) { rounds.wake() }
-    val rounds: Rounds = Rounds(scope, settings, owner, machines, store, quota, orders, Queues(Queues.DEFAULT_BOUNDS.map { it * settings.leaseMs / 1000.0 }, Queues.DEFAULT_LIFT), nowMs)
+    val rounds: Rounds = Rounds(scope, settings, owner, machines, store, quota, orders, Queues(operator.queueBounds.map { it * settings.leaseMs / 1000.0 }, operator.queueLift), nowMs)
     private val peers = Peers(scope, http, settings, state, membership, machines, owner, rounds, nowMs)
-    private val keeper = Keeper(scope, settings, state, cloud, membership, machines, { rounds.unplaced.values.toList() + peers.demandOfPeers() }, { peers.allInContact() }, nowMs)
+    private val keeper = Keeper(scope, settings, state, cloud, membership, machines, { rounds.unplaced.values.toList() + peers.demandOfPeers() }, { peers.allInContact() }, operator, nowMs)
     private val users = UserApi(settings, state, membership, owner, store, machines, peers, rounds, nowMs)
     private val workers = WorkerApi(scope, settings, membership, machines, peers, nowMs)
 
--- a/src/main/kotlin/micatally/queue/Queues.kt
+++ b/src/main/kotlin/micatally/queue/Queues.kt
@@ -20,11 +20,4 @@
         val q = of(inheritedS)
         return q < boundsS.size && inheritedS + ranS >= boundsS[q]
     }
-
-    companion object {
-        /** The queues' bounds as multiples of a worker's lease. The source's own split leaves tasks of a minute in the top
-         * queue beside the services that wait for their machines. */
-        val DEFAULT_BOUNDS = listOf(0.1, 1.0, 10.0)
-        const val DEFAULT_LIFT = 2.0
-    }
 }
--- /dev/null
+++ b/src/test/kotlin/micatally/settings/SettingsTest.kt
@@ -0,0 +1,39 @@
+package micatally.settings
+
+import micatally.sim.SimFleet
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.util.Properties
+
+class SettingsTest {
+    private fun operator(vararg pairs: Pair<String, String>) = Operator.parse(Properties().apply { pairs.forEach { setProperty(it.first, it.second) } })
+    private fun refused(vararg pairs: Pair<String, String>) = assertThrows(SettingsError::class.java) { operator(*pairs) }.message!!
+
+    @Test
+    fun `operators' properties are checked, and a wrong name gets a suggestion`() {
+        assertEquals(listOf(0.5, 2.0), operator("queue.bounds-leases" to "0.5, 2").queueBounds)
+        assertTrue("did you mean fleet.headroom" in refused("fleet.hedroom" to "0.2"))
+        assertTrue("fleet.headroom" in refused("fleet.headroom" to "2"))
+        assertTrue("queue.lift" in refused("queue.lift" to "much"))
+        assertTrue("queue.bounds-leases" in refused("queue.bounds-leases" to "2,1"))
+    }
+
+    @Test
+    fun `a bad settings file is refused with the field's name`() {
+        val good = SimFleet(1).settingsOf(0).toString()
+        assertEquals("pitbox-0", Settings.parse(good.toByteArray()).host)
+        fun refusal(from: String, to: String) = assertThrows(SettingsError::class.java) { Settings.parse(good.replace(from, to).toByteArray()) }.message!!
+        assertTrue("lease_s" in refusal("\"lease_s\":10.0", "\"lease_s\":-1"))
+        assertTrue("listen" in refusal("\"listen\":\"n0:80\"", "\"listen\":\"n0\""))
+        assertTrue("host_name" in refusal("\"host_name\":\"pitbox-0\",", ""))
+    }
+
+    /** A node's right to answer reports, a worker's lease and some slack fit in the time that a cancellation has. */
+    @Test
+    fun `the right to answer fits in a cancellation's time`() {
+        val s = SimFleet(1).settings[0]
+        assertTrue(s.rightMs + s.leaseMs + s.leaseMs / 10 < s.cancelMs)
+    }
+}
