--- a/src/main/kotlin/micatally/ledger/Cluster.kt
+++ b/src/main/kotlin/micatally/ledger/Cluster.kt
@@ -7,7 +7,7 @@
 import micatally.wire.longOrNull
 import micatally.wire.textOrNull
 
-/** The keys that every node keeps a copy of. All lie under one prefix, so one watch shows them at one revision. */
+/** The keys that every node keeps a copy of. All that decides lies under one prefix, so one watch shows it at one revision. */
 object Keys {
     const val PREFIX = "c/"
     const val EPOCH = "c/epoch"
@@ -15,9 +15,12 @@
     const val LEDGER = "c/ledger/"
     const val LIVE = "c/live/"
     const val TEAM = "c/team/"
-    const val ROOM = "c/room/"
+    /** Summaries lie under a prefix of their own: they are by far the larger part, and a node that has only just started
+     * can answer workers without them. */
+    const val SUMMARIES = "s/"
+    const val ROOM = "s/room/"
     const val GONE = "c/gone/"
-    const val HEARD = "c/heard/"
+    const val HEARD = "s/heard/"
     const val RENT = "c/rent/"
     const val KILL = "c/kill/"
     const val DRAIN = "c/drain/"
--- a/src/main/kotlin/micatally/ledger/Membership.kt
+++ b/src/main/kotlin/micatally/ledger/Membership.kt
@@ -38,6 +38,10 @@
     /** Up to when the other controllers themselves have told of every cancellation; see [micatally.peer.Peers]. */
     var toldAllAt: () -> Long = { Long.MIN_VALUE / 2 }
 
+    /** The summaries of all nodes, and who is told which of them have changed. */
+    val summaries = Cluster()
+    var onSummaries: (Set<String>) -> Unit = {}
+
     /** Told which shared keys have changed. */
     var onChange: (Set<String>) -> Unit = {}
     /** Told of a ledger acquired, with the mark and epoch of the acquisition. */
@@ -99,23 +103,25 @@
 
     private fun pause() = settings.liveMs / 32 + random.nextLong(settings.liveMs / 32)
 
-    private suspend fun viewLoop() {
+    private suspend fun viewLoop() = follow(Keys.PREFIX, cluster, settings.leaseMs / 10, Urgency.LEASE, ::seen)
+
+    /** Keeps a copy of the keys under a prefix; [changed] hears which have changed, and when the question left. */
+    private suspend fun follow(prefix: String, copy: Cluster, holdMs: Long, urgency: Urgency, changed: (Set<String>, Long) -> Unit) {
+        var whole = true
         while (true) {
             val sent = nowMs()
-            if (cluster.revision < 0) {
-                val l = state.list(Keys.PREFIX, Urgency.LEASE)
+            if (whole || copy.revision < 0) {
+                val l = state.list(prefix, urgency)
                 if (l == null) { delay(pause()); continue }
-                seen(cluster.load(l), sent)
+                whole = false
+                changed(copy.load(l), sent)
                 continue
             }
-            val news = state.watch(Keys.PREFIX, cluster.revision, settings.leaseMs / 10)
+            val news = state.watch(prefix, copy.revision, holdMs, urgency)
             when {
                 news == null -> delay(pause())
-                news.tooOld -> {
-                    val l = state.list(Keys.PREFIX, Urgency.LEASE)
-                    if (l == null) delay(pause()) else seen(cluster.load(l), sent)
-                }
-                else -> seen(cluster.apply(news), sent)
+                news.tooOld -> whole = true
+                else -> changed(copy.apply(news), sent)
             }
         }
     }
@@ -133,6 +139,7 @@
         // so that most tries fail; they are repeated soon.
         started = true
         checkRight()
+        scope.launch { follow(Keys.SUMMARIES, summaries, settings.leaseMs / 2, Urgency.INTENT) { keys, _ -> if (keys.isNotEmpty()) onSummaries(keys) } }
         while (!acquire(settings.host, "start")) delay(random.nextLong(settings.liveMs / 50))
         while (true) {
             delay(settings.liveMs / 16)
--- a/src/main/kotlin/micatally/node/Controller.kt
+++ b/src/main/kotlin/micatally/node/Controller.kt
@@ -88,6 +88,7 @@
         peers.onRetire = { keeper.retire(it) }
         peers.onNews = { rounds.wake() }
         membership.onChange = { keys -> effort.of(Effort.Kind.SHARED) { sharedChanged(keys) } }
+        membership.onSummaries = { keys -> effort.of(Effort.Kind.SHARED) { peers.summariesChanged(keys) }; rounds.wake() }
         membership.start()
         keeper.start()
         peers.start()
@@ -106,7 +107,7 @@
             }
             if (k.startsWith(Keys.DRAIN)) machines.of(k.removePrefix(Keys.DRAIN))?.draining = membership.cluster.has(k)
         }
-        peers.sharedChanged(keys)
+        peers.sharedChanged()
         rounds.wake()
     }
 
--- a/src/main/kotlin/micatally/peer/Peers.kt
+++ b/src/main/kotlin/micatally/peer/Peers.kt
@@ -260,16 +260,19 @@
         for (name in t.rooms.keys) machines.of(name)?.others(host, Amount.NONE, nowMs())
     }
 
-    /** The shared keys have changed: summaries and lists of heard machines that came through the state service, and
-     * summaries that have no one behind them any more. */
-    fun sharedChanged(keys: Set<String>) {
+    /** Summaries and lists of heard machines that came through the state service. */
+    fun summariesChanged(keys: Set<String>) {
         for (k in keys) {
             val rooms = k.startsWith(Keys.ROOM) && !k.startsWith(Keys.ROOM + settings.host + "/")
             val heard = k.startsWith(Keys.HEARD) && !k.startsWith(Keys.HEARD + settings.host + "/")
             if (!rooms && !heard) continue
-            val bytes = membership.cluster.value(k)?.textOrNull("b")?.let { Base64.getDecoder().decode(it) } ?: continue
+            val bytes = membership.summaries.value(k)?.textOrNull("b")?.let { Base64.getDecoder().decode(it) } ?: continue
             if (rooms) takePiece(ProtoBuf.decodeFromByteArray<RoomSummary>(bytes)) else for (n in ProtoBuf.decodeFromByteArray<HeardList>(bytes).notes) machines.heard(n)
         }
+    }
+
+    /** The shared keys have changed: summaries that have no one behind them any more go. */
+    fun sharedChanged() {
         if (theirs.isEmpty()) return
         val holders = membership.cluster.ledgers().mapNotNullTo(HashSet()) { membership.cluster.holder(it)?.host }
         for (host in theirs.keys.toList()) if (host !in holders) forget(host)
--- a/src/main/kotlin/micatally/state/StateClient.kt
+++ b/src/main/kotlin/micatally/state/StateClient.kt
@@ -159,8 +159,8 @@
         return when (out.status) { 200 -> true; 404 -> false; else -> null }
     }
 
-    suspend fun watch(prefix: String, since: Long, holdMs: Long): News? {
-        val out = send("GET", "/watch?under=${queryPart(prefix)}&since=$since&hold_ms=$holdMs", null, Urgency.LEASE, holdMs + timeoutMs)
+    suspend fun watch(prefix: String, since: Long, holdMs: Long, urgency: Urgency): News? {
+        val out = send("GET", "/watch?under=${queryPart(prefix)}&since=$since&hold_ms=$holdMs", null, urgency, holdMs + timeoutMs)
         if (out !is Outcome.Answer) return null
         if (out.status == 410) return News(since, emptyList(), true)
         if (out.status != 200) return null
--- a/src/test/kotlin/micatally/sim/FoundTest.kt
+++ b/src/test/kotlin/micatally/sim/FoundTest.kt
@@ -93,7 +93,7 @@
             m.promise("j-1", n, micatally.wire.Amount(1.0, 0.0, 1.0), Long.MAX_VALUE)
         }
         f.runFor(15_000)
-        assertTrue(f.state.keysUnder("c/room/pitbox-0/").size > 1)
+        assertTrue(f.state.keysUnder("s/room/pitbox-0/").size > 1)
         assertTrue(f.state.largestValue <= 16 * 1024)
         for (n in 0 until 500) assertEquals(1.0, f.live[1]!!.machines.known("m-%06d".format(n), "10.0.0.1:9", "g8", "a", false).used.cores)
     }
