--- a/src/main/kotlin/micatally/api/UserApi.kt
+++ b/src/main/kotlin/micatally/api/UserApi.kt
@@ -45,7 +45,12 @@
     private fun ok(a: JobAnswer) = HttpResponse(200, a.json().bytes())
 
     fun health(): HttpResponse =
-        if (membership.checkRight() == Right.ENTITLED && owner.own() != null && machines.flavors.isNotEmpty()) HttpResponse(200, "{}".encodeToByteArray()) else later("starting")
+        when {
+            membership.checkRight() != Right.ENTITLED || owner.own() == null || machines.flavors.isEmpty() -> later("starting")
+            // Others can take what this node has to turn away. In an outage for all every node stays: polls are still answered.
+            !stateReachable && (peers.somePeerHasState() || !peers.anyHeard()) -> later("no contact with the state service")
+            else -> HttpResponse(200, "{}".encodeToByteArray())
+        }
 
     private val stateReachable get() = membership.viewAgeMs < settings.leaseMs * 3 / 10
 
--- a/src/main/kotlin/micatally/fleet/Keeper.kt
+++ b/src/main/kotlin/micatally/fleet/Keeper.kt
@@ -364,9 +364,9 @@
         const val LATE_BOOTS = 4
         /** Machines being emptied at once: at least so many, or a share of those that are up. */
         const val EMPTYING_AT_ONCE = 2
-        const val EMPTYING_SHARE = 0.08
+        const val EMPTYING_SHARE = 0.25
         /** A machine used beyond this is not worth emptying. */
-        const val MOSTLY_FREE = 0.6
+        const val MOSTLY_FREE = 0.8
         const val MOST_AT_ONCE = 100
         /** The protocol's limit for one request. */
         const val MOST_A_BOOKING = 50
--- a/src/main/kotlin/micatally/peer/Peers.kt
+++ b/src/main/kotlin/micatally/peer/Peers.kt
@@ -53,6 +53,7 @@
         var failures = 0
         var nextAt = 0L
         var contactAt = Long.MIN_VALUE / 2
+        var heardAt = Long.MIN_VALUE / 2
         /** When the question left whose answer told all that the peer has withdrawn, and the epoch of that answer. */
         var toldAllAt = Long.MIN_VALUE / 2
         var toldAllEpoch = 0L
@@ -84,6 +85,9 @@
 
     /** A peer has said just now that it reaches the state service. */
     fun somePeerHasState(): Boolean = lines.any { nowMs() - it.contactAt < settings.leaseMs / 5 }
+    /** Whether any peer has been heard lately, whatever it reaches. */
+    fun anyHeard(): Boolean = lines.isEmpty() || lines.any { nowMs() - it.heardAt < settings.leaseMs * 3 / 10 }
+
     /** The controller to which a zone's workers report best, among those of the zone that are in contact; null if there
      * is none. A worker whose controller ends tries the next ones in turn, and in a cut each of another zone costs it
      * half its lease, so that one is best from which the next of the same zone is the fewest steps away. */
@@ -199,6 +203,7 @@
     fun takeNews(body: ByteArray): ByteArray {
         val news = ProtoBuf.decodeFromByteArray<PeerNews>(body)
         lines.find { it.peer.host == news.host }?.let {
+            it.heardAt = nowMs()
             if (news.stateContact) it.contactAt = nowMs()
             // A peer that talks can be talked to again at once.
             if (it.failures > 0) { it.failures = 0; it.nextAt = 0 }
--- a/src/test/kotlin/micatally/sim/FoundTest.kt
+++ b/src/test/kotlin/micatally/sim/FoundTest.kt
@@ -75,6 +75,19 @@
         }
     }
 
+    /** Found on a day apart: users were sent for half a minute to a node that the state service refused alone. */
+    @Test
+    fun `a node refused alone is not healthy, in an outage for all every node is`() = fleet(7) { f ->
+        f.stateRefuses.add("n0")
+        f.runFor(5000)
+        assertEquals(listOf(503, 200, 200), (0..2).map { f.asked(it, "GET", "/healthz").first })
+        f.stateRefuses.clear()
+        f.runFor(5000)
+        f.state.down = true
+        f.runFor(6000)
+        assertEquals(listOf(200, 200, 200), (0..2).map { f.asked(it, "GET", "/healthz").first })
+    }
+
     /** The other side of it: a node that hears neither the state service nor a peer must stop answering in time. */
     @Test
     fun `a node alone without the state service stops answering workers`() = fleet(3) { f ->
