--- a/src/test/kotlin/micatally/sim/SimFleet.kt
+++ b/src/test/kotlin/micatally/sim/SimFleet.kt
@@ -46,6 +46,9 @@
     val cuts = ArrayList<Cut>()
     /** Hosts that nothing reaches though what they send arrives; the answers to it are lost. */
     val deaf = HashSet<String>()
+    /** Hosts that answer late, and by how much; controllers refuse each other's connections while [peersRefuse]. */
+    val slowMs = HashMap<String, Long>()
+    var peersRefuse = false
     /** Share of reports of which a copy comes late. */
     var lateCopies = 0.0
 
@@ -54,11 +57,11 @@
     fun callerOf(from: Host) = HttpCaller { addr, method, target, body, timeoutMs ->
         val to = host(addr)
         val request = HttpRequest(method, target, body ?: ByteArray(0))
-        if (to?.scope == null) { delay(1 + random.nextLong(3)); Outcome.NotSent } else withTimeoutOrNull(timeoutMs) { deliver(from, to, addr, request, target) } ?: Outcome.Silence
+        if (to?.scope == null || peersRefuse && addr.endsWith(":81")) { delay(1 + random.nextLong(3)); Outcome.NotSent } else withTimeoutOrNull(timeoutMs) { deliver(from, to, addr, request, target) } ?: Outcome.Silence
     }
 
     private suspend fun deliver(from: Host, to: Host, addr: String, request: HttpRequest, target: String): Outcome {
-        delay(1 + random.nextLong(4))
+        delay(1 + random.nextLong(4) + (slowMs[to.name] ?: 0L))
         val answer = CompletableDeferred<Outcome>()
         val cut = cuts.firstOrNull { it.between(from, to) || it.between(to, from) }
         if (cut != null && cut.mode == CutMode.RESET) return if (random.nextBoolean()) Outcome.NotSent else Outcome.Silence
@@ -84,7 +87,7 @@
 
 /** Several controllers, a state service, a cloud, workers and users on simulated time. */
 @OptIn(ExperimentalCoroutinesApi::class)
-class SimFleet(seed: Int, private val nodes: Int = 3) : WorkerWorld {
+class SimFleet(seed: Int, val nodes: Int = 3) : WorkerWorld {
     val random = Random(seed)
     private val scheduler = TestCoroutineScheduler()
     private val dispatcher = StandardTestDispatcher(scheduler)
--- a/src/test/kotlin/micatally/sim/SimTest.kt
+++ b/src/test/kotlin/micatally/sim/SimTest.kt
@@ -10,11 +10,11 @@
 /** Days with seeded luck: troubles of all kinds, alone and together, with the rules looked at after every step. */
 class SimTest {
     private fun SimFleet.trouble() {
-        val n = random.nextInt(3)
-        when (random.nextInt(13)) {
+        val n = random.nextInt(nodes)
+        when (random.nextInt(15)) {
             0 -> { note("crash $n"); crash(n); scope.launch { delay(random.nextLong(4000, 8000)); startNode(n) } }
             1 -> { note("quick restart $n"); crash(n); scope.launch { delay(random.nextLong(100, 600)); startNode(n) } }
-            2 -> { note("crash all"); for (i in 0..2) { crash(i); scope.launch { delay(random.nextLong(4000, 7000)); startNode(i) } } }
+            2 -> { note("crash all"); for (i in 0 until nodes) { crash(i); scope.launch { delay(random.nextLong(4000, 7000)); startNode(i) } } }
             3 -> { note("state outage"); state.down = true; scope.launch { delay(random.nextLong(3000, 15_000)); state.down = false } }
             4 -> { note("state refuses $n"); stateRefuses.add("n$n"); scope.launch { delay(random.nextLong(5000, 40_000)); stateRefuses.remove("n$n") } }
             5 -> { note("cloud outage"); cloud.down = true; scope.launch { delay(20_000); cloud.down = false } }
@@ -24,6 +24,8 @@
             9 -> cut("n$n", null, random.nextLong(5000, 40_000))
             10 -> cut("n$n", "state", random.nextLong(5000, 40_000))
             11 -> { val z = listOf("a", "b", "c").random(random); note("zone $z cut"); cutIf(random.nextLong(5000, 30_000)) { x, y -> x.zone == z && y.zone != z } }
+            13 -> { note("state slow"); net.slowMs["state"] = random.nextLong(20, 200); scope.launch { delay(random.nextLong(5000, 40_000)); net.slowMs.remove("state") } }
+            14 -> { note("peers refuse"); net.peersRefuse = true; scope.launch { delay(random.nextLong(5000, 40_000)); net.peersRefuse = false } }
             12 -> cloud.workers.randomOrNull(random)?.let { w -> note("sick ${w.name}"); w.sick = true; scope.launch { delay(30_000); w.sick = false } }
         }
     }
@@ -37,7 +39,7 @@
     }
 
     companion object {
-        /** A dozen days; -Dsim.seeds=100-160 plays others. */
+        /** A dozen days, a third of them with five controllers; -Dsim.seeds=100-160 plays others. */
         @JvmStatic
         fun seeds(): List<Int> = (System.getProperty("sim.seeds") ?: "1-12").split('-').map { it.toInt() }.let { (a, b) -> (a..b).toList() }
     }
@@ -45,9 +47,9 @@
     @ParameterizedTest
     @MethodSource("seeds")
     fun `no rule breaks, and every accepted job ends or stays known`(seed: Int) {
-        val f = SimFleet(seed)
+        val f = SimFleet(seed, if (seed % 3 == 0) 5 else 3)
         try {
-            for (i in 0..2) f.startNode(i)
+            for (i in 0 until f.nodes) f.startNode(i)
             f.net.lateCopies = 0.05
             val specs = (1..30).map { f.job(it) }
             val cancelled = HashSet<String>()
