A failed rehearsal ends the build instead of hanging it

Cause: an Error in the main thread left the loop's threads alive; a build waited six minutes until it was ended by hand. Ports found free are tried again when taken meanwhile.

--- a/src/main/kotlin/micatally/cli/Main.kt
+++ b/src/main/kotlin/micatally/cli/Main.kt
@@ -116,5 +116,7 @@
             }
         }
     }
-    exitProcess(line.execute(*args))
+    // An Error is nobody's to catch inside, and the loop's threads would keep a process without a main thread alive: a build
+    // hung for minutes on its rehearsal.
+    exitProcess(try { line.execute(*args) } catch (e: Throwable) { System.err.println("micatally: $e"); 1 })
 }
--- a/src/main/kotlin/micatally/standin/Rehearsal.kt
+++ b/src/main/kotlin/micatally/standin/Rehearsal.kt
@@ -101,10 +101,13 @@
     suspend fun run(): Boolean {
         val world = Loop()
         val fleet = LoopbackFleet(world, 400, 4000, 300)
-        val loop = Loop()
-        val settings = Settings.parse(fleet.settings(freePort(), freePort()).bytes())
+        lateinit var settings: Settings
+        for (tries in 1..5) {
+            settings = Settings.parse(fleet.settings(freePort(), freePort()).bytes())
+            // A port that was free a moment ago may have been taken meanwhile.
+            try { startController(Loop(), settings); break } catch (e: java.net.BindException) { if (tries == 5) throw e }
+        }
         fleet.controllers = mapOf("pitbox-0" to settings.listen)
-        startController(loop, settings)
         val client = Client(world.group, 20, world::nowMs)
         suspend fun call(method: String, target: String, body: kotlinx.serialization.json.JsonObject?): Pair<Int, String?> {
             val out = client.call(settings.listen, method, target, body?.bytes(), 3000)
