A replica moves only when the state service has just answered

Ruled out: lost leases (none), the sick machine (its replicas were elsewhere within 2 s). Now a key is read first, and the move is dropped unless the answer comes within a quarter of a report interval and no write waits.

--- a/src/main/kotlin/micatally/node/Controller.kt
+++ b/src/main/kotlin/micatally/node/Controller.kt
@@ -35,6 +35,7 @@
 import micatally.state.Delete
 import micatally.state.Put
 import micatally.state.RateBudget
+import micatally.state.ReadResult
 import micatally.state.StateClient
 import micatally.state.Txn
 import micatally.state.Urgency
@@ -77,6 +78,7 @@
         membership.toldAllAt = { peers.toldAllAt() }
         owner.quota = quota
         owner.wake = { rounds.wake() }
+        rounds.stateAnswers = { state.waitingWrites == 0 && state.get(Keys.EPOCH, Urgency.SUMMARY) is ReadResult.Found }
         rounds.foreign = { peers.demandOfPeers() }
         owner.onFault = { m, a -> fault(m, a.job.ref) }
         store.onDurable = { job, written -> owner.durable(job, written) }
--- a/src/main/kotlin/micatally/placement/Rounds.kt
+++ b/src/main/kotlin/micatally/placement/Rounds.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import micatally.job.Attempt
 import micatally.job.AttemptState
 import micatally.job.Job
@@ -349,20 +350,18 @@
         val draining = machines.byName.values.filter { it.draining && !it.deleted && !it.recalled && it.attempts.isNotEmpty() }
         if (draining.isEmpty() || unplaced.isNotEmpty()) return
         if (machines.byName.values.any { m -> m.attempts.any { it.stop == StopReason.DRAIN } }) return
+        if (checking) return
         val next = moving
         if (next != null && next.a.live && next.a.stop == null && next.to.promised(next.a.job.ref, next.a.lap)) {
             // The peers have heard of the promise by now; whoever was faster has the room.
             if (now - next.at < settings.reportMs / 2) return
             moving = null
-            val total = machines.total(next.to)
-            if (total != null && usable(next.to, now) && next.to.used.fitsIn(total)) {
-                next.a.stop(StopReason.DRAIN, now)
-                moved[next.a.job.ref to next.a.lap] = next.to
-                log.info("task {} moves to {}", next.a, next.to.name)
-                orders.poke(next.a.machine)
-                return
+            checking = true
+            scope.launch {
+                val ok = try { withTimeoutOrNull(settings.reportMs / 4) { stateAnswers() } ?: false } finally { checking = false }
+                carryOut(next, ok)
             }
-            next.to.release(next.a.job.ref, next.a.lap)
+            return
         }
         for (m in draining) for (a in m.attempts) {
             val spec = a.job.spec ?: continue
@@ -375,6 +374,24 @@
         }
     }
 
+    /** A stopped replica starts again only when its intent is written, so the state service has to have answered just now:
+     * one that was stopped as an outage began was away for all of it. */
+    private fun carryOut(move: Move, stateAnswered: Boolean) {
+        val now = nowMs()
+        val ref = move.a.job.ref
+        val total = machines.total(move.to)
+        val ready = move.a.live && move.a.stop == null && move.a.job.pendingCount == 0 && move.to.promised(ref, move.a.lap)
+        if (!stateAnswered || !ready || total == null || !usable(move.to, now) || !move.to.used.fitsIn(total)) { move.to.release(ref, move.a.lap); return }
+        move.a.stop(StopReason.DRAIN, now)
+        moved[ref to move.a.lap] = move.to
+        log.info("task {} moves to {}", move.a, move.to.name)
+        orders.poke(move.a.machine)
+    }
+
+    /** Whether the state service answers now, and no write of this node waits. */
+    var stateAnswers: suspend () -> Boolean = { true }
+    private var checking = false
+
     private class Move(val a: Attempt, val to: Machine, val at: Long)
     private var moving: Move? = null
     private val moved = HashMap<Pair<String, Int>, Machine>()
