--- a/src/main/kotlin/micatally/api/WorkerApi.kt
+++ b/src/main/kotlin/micatally/api/WorkerApi.kt
@@ -1,7 +1,5 @@
 package micatally.api
 
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.launch
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
@@ -27,7 +25,7 @@
 
 /** Workers' reports. A 200 keeps a worker's tasks alive, so it is given only while this node is entitled to. */
 class WorkerApi(
-    private val scope: CoroutineScope, private val settings: Settings, private val membership: Membership, private val machines: Machines,
+    private val settings: Settings, private val membership: Membership, private val machines: Machines,
     private val peers: Peers, private val nowMs: () -> Long,
 ) {
     private val movedAt = HashMap<String, Long>()
@@ -41,7 +39,7 @@
         if (news && (before == null || differs(before, report))) peers.tell(known)
         // The node does not know the epoch that the worker knows: it may have been replaced without having heard.
         if (report.token > membership.cluster.epoch) {
-            scope.launch { membership.refresh() }
+            membership.catchUp(NOTHING_MORE)
             return refuse()
         }
         if (membership.checkRight() != Right.ENTITLED) return refuse()
@@ -50,9 +48,9 @@
         if (known.deleted) return refuse()
         // A worker that reports within its zone does not notice when zones lose each other. Sent there once in a while
         // only, so that two nodes that see the peers differently don't toss it about.
-        if (known.zone != settings.zone && nowMs() - (movedAt[known.name] ?: Long.MIN_VALUE / 2) > settings.leaseMs * 3) {
-            val local = peers.peerIn(known.zone)
-            if (local != null) {
+        if (nowMs() - (movedAt[known.name] ?: Long.MIN_VALUE / 2) > settings.leaseMs * 3) {
+            val local = peers.bestFor(known.zone)
+            if (local != null && local != settings.host) {
                 movedAt[known.name] = nowMs()
                 return HttpResponse(421, buildJsonObject { put("marshal", local) }.bytes())
             }
@@ -66,12 +64,15 @@
 
     /** Tasks of withdrawn jobs whose owner can't reach the machine. */
     private fun kills(r: Report): List<Command> {
-        val rows = membership.cluster.value(Keys.KILL + r.machine)?.listOrNull("tasks") ?: return emptyList()
-        return rows.map { it as JsonArray }.map { Command(Verb.KILL, it[0].asText(), it[1].asLong().toInt(), it[2].asLong(), 0.0) }
+        val rows = membership.cluster.value(Keys.KILL + r.machine)?.listOrNull("tasks") ?: emptyList()
+        return rows.map { it as JsonArray }.map { Command(Verb.KILL, it[0].asText(), it[1].asLong().toInt(), it[2].asLong(), 0.0) } +
+            peers.killsOn(r.machine).map { Command(Verb.KILL, it.ref, it.lap, it.attempt, 0.0) }
     }
 
     private fun refuse(): HttpResponse {
         val other = peers.entitledPeer()
         return HttpResponse(421, buildJsonObject { if (other != null) put("marshal", other) }.bytes())
     }
+
+    private companion object { val NOTHING_MORE = {} }
 }
--- a/src/main/kotlin/micatally/cli/Main.kt
+++ b/src/main/kotlin/micatally/cli/Main.kt
@@ -42,9 +42,9 @@
 
 /** Starts a controller on the loop; returns its two servers. */
 fun startController(loop: Loop, settings: Settings, operator: Operator = Operator.DEFAULT): Pair<Server, Server> {
-    val client = Client(loop.group, settings.maxSockets * 6 / 10, loop::nowMs)
-    val controller = Controller(loop.scope, settings, client, Random(System.nanoTime()), loop::nowMs, System::currentTimeMillis, operator)
-    val front = Server(loop.scope, loop.group, settings.listen, settings.maxSockets * 3 / 10, 64 * 1024L, controller::handle)
+    val client = Client(loop.group, settings.maxSockets * 42 / 100, loop::nowMs)
+    val controller = Controller(loop.scope, settings, client, Random(System.nanoTime()), loop::nowMs, System::currentTimeMillis, operator, System::nanoTime)
+    val front = Server(loop.scope, loop.group, settings.listen, settings.maxSockets / 2, 64 * 1024L, controller::handle)
     val back = Server(loop.scope, loop.group, settings.back, settings.maxSockets / 20 + 4, 4L * 1024 * 1024, controller::handlePeer)
     loop.scope.launch {
         controller.start()
--- a/src/main/kotlin/micatally/fleet/Keeper.kt
+++ b/src/main/kotlin/micatally/fleet/Keeper.kt
@@ -183,7 +183,7 @@
     }
 
     private fun empty(m: Machine): Boolean {
-        val u = m.used()
+        val u = m.used
         return m.tasks.all { it.ended } && m.attempts.isEmpty() && u.cores < 1e-6 && u.cards < 1e-6 && u.ram < 1e-6
     }
 
@@ -238,11 +238,11 @@
         for (f in machines.flavors.values) {
             val key: (micatally.wire.Amount) -> Double = { if (f.amount.cards > 0) it.cards / f.amount.cards else it.cores / f.amount.cores }
             val up = machines.byName.values.filter { it.type == f.label && !it.deleted && !it.recalled && it.session > 0 && it.name !in drains && now - it.heardAt < settings.leaseMs / 2 }
-            val used = up.sumOf { key(it.used()) }
-            val free = up.sumOf { 1.0 - key(it.used()) }
+            val used = up.sumOf { key(it.used) }
+            val free = up.sumOf { 1.0 - key(it.used) }
             val m = up.filter { (keptUntil[it.name] ?: 0L) < now && now - (rentals[it.name]?.at ?: 0L) > settings.leaseMs * 6 }
-                .minWithOrNull(compareBy({ key(it.used()) }, { it.used().cores }, { it.name })) ?: continue
-            val mine = key(m.used())
+                .minWithOrNull(compareBy({ key(it.used) }, { it.used.cores }, { it.name })) ?: continue
+            val mine = key(m.used)
             if (mine > MOSTLY_FREE || free - (1.0 - mine) < mine + maxOf(1.0, used * operator.fleetHeadroom)) continue
             lastEmptying = now
             drain(m, now, DrainState.EMPTYING, "%.2f used, %.1f free elsewhere".format(mine, free - 1.0 + mine))
--- a/src/main/kotlin/micatally/http/Client.kt
+++ b/src/main/kotlin/micatally/http/Client.kt
@@ -58,6 +58,8 @@
 
     private suspend fun open(addr: String): Link? {
         if (sockets >= maxSockets) sweep()
+        // A kept connection is worth less than one that is needed now.
+        if (sockets >= maxSockets) idle.values.filter { it.isNotEmpty() }.minByOrNull { it.first().idleSince }?.let { discard(it.removeFirst()) }
         if (sockets >= maxSockets) return null
         sockets++
         val channel = try { AsynchronousSocketChannel.open(group) } catch (e: Exception) { sockets--; throw e }
--- a/src/main/kotlin/micatally/http/Server.kt
+++ b/src/main/kotlin/micatally/http/Server.kt
@@ -14,7 +14,8 @@
 import java.nio.channels.AsynchronousSocketChannel
 
 /** An HTTP/1.1 server on one address. Beyond [maxConnections] a new connection is closed at once, so that the rest
- * of the process keeps sockets for its own calls. */
+ * of the process keeps sockets for its own calls. When three quarters are taken, connections are closed after each
+ * answer: a node that is left alone with a whole fleet would otherwise shut out every worker that comes later. */
 class Server(
     private val scope: CoroutineScope, private val group: AsynchronousChannelGroup, private val addr: String,
     private val maxConnections: Int, private val maxBody: Long, private val handle: suspend (HttpRequest) -> HttpResponse,
@@ -77,7 +78,7 @@
                 log.error("{} {} failed", request.method, request.path, e)
                 HttpResponse(503, "{\"error\":\"internal\"}".encodeToByteArray(), retryAfterS = 1)
             }
-            val keep = request.keepAlive && !response.close
+            val keep = request.keepAlive && !response.close && open * 4 <= maxConnections * 3
             write(c, response, keep)
             if (!keep) return
         }
--- a/src/main/kotlin/micatally/job/JobStore.kt
+++ b/src/main/kotlin/micatally/job/JobStore.kt
@@ -113,7 +113,7 @@
 /** Writes job records. A record is always written whole, on the condition that the ledger is still this node's and
  * that the record is the one last seen: a write whose answer was lost and which comes late then changes nothing. */
 class JobStore(
-    private val scope: CoroutineScope, private val state: StateClient, private val process: String, private val pauseMs: Long,
+    private val scope: CoroutineScope, private val state: StateClient, private val process: String, private val pauseMs: Long, private val countsMs: Long,
 ) {
     private val log = LoggerFactory.getLogger("micatally.job")
     var onDurable: (Job, List<Attempt>) -> Unit = { _, _ -> }
@@ -126,7 +126,7 @@
         if (!urgent) {
             if (job.dirtySoon) return
             job.dirtySoon = true
-            scope.launch { delay(pauseMs); job.dirtySoon = false; if (!job.writing && job.durableVersion < job.version) write(job) }
+            scope.launch { delay(countsMs); job.dirtySoon = false; if (!job.writing && job.durableVersion < job.version) write(job) }
             return
         }
         write(job)
--- a/src/main/kotlin/micatally/job/Owner.kt
+++ b/src/main/kotlin/micatally/job/Owner.kt
@@ -15,6 +15,7 @@
 import micatally.state.Urgency
 import micatally.wire.JobAnswer
 import micatally.wire.JobSpec
+import micatally.wire.KillNote
 import micatally.wire.ListedTask
 import micatally.worker.Machine
 import micatally.worker.Machines
@@ -53,6 +54,14 @@
     override fun mine(ref: String) = ledgers.values.any { it.state == LedgerState.ACTIVE && ref in it.jobs }
     override fun attempt(ref: String, lap: Int) = job(ref)?.attempts?.get(lap)
 
+    /** Whether all jobs of this node's ledgers are known here. */
+    val settled get() = own() != null && ledgers.values.all { it.state == LedgerState.ACTIVE }
+
+    /** Tasks of withdrawn jobs that may still be on their machines. */
+    fun withdrawnTasks(): List<KillNote> = machines.byName.values.flatMap { m ->
+        if (m.deleted) emptyList() else m.attempts.filter { it.stop == StopReason.WITHDRAWN }.map { KillNote(m.name, it.job.ref, it.lap, it.number) }
+    }
+
     // Ledgers
 
     fun acquired(name: String, holder: Holder) {
@@ -80,7 +89,7 @@
         log.info("ledger {} lost with {} jobs", l.name, l.jobs.size)
         l.become(LedgerState.LOST)
         for (j in l.jobs.values) {
-            for (a in j.attempts.values) { a.machine.attempts.remove(a); a.machine.ownUsed = a.machine.ownUsed - (j.spec?.amount ?: continue) }
+            for (a in j.attempts.values) a.machine.detach(a, nowMs())
             store.drop(j)
         }
         l.jobs.clear()
@@ -125,8 +134,7 @@
     }
 
     private fun attach(a: Attempt) {
-        a.machine.attempts.add(a)
-        a.job.spec?.let { a.machine.ownUsed = a.machine.ownUsed + it.amount }
+        a.machine.attach(a)
         quota.take(a.job)
     }
 
@@ -165,9 +173,8 @@
         val now = nowMs()
         val ran = a.runningSince?.let { now - it } ?: 0L
         a.become(AttemptState.GONE, now)
-        a.machine.attempts.remove(a)
+        a.machine.detach(a, now)
         job.attempts.remove(a.lap, a)
-        job.spec?.let { a.machine.ownUsed = a.machine.ownUsed - it.amount }
         quota.release(job)
         log.info("task {} gone: {} {}", a, proof, why)
         if (job.state == JobState.DROPPED) return
@@ -236,7 +243,7 @@
                 ListedTask.PULLING, ListedTask.WAITING -> if (a.state < AttemptState.PULLING && a.state >= AttemptState.ORDERED) a.become(AttemptState.PULLING, now)
                 ListedTask.RUNNING -> if (a.state < AttemptState.RUNNING && a.state >= AttemptState.ORDERED) {
                     a.become(AttemptState.RUNNING, now)
-                    job.spec?.let { m.sawImage(it.image, it.imageGb, machines.flavors[m.type]?.cacheGb ?: 0.0) }
+                    job.spec?.let { m.sawImage(it.image, it.imageGb, machines.flavors[m.type]?.cacheGb ?: 0.0); m.ownImages.add(it.image) }
                     log.info("task {} runs", a)
                 }
                 ListedTask.SAVING -> if (a.state < AttemptState.SAVING && a.state >= AttemptState.ORDERED) a.become(AttemptState.SAVING, now)
--- a/src/main/kotlin/micatally/ledger/Membership.kt
+++ b/src/main/kotlin/micatally/ledger/Membership.kt
@@ -35,6 +35,9 @@
     private val deadSince = HashMap<String, Long>()
     private var ownLostAt: Long? = null
 
+    /** Up to when the other controllers themselves have told of every cancellation; see [micatally.peer.Peers]. */
+    var toldAllAt: () -> Long = { Long.MIN_VALUE / 2 }
+
     /** Told which shared keys have changed. */
     var onChange: (Set<String>) -> Unit = {}
     /** Told of a ledger acquired, with the mark and epoch of the acquisition. */
@@ -56,7 +59,7 @@
     fun checkRight(): Right {
         when {
             !started -> {}
-            viewAgeMs > settings.rightMs -> become(Right.LAPSED, "no proof of state contact for ${settings.rightMs} ms")
+            nowMs() - maxOf(viewProvenAt, toldAllAt()) > settings.rightMs -> become(Right.LAPSED, "no proof of state contact for ${settings.rightMs} ms")
             right != Right.ENTITLED -> become(Right.ENTITLED, "state contact")
         }
         return right
@@ -126,9 +129,11 @@
     /** Takes the node's own ledger at the start, and those of nodes whose lease has ended. */
     private suspend fun takeoverLoop() {
         while (cluster.revision < 0 || lease == null) delay(settings.liveMs / 200)
-        while (!acquire(settings.host, "start")) delay(pause())
+        // The workers' leases do not wait for this node's own ledger. When all nodes start at once each raises the epoch,
+        // so that most tries fail; they are repeated soon.
         started = true
         checkRight()
+        while (!acquire(settings.host, "start")) delay(random.nextLong(settings.liveMs / 50))
         while (true) {
             delay(settings.liveMs / 16)
             if (!leaseHolds() || viewAgeMs > settings.liveMs / 2) { deadSince.clear(); continue }
@@ -180,6 +185,27 @@
         return r is TxnResult.Applied
     }
 
+    private var catchingUp = false
+    private val caughtUp = LinkedHashSet<() -> Unit>()
+
+    /** A worker knows a higher token than this node: looks at the shared keys, then goes on with [then]. One look serves
+     * all who ask, and while it shows nothing newer the next one waits: a node that the state service refuses would
+     * otherwise ask without pause, and its users' questions would never get their turn. */
+    fun catchUp(then: () -> Unit) {
+        caughtUp.add(then)
+        if (catchingUp) return
+        catchingUp = true
+        scope.launch {
+            val before = cluster.epoch
+            refresh()
+            if (cluster.epoch == before) delay(pause())
+            catchingUp = false
+            val all = caughtUp.toList()
+            caughtUp.clear()
+            for (t in all) t()
+        }
+    }
+
     suspend fun refresh() {
         val sent = nowMs()
         val l = state.list(Keys.PREFIX, Urgency.LEASE) ?: return
--- a/src/main/kotlin/micatally/node/Controller.kt
+++ b/src/main/kotlin/micatally/node/Controller.kt
@@ -49,28 +49,32 @@
  * several controllers can run in one simulation. */
 class Controller(
     private val scope: CoroutineScope, private val settings: Settings, http: HttpCaller, random: Random,
-    private val nowMs: () -> Long, wallMs: () -> Long, operator: Operator = Operator.DEFAULT,
+    private val nowMs: () -> Long, wallMs: () -> Long, operator: Operator = Operator.DEFAULT, nowNs: () -> Long = { nowMs() * 1_000_000 },
 ) {
+    private val effort = Effort(nowNs)
     private val log = LoggerFactory.getLogger("micatally.node")
     private val share = 0.95 / settings.controllers
+    private val requestBudget = RateBudget(scope, settings.stateRps * share, nowMs)
+    private val writeBudget = RateBudget(scope, settings.stateWriteRps * share, nowMs, settings.stateWriteRps * (0.95 - share))
     private val state = StateClient(
-        http, settings.stateAddr, RateBudget(scope, settings.stateRps * share, nowMs), RateBudget(scope, settings.stateWriteRps * share, nowMs), settings.leaseMs / 8,
+        http, settings.stateAddr, requestBudget, writeBudget, settings.leaseMs / 8,
     )
     private val cloud = CloudClient(http, settings.cloudAddr, RateBudget(scope, settings.cloudRps * 0.9, nowMs), settings.leaseMs / 2)
     val membership = Membership(scope, settings, state, Cluster(), random, nowMs)
     val machines = Machines(nowMs)
-    private val store = JobStore(scope, state, membership.process, settings.reportMs / 4)
+    private val store = JobStore(scope, state, membership.process, settings.reportMs / 4, settings.leaseMs / 10)
     val owner = Owner(scope, settings, state, membership, machines, store, nowMs, wallMs)
     private val orders = Orders(scope, http, settings, membership, machines, owner, nowMs)
     private val quota = Quota(scope, state, membership.cluster, settings.teams, { owner.ledgers.values.filter { it.mine } }) { rounds.wake() }
-    val rounds: Rounds = Rounds(scope, settings, owner, machines, store, quota, orders, Queues(operator.queueBounds.map { it * settings.leaseMs / 1000.0 }, operator.queueLift), nowMs)
+    val rounds: Rounds = Rounds(scope, settings, owner, machines, store, quota, orders, Queues(operator.queueBounds.map { it * settings.leaseMs / 1000.0 }, operator.queueLift), effort, nowMs)
     private val peers = Peers(scope, http, settings, state, membership, machines, owner, rounds, nowMs)
     private val keeper = Keeper(scope, settings, state, cloud, membership, machines, { rounds.unplaced.values.toList() + peers.demandOfPeers() }, { peers.allInContact() }, operator, nowMs)
     private val users = UserApi(settings, state, membership, owner, store, machines, peers, rounds, nowMs)
-    private val workers = WorkerApi(scope, settings, membership, machines, peers, nowMs)
+    private val workers = WorkerApi(settings, membership, machines, peers, nowMs)
 
     fun start() {
         owner.orders = orders
+        membership.toldAllAt = { peers.toldAllAt() }
         owner.quota = quota
         owner.wake = { rounds.wake() }
         rounds.foreign = { peers.demandOfPeers() }
@@ -78,11 +82,12 @@
         store.onDurable = { job, written -> owner.durable(job, written) }
         store.onLedgerLost = { l -> owner.lose(l); scope.launch { membership.refresh() } }
         machines.onSession = { owner.newSession(it) }
+        machines.onBehind = { m -> if (m.attempts.isNotEmpty()) { m.mustAsk = true; orders.poke(m) } }
         machines.onTasks = { m, own -> owner.listed(m, own); rounds.wake() }
         keeper.onFlavors = { rounds.wake() }
         peers.onRetire = { keeper.retire(it) }
         peers.onNews = { rounds.wake() }
-        membership.onChange = { sharedChanged(it) }
+        membership.onChange = { keys -> effort.of(Effort.Kind.SHARED) { sharedChanged(keys) } }
         membership.start()
         keeper.start()
         peers.start()
@@ -119,13 +124,16 @@
     private suspend fun housekeeping() {
         var round = 0
         var bumpedAt = nowMs()
+        var effortAt = bumpedAt
         while (true) {
             delay(settings.reportMs / 4)
             val now = nowMs()
-            membership.checkRight()
-            owner.sweep()
-            rounds.wake()
-            rounds.moveOff(now)
+            effort.of(Effort.Kind.HOUSE) {
+                membership.checkRight()
+                owner.sweep()
+                rounds.wake()
+                rounds.moveOff(now)
+            }
             for (m in machines.byName.values) if (m.recalled && !m.deleted) {
                 var touched = false
                 for (a in m.attempts) if (a.stop == null && a.state >= AttemptState.ORDERED && a.stop(StopReason.DRAIN, now)) touched = true
@@ -138,6 +146,7 @@
             }
             if (++round % 20 == 0) { quota.handBack(); keeper.prune() }
             if (round % 4 == 0) publishKills(now)
+            if (now - effortAt > settings.leaseMs) { effortAt = now; effort.tell(" machines=${machines.byName.size} waiting=${rounds.unplaced.size} writes=${writeBudget.tell()} requests=${requestBudget.tell()}") }
             if (round % 8 == 0) askForEnds(now)
             if (round % 100 == 0) machines.byName.values.removeIf { it.deleted && it.attempts.isEmpty() && now - it.heardAt > settings.leaseMs * 6 }
         }
@@ -175,7 +184,7 @@
     suspend fun handle(r: HttpRequest): HttpResponse {
         val path = r.path
         return when {
-            path == "/v1/report" -> if (r.method == "POST") workers.report(r) else errorResponse(405, "use POST")
+            path == "/v1/report" -> if (r.method == "POST") effort.of(Effort.Kind.REPORT) { workers.report(r) } else errorResponse(405, "use POST")
             path == "/healthz" -> users.health()
             path == "/work" -> if (r.method == "POST") users.submit(r) else errorResponse(405, "use POST")
             path.startsWith("/work/") -> {
@@ -194,7 +203,7 @@
         if (r.method != "POST") return errorResponse(405, "use POST")
         val bytes = try {
             when (r.path) {
-                Peers.NEWS -> peers.takeNews(r.body)
+                Peers.NEWS -> effort.of(Effort.Kind.NEWS) { peers.takeNews(r.body) }
                 Peers.QUERY -> ProtoBuf.encodeToByteArray(users.peerQuery(ProtoBuf.decodeFromByteArray<PeerAsk>(r.body).ref))
                 Peers.CANCEL -> ProtoBuf.encodeToByteArray(users.peerCancel(ProtoBuf.decodeFromByteArray<PeerAsk>(r.body).ref))
                 else -> return errorResponse(404, "no such resource")
--- a/src/main/kotlin/micatally/peer/Peers.kt
+++ b/src/main/kotlin/micatally/peer/Peers.kt
@@ -26,9 +26,11 @@
 import micatally.wire.Demand
 import micatally.wire.HeardList
 import micatally.wire.HeldRoom
+import micatally.wire.KillNote
 import micatally.wire.MachineNote
 import micatally.wire.PeerAnswer
 import micatally.wire.PeerAsk
+import micatally.wire.NewsAnswer
 import micatally.wire.PeerNews
 import micatally.wire.RoomSummary
 import micatally.wire.textOrNull
@@ -44,20 +46,34 @@
 ) {
     private class Line(val peer: Peer) {
         val untold = LinkedHashSet<String>()
-        var toldSummary = -1L
+        /** The summary that the peer is known to have; 0: none. */
+        var toldSummary = 0L
         var toldHeardAt = 0L
         var talking = false
         var failures = 0
         var nextAt = 0L
         var contactAt = Long.MIN_VALUE / 2
+        /** When the question left whose answer told all that the peer has withdrawn, and the epoch of that answer. */
+        var toldAllAt = Long.MIN_VALUE / 2
+        var toldAllEpoch = 0L
+        var kills: List<KillNote> = emptyList()
     }
 
+    /** A peer's summary, put together from what came. */
+    private class Theirs(val process: String) {
+        var number = 0L
+        var demand: List<Demand> = emptyList()
+        val rooms = HashMap<String, HeldRoom>()
+    }
+
+    /** This node's room on a machine, and the number of the summary in which it changed last. */
+    private class Mine(val room: HeldRoom, val number: Long)
+
     private val lines = settings.peers.map { Line(it) }
-    private val summaries = HashMap<String, RoomSummary>()
-    private var number = 0L
-    private var lastSummary: Pair<List<HeldRoom>, List<Demand>>? = null
-    private var lastSummaryBytes: ByteArray? = null
-    private var mySummary = RoomSummary(settings.host, membership.process, 0)
+    private val theirs = HashMap<String, Theirs>()
+    private val mine = HashMap<String, Mine>()
+    private var myDemand: List<Demand> = emptyList()
+    private var number = 1L
     private val tellMs = settings.reportMs / 8
     private val heardEveryMs = maxOf(settings.reportMs / 2, settings.leaseMs / 10)
     var onRetire: (List<String>) -> Unit = {}
@@ -66,13 +82,34 @@
 
     /** A peer has said just now that it reaches the state service. */
     fun somePeerHasState(): Boolean = lines.any { nowMs() - it.contactAt < settings.leaseMs / 5 }
-    /** A peer in that zone which is in contact with us and with the state service. */
-    fun peerIn(zone: String): String? = lines.filter { it.peer.zone == zone && it.failures == 0 && nowMs() - it.contactAt < settings.leaseMs / 5 }.minByOrNull { it.peer.host }?.peer?.host
+    /** The controller to which a zone's workers report best, among those of the zone that are in contact; null if there
+     * is none. A worker whose controller ends tries the next ones in turn, and in a cut each of another zone costs it
+     * half its lease, so that one is best from which the next of the same zone is the fewest steps away. */
+    fun bestFor(zone: String): String? {
+        val there = lines.filter { it.peer.zone == zone && it.failures == 0 && nowMs() - it.contactAt < settings.leaseMs / 5 }.map { it.peer.host } +
+            listOfNotNull(settings.host.takeIf { settings.zone == zone })
+        return there.minWithOrNull(compareBy({ steps[it] ?: 0 }, { it }))
+    }
+
+    private val steps: Map<String, Int> = (settings.peers.map { it.host to it.zone } + (settings.host to settings.zone)).sortedBy { it.first }.let { all ->
+        all.withIndex().associate { (i, h) -> h.first to (1..all.size).first { all[(i + it) % all.size].second == h.second } }
+    }
     /** False while some peer can't be heard: then what it hears may not be known here. */
     fun allInContact(): Boolean = lines.all { nowMs() - it.contactAt < settings.leaseMs * 3 / 10 }
     fun entitledPeer(): String? = lines.filter { nowMs() - it.contactAt < settings.leaseMs / 5 }.minByOrNull { it.peer.host }?.peer?.host
 
-    fun demandOfPeers(): List<Demand> = summaries.values.flatMap { it.demand }
+    /** The time up to which this node has heard of every cancellation from the other controllers themselves: each has
+     * listed its withdrawn tasks in an answer. Equal epochs show that no ledger has changed hands between the answers.
+     * While the state service is out for all, this keeps the workers' leases alive as long as the controllers hear each other. */
+    fun toldAllAt(): Long {
+        val epoch = membership.cluster.epoch
+        if (lines.isEmpty() || !owner.settled || lines.any { it.toldAllEpoch != epoch }) return Long.MIN_VALUE / 2
+        return lines.minOf { it.toldAllAt }
+    }
+
+    fun killsOn(machine: String): List<KillNote> = lines.flatMap { l -> l.kills.filter { it.machine == machine } }
+
+    fun demandOfPeers(): List<Demand> = theirs.values.flatMap { it.demand }
 
     /** A report here showed something new: the owners of its tasks are to hear of it. */
     fun tell(m: Machine) { for (l in lines) l.untold.add(m.name) }
@@ -80,6 +117,7 @@
     fun retire(name: String) { pendingRetire.add(name) }
 
     fun start() {
+        machines.onNew = { m -> for ((host, t) in theirs) t.rooms[m.name]?.let { hold(host, m, it) } }
         scope.launch {
             while (true) {
                 delay(tellMs)
@@ -93,41 +131,60 @@
         scope.launch { publishLoop() }
     }
 
+    /** Finds what has changed since the last look. */
     private fun refreshSummary() {
-        val rooms = ArrayList<HeldRoom>()
+        val next = number + 1
+        var changed = false
         for (m in machines.byName.values) {
-            if (m.deleted || m.attempts.isEmpty()) continue
-            rooms.add(HeldRoom(m.name, m.ownUsed.cores, m.ownUsed.cards, m.ownUsed.ram, m.images.keys.toList()))
+            val old = mine[m.name]?.room
+            if (m.deleted || m.attempts.isEmpty()) {
+                if (old != null && old.isHeld) { mine[m.name] = Mine(HeldRoom(m.name), next); changed = true }
+                continue
+            }
+            val u = m.ownUsed
+            if (old != null && old.cores == u.cores && old.cards == u.cards && old.ram == u.ram && old.images.size == m.ownImages.size && m.ownImages.containsAll(old.images)) continue
+            val images = m.ownImages.toList()
+            mine[m.name] = Mine(HeldRoom(m.name, u.cores, u.cards, u.ram, images, images.map { m.images[it] ?: 0.0 }), next)
+            changed = true
         }
-        val s = RoomSummary(settings.host, membership.process, 0, rooms, rounds.unplaced.values.toList())
-        val bytes = ProtoBuf.encodeToByteArray(s)
-        if (lastSummaryBytes?.contentEquals(bytes) == true) return
-        lastSummaryBytes = bytes
-        mySummary = RoomSummary(settings.host, membership.process, ++number, rooms, s.demand)
+        val demand = rounds.unplaced.values.toList()
+        if (demand != myDemand) { myDemand = demand; changed = true }
+        if (changed) number = next
     }
 
+    private val HeldRoom.isHeld get() = cores > 0 || cards > 0 || ram > 0
+
+    private fun summarySince(base: Long) = RoomSummary(
+        settings.host, membership.process, number, mine.values.filter { it.number > base && (base > 0 || it.room.isHeld) }.map { it.room }, myDemand, base,
+    )
+
     private fun heardHere(): List<MachineNote> = machines.byName.values.filter { !it.deleted && nowMs() - it.heardHereAt < settings.leaseMs / 2 }.map { machines.note(it, false) }
 
     private suspend fun talk(l: Line) {
+        // Taken out before the message leaves: what changes while it is under way has to be told again.
         val told = l.untold.toList().take(NOTES)
+        l.untold.removeAll(told.toSet())
         val heard = if (nowMs() - l.toldHeardAt > heardEveryMs) heardHere() else emptyList()
         val retire = pendingRetire.toList()
         val sentNumber = number
         val news = PeerNews(
-            told.mapNotNull { machines.of(it) }.map { machines.note(it, true) }, if (l.toldSummary != sentNumber) mySummary else null, retire, heard,
+            told.mapNotNull { machines.of(it) }.map { machines.note(it, true) }, if (l.toldSummary != sentNumber) summarySince(l.toldSummary) else null, retire, heard,
             membership.viewAgeMs < settings.leaseMs / 5, settings.host,
         )
         val at = nowMs()
         val out = http.call(l.peer.addr, "POST", NEWS, ProtoBuf.encodeToByteArray(news), settings.leaseMs / 10)
         if (out is Outcome.Answer && out.status == 200) {
             l.failures = 0
-            l.untold.removeAll(told.toSet())
-            l.toldSummary = sentNumber
+            val answer = ProtoBuf.decodeFromByteArray<NewsAnswer>(out.body)
+            l.toldSummary = if (answer.needsWhole) 0 else sentNumber
+            l.kills = answer.kills
+            l.toldAllEpoch = answer.epoch
+            l.toldAllAt = at
             if (heard.isNotEmpty()) l.toldHeardAt = at
             pendingRetire.removeAll(retire.toSet())
         } else {
             l.failures++
-            l.toldSummary = -1
+            l.untold.addAll(told)
             l.nextAt = nowMs() + minOf(l.failures, 8) * settings.leaseMs / 40
         }
     }
@@ -139,64 +196,120 @@
             // A peer that talks can be talked to again at once.
             if (it.failures > 0) { it.failures = 0; it.nextAt = 0 }
         }
-        for (n in news.notes) machines.absorb(n)
+        var new = news.summary != null
+        for (n in news.notes) if (machines.absorb(n)) new = true
         for (n in news.heard) machines.heard(n)
-        news.summary?.let { take(it) }
+        val joined = news.summary?.let { take(it) } ?: true
         if (news.retire.isNotEmpty()) onRetire(news.retire)
-        onNews()
-        return NOTHING
+        if (new) onNews()
+        val kills = owner.withdrawnTasks()
+        val all = owner.settled && kills.size <= MOST_KILLS
+        return ProtoBuf.encodeToByteArray(NewsAnswer(!joined, if (all) membership.cluster.epoch else 0, kills.take(MOST_KILLS)))
     }
 
-    private fun take(s: RoomSummary) {
+    /** Takes a peer's summary; false if its changes don't join on to what is here. */
+    private fun take(s: RoomSummary): Boolean {
+        if (s.host == settings.host) return true
+        val old = theirs[s.host]?.takeIf { it.process == s.process }
+        if (old != null && old.number >= s.number) return true
+        if (s.base > (old?.number ?: 0L)) return false
+        val t = if (old != null && s.base > 0) old else { forget(s.host); Theirs(s.process).also { theirs[s.host] = it } }
+        t.number = s.number
+        t.demand = s.demand
+        for (r in s.rooms) put(s.host, t, r)
+        return true
+    }
+
+    /** A piece that came through the state service: it counts where nothing newer came directly. What it lacks of its
+     * own bucket is given up; of other buckets it says nothing. */
+    private fun takePiece(s: RoomSummary) {
         if (s.host == settings.host) return
-        val old = summaries[s.host]
-        if (old != null && old.process == s.process && old.number >= s.number) return
-        summaries[s.host] = s
-        for (m in machines.byName.values) m.othersUsed.remove(s.host)
-        for (r in s.rooms) {
-            val m = machines.of(r.machine) ?: continue
-            m.othersUsed[s.host] = Amount(r.cores, r.cards, r.ram)
-            val f = machines.flavors[m.type]
-            for (i in r.images) if (i !in m.images) m.sawImage(i, 0.0, f?.cacheGb ?: 0.0)
-        }
+        // A former process of that host may have left pieces behind.
+        val current = membership.cluster.value(Keys.live(s.host))?.textOrNull("process")
+            ?: membership.cluster.ledgers().mapNotNull { membership.cluster.holder(it) }.find { it.host == s.host }?.process
+        if (current != null && current != s.process) return
+        val t = theirs[s.host]?.takeIf { it.process == s.process } ?: run { forget(s.host); Theirs(s.process).also { theirs[s.host] = it } }
+        if (t.number >= s.number) return
+        if (s.bucket == 0) t.demand = s.demand
+        val there = s.rooms.mapTo(HashSet()) { it.machine }
+        for (name in t.rooms.keys.filter { bucketOf(it, s.buckets) == s.bucket && it !in there }) put(s.host, t, HeldRoom(name))
+        for (r in s.rooms) put(s.host, t, r)
+    }
+
+    private fun put(host: String, t: Theirs, r: HeldRoom) {
+        if (r.isHeld) t.rooms[r.machine] = r else t.rooms.remove(r.machine)
+        machines.of(r.machine)?.let { hold(host, it, r) }
+    }
+
+    private fun hold(host: String, m: Machine, r: HeldRoom) {
+        m.others(host, Amount(r.cores, r.cards, r.ram), nowMs())
+        val cacheGb = machines.flavors[m.type]?.cacheGb ?: 0.0
+        for ((i, image) in r.images.withIndex()) if (image !in m.images) m.sawImage(image, r.imagesGb.getOrElse(i) { 0.0 }, cacheGb)
+    }
+
+    private fun forget(host: String) {
+        val t = theirs.remove(host) ?: return
+        for (name in t.rooms.keys) machines.of(name)?.others(host, Amount.NONE, nowMs())
     }
 
     /** The shared keys have changed: summaries and lists of heard machines that came through the state service, and
      * summaries that have no one behind them any more. */
     fun sharedChanged(keys: Set<String>) {
         for (k in keys) {
-            val v = membership.cluster.value(k) ?: continue
-            val bytes = v.textOrNull("b")?.let { Base64.getDecoder().decode(it) } ?: continue
-            if (k.startsWith(Keys.ROOM) && k != Keys.ROOM + settings.host) take(ProtoBuf.decodeFromByteArray<RoomSummary>(bytes))
-            if (k.startsWith(Keys.HEARD) && k != Keys.HEARD + settings.host) for (n in ProtoBuf.decodeFromByteArray<HeardList>(bytes).notes) machines.heard(n)
+            val rooms = k.startsWith(Keys.ROOM) && !k.startsWith(Keys.ROOM + settings.host + "/")
+            val heard = k.startsWith(Keys.HEARD) && !k.startsWith(Keys.HEARD + settings.host + "/")
+            if (!rooms && !heard) continue
+            val bytes = membership.cluster.value(k)?.textOrNull("b")?.let { Base64.getDecoder().decode(it) } ?: continue
+            if (rooms) takePiece(ProtoBuf.decodeFromByteArray<RoomSummary>(bytes)) else for (n in ProtoBuf.decodeFromByteArray<HeardList>(bytes).notes) machines.heard(n)
         }
-        for (host in summaries.keys.toList()) {
-            val holdsAny = membership.cluster.ledgers().any { membership.cluster.holder(it)?.host == host }
-            if (holdsAny) continue
-            summaries.remove(host)
-            for (m in machines.byName.values) m.othersUsed.remove(host)
+        if (theirs.isEmpty()) return
+        val holders = membership.cluster.ledgers().mapNotNullTo(HashSet()) { membership.cluster.holder(it)?.host }
+        for (host in theirs.keys.toList()) if (host !in holders) forget(host)
+    }
+
+    private fun bucketOf(machine: String, buckets: Int) = Math.floorMod(machine.hashCode(), buckets)
+
+    /** Values of the state service have a limit, so lists go in pieces by machine, as many as it takes for each to fit
+     * ([encode] gets the names of a piece); only pieces that have changed are written. */
+    private inner class Pieces(val key: String) {
+        var buckets = 1
+        val written = HashMap<Int, Any>()
+
+        suspend fun write(names: Collection<String>, seen: (Int, List<String>) -> Any, encode: (Int, List<String>) -> ByteArray) {
+            var parts: List<List<String>>
+            while (true) {
+                parts = List(buckets) { i -> names.filter { bucketOf(it, buckets) == i } }
+                if (parts.withIndex().all { (i, p) -> p.size < 2 || encode(i, p).size * 4 / 3 + 64 <= settings.valueBytes }) break
+                buckets *= 2
+                written.clear()
+            }
+            for ((i, p) in parts.withIndex()) {
+                val now = seen(i, p)
+                if (written[i] == now) continue
+                val r = state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Put("$key/$i", packed(encode(i, p))))) }
+                if (r is micatally.state.TxnResult.Applied) written[i] = now
+            }
         }
     }
 
+    private val roomPieces = Pieces(Keys.ROOM + settings.host)
+    private val heardPieces = Pieces(Keys.HEARD + settings.host)
+
     private suspend fun publishLoop() {
         var publishedNumber = -1L
-        var publishedHeard = emptySet<String>()
         while (true) {
             delay(settings.leaseMs / 2)
             if (number != publishedNumber) {
-                val n = number
-                val r = state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Put(Keys.ROOM + settings.host, packed(ProtoBuf.encodeToByteArray(mySummary))))) }
-                if (r is micatally.state.TxnResult.Applied) publishedNumber = n
+                publishedNumber = number
+                val held = mine.filterValues { it.room.isHeld }
+                roomPieces.write(held.keys, { i, p -> p.mapNotNull { mine[it]?.room } to if (i == 0) myDemand else null }) { i, p ->
+                    ProtoBuf.encodeToByteArray(RoomSummary(settings.host, membership.process, number, p.mapNotNull { mine[it]?.room }, if (i == 0) myDemand.take(MOST_DEMANDS) else emptyList(), 0, i, roomPieces.buckets))
+                }
             }
             // Only needed while a peer can't be told directly.
-            val heard = heardHere()
-            if (lines.any { it.failures > 1 } || heard.map { it.machine }.toSet() != publishedHeard) {
-                var list = heard
-                var bytes = ProtoBuf.encodeToByteArray(HeardList(list))
-                while (bytes.size * 4 / 3 + 64 > settings.valueBytes && list.isNotEmpty()) { list = list.dropLast(list.size / 4 + 1); bytes = ProtoBuf.encodeToByteArray(HeardList(list)) }
-                val r = state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Put(Keys.HEARD + settings.host, packed(bytes)))) }
-                if (r is micatally.state.TxnResult.Applied) publishedHeard = heard.map { it.machine }.toSet()
-            }
+            val heard = heardHere().associateBy { it.machine }
+            if (lines.any { it.failures > 1 }) heardPieces.written.clear()
+            heardPieces.write(heard.keys, { _, p -> p.toSet() }) { _, p -> ProtoBuf.encodeToByteArray(HeardList(p.mapNotNull { heard[it] })) }
         }
     }
 
@@ -215,6 +328,8 @@
         const val QUERY = "/peer/query"
         const val CANCEL = "/peer/cancel"
         private const val NOTES = 100
-        private val NOTHING = ByteArray(0)
+        private const val MOST_KILLS = 500
+        /** Demands in one value of the state service; directly all of them are told. */
+        private const val MOST_DEMANDS = 40
     }
 }
--- a/src/main/kotlin/micatally/placement/Placement.kt
+++ b/src/main/kotlin/micatally/placement/Placement.kt
@@ -46,7 +46,7 @@
 
     /** Lower is better. The image counts most, then the tightest fit, so that whole machines stay free for large
      * tasks or can be returned. A task without cards avoids eating the cores that a machine's cards will need. */
-    fun score(spec: JobSpec, m: Machine, f: Flavor, free: Amount, zoneUse: Int): Double {
+    fun score(spec: JobSpec, m: Machine, f: Flavor, free: Amount): Double {
         var s = fetchS(spec, m, f)
         val left = free - spec.amount
         val share = maxOf(left.cards / maxOf(f.amount.cards, 1.0), if (f.amount.cards > 0 && spec.amount.cards > 0) 0.0 else left.cores / f.amount.cores)
@@ -56,10 +56,12 @@
             if (left.cores < left.cards * perCard) s += STARVES_CARDS
         }
         if (m.spot && spec.spot) s -= SPOT_BONUS
-        if (spec.scatter) s += zoneUse * SCATTER_WEIGHT
         return s
     }
 
+    /** What a zone adds to the score of its machines, given how many tasks of the job are in it. */
+    fun zoneScore(spec: JobSpec, zoneUse: Int) = if (spec.scatter) zoneUse * SCATTER_WEIGHT else 0.0
+
     private const val FIT_WEIGHT = 8.0
     private const val STARVES_CARDS = 60.0
     private const val CORES_KEPT = 0.7
--- a/src/main/kotlin/micatally/placement/Rounds.kt
+++ b/src/main/kotlin/micatally/placement/Rounds.kt
@@ -9,6 +9,7 @@
 import micatally.job.JobStore
 import micatally.job.Owner
 import micatally.job.StopReason
+import micatally.node.Effort
 import micatally.queue.Queues
 import micatally.settings.Settings
 import micatally.wire.Amount
@@ -23,13 +24,15 @@
  * for each, and the next one goes on where the last one stopped. */
 class Rounds(
     private val scope: CoroutineScope, private val settings: Settings, private val owner: Owner, private val machines: Machines,
-    private val store: JobStore, private val quota: Quota, private val orders: Orders, private val queues: Queues, private val nowMs: () -> Long,
+    private val store: JobStore, private val quota: Quota, private val orders: Orders, private val queues: Queues, private val effort: Effort, private val nowMs: () -> Long,
 ) {
     private val log = LoggerFactory.getLogger("micatally.placement")
+    private val turnMs = settings.reportMs / 4
     private val gapMs = maxOf(5L, settings.reportMs / 40)
     private val budgetMs = maxOf(5L, settings.reportMs / 40)
     private var asked = false
     private var lastAt = 0L
+    private var nextAt = 0L
     private var resumeAfter: String? = null
 
     /** What other owners could not place. An owner can stop only its own tasks, and does so for them too. */
@@ -39,17 +42,28 @@
     private val promised = HashMap<String, Amount>()
     private val stoppedForPeersAt = HashMap<String, Long>()
 
-    /** What found no room in the last full round, by job. */
-    val unplaced = LinkedHashMap<String, Demand>()
+    /** What found no room in the last full round, by job. A round that has not come to its end yet does not show. */
+    var unplaced: Map<String, Demand> = emptyMap()
+        private set
+    private var finding = LinkedHashMap<String, Demand>()
+
+    /** What a waiting task looks like to the machines. Within one round room only shrinks, so what found none is not
+     * looked for again: with hundreds of machines and waiters the search would take the whole of the processor. */
+    private data class Shape(val amount: Amount, val types: Set<String>?, val zones: List<String>, val spot: Boolean, val service: Boolean, val priority: Int)
+    private val noRoom = HashSet<Shape>()
+    private val noStop = HashSet<Pair<Shape, Int>>()
+
+    private fun shape(spec: JobSpec, rule: Placement.ZoneRule) =
+        Shape(spec.amount, spec.types, settings.zones.filter { rule.allows(it) }, spec.spot, spec.isService, spec.priority.ordinal)
 
     fun wake() {
         if (asked) return
         asked = true
         scope.launch {
-            val wait = lastAt + gapMs - nowMs()
+            val wait = nextAt - nowMs()
             if (wait > 0) delay(wait)
             asked = false
-            round()
+            effort.of(Effort.Kind.ROUND) { round() }
         }
     }
 
@@ -60,21 +74,27 @@
         val now = nowMs()
         tickWaits(now)
         lastAt = now
+        noRoom.clear()
+        noStop.clear()
         val jobs = ordered()
         var from = resumeAfter?.let { r -> jobs.indexOfFirst { it.ref == r } + 1 } ?: 0
         if (from >= jobs.size) from = 0
-        if (from == 0) { unplaced.clear(); promised.clear() }
+        if (from == 0) { finding.clear(); promised.clear() }
         foreignServices = foreign().filter { it.service }
         resumeAfter = null
         for (i in from until jobs.size) {
             placeJob(jobs[i], now)
-            if (nowMs() - now > budgetMs && i + 1 < jobs.size) {
-                resumeAfter = jobs[i].ref
-                wake()
-                return
-            }
+            if (nowMs() - now > budgetMs && i + 1 < jobs.size) { resumeAfter = jobs[i].ref; break }
+        }
+        if (resumeAfter == null) {
+            unplaced = finding
+            finding = LinkedHashMap()
         }
         makeRoomForPeers(now)
+        // Rounds keep to a share of the time, however long they take.
+        val end = nowMs()
+        nextAt = maxOf(now + gapMs, end + (end - now) * REST)
+        if (resumeAfter != null) wake()
     }
 
     private fun tickWaits(now: Long) {
@@ -88,14 +108,21 @@
         val spec = job.spec ?: return true
         if (!job.wantsTasks || now < job.retryAt) return true
         val room = MAX_ATTEMPTS - job.attempts.size
+        if (room <= 0) return true
+        if (!spec.isGang && shape(spec, Placement.zones(job, spec)) in noRoom && quota.allows(job)) { unplaceable(job, spec, 1, now); return false }
         val laps = job.pending(if (spec.isService || spec.isGang) spec.laps.coerceAtMost(room) else minOf(room, ROUND_TASKS))
         if (laps.isEmpty()) return true
         if (spec.isGang) return gang(job, spec, laps, now)
         var placed = 0
         var blocked = false
+        val choice = Choice(job, spec, now, null)
         for (lap in laps) {
             if (!quota.allows(job)) { blocked = true; break }
-            val m = choose(job, spec, now, null) ?: break
+            val m = choice.next()
+            if (m == null) {
+                if (choice.deferred) blocked = true else if (job.badMachines.isEmpty()) noRoom.add(shape(spec, choice.rule))
+                break
+            }
             owner.place(job, lap, m)
             placed++
         }
@@ -105,19 +132,26 @@
             store.touch(job, true)
         }
         if (placed < laps.size && !blocked) {
-            note(job, spec, job.pendingCount)
-            val rule = Placement.zones(job, spec)
-            for (i in 0 until minOf(laps.size - placed, STOPS_A_ROUND)) if (!makeRoom(Need(spec, rule, q, job.ref), now)) break
+            unplaceable(job, spec, laps.size - placed, now)
             return false
         }
         if (placed == laps.size && job.pendingCount > 0) wake()
         return !blocked
     }
 
+    private fun unplaceable(job: Job, spec: JobSpec, count: Int, now: Long) {
+        note(job, spec, job.pendingCount)
+        val rule = Placement.zones(job, spec)
+        val q = queues.current(job)
+        val key = shape(spec, rule) to q
+        if (key in noStop) return
+        for (i in 0 until minOf(count, STOPS_A_ROUND)) if (!makeRoom(Need(spec, rule, q, job.ref), now)) { noStop.add(key); break }
+    }
+
     private fun note(job: Job, spec: JobSpec, count: Int) {
         val rule = Placement.zones(job, spec)
         val zones = settings.zones.filter { rule.allows(it) }
-        unplaced[job.ref] = Demand(
+        finding[job.ref] = Demand(
             spec.amount.cores, spec.amount.cards, spec.amount.ram, spec.types?.toList() ?: emptyList(), zones, spec.spot, count,
             spec.priority.ordinal, spec.isService, spec.estimateS, spec.image,
         )
@@ -129,9 +163,10 @@
         for (zone in if (spec.together) settings.zones.filter { rule.allows(it) } else listOf(null)) {
             val placed = ArrayList<Attempt>()
             val number = job.nextAttempt++
+            val choice = Choice(job, spec, now, zone)
             for (lap in laps) {
                 if (!quota.allows(job)) break
-                val m = choose(job, spec, now, zone) ?: break
+                val m = choice.next() ?: break
                 placed.add(owner.place(job, lap, m, number))
             }
             if (placed.size == laps.size) { store.touch(job, true); return true }
@@ -144,26 +179,63 @@
     fun usable(m: Machine, now: Long) = !m.deleted && !m.draining && !m.recalled && m.session > 0 && m.addr.isNotEmpty() &&
         now - m.heardAt < settings.leaseMs / 2 + settings.reportMs && now >= m.unreachableUntil && now >= m.fullUntil && now >= m.sickUntil
 
-    private fun choose(job: Job, spec: JobSpec, now: Long, zone: String?, withImage: Boolean = false): Machine? {
-        val rule = Placement.zones(job, spec)
-        var best: Machine? = null
-        var bestScore = Double.MAX_VALUE
-        for (m in machines.byName.values) {
-            if (!usable(m, now) || (zone != null && m.zone != zone)) continue
-            if (!Placement.kindAllowed(spec, m) || !rule.allows(m.zone)) continue
-            if (withImage && spec.image !in m.images) continue
-            if (m.name in job.badMachines && job.badMachines.size <= FEW_FAULTS) continue
-            val f = machines.flavors[m.type] ?: continue
-            val free = f.amount - m.used()
-            if (!spec.amount.fitsIn(free)) continue
-            // Room that a more important service of another owner waits for is not filled again by arrays.
-            if (!spec.isService && foreignServices.any { it.priority < spec.priority.ordinal && wants(it, m) && Amount(it.cores, it.cards, it.ram).fitsIn(free) }) continue
-            val s = Placement.score(spec, m, f, free, rule.used[m.zone] ?: 0)
-            if (s < bestScore || (s == bestScore && m.name < best!!.name)) { best = m; bestScore = s }
+    /** The machines that could take tasks of a job, best first. Scores are worked out once: placing one task changes
+     * that of its own machine only, and what its zone counts. */
+    private inner class Choice(private val job: Job, private val spec: JobSpec, now: Long, zone: String?, withImage: Boolean = false) {
+        private inner class Candidate(val m: Machine, val f: micatally.wire.Flavor) {
+            var score = 0.0
+            fun look(): Boolean {
+                val free = f.amount - m.used
+                if (!spec.amount.fitsIn(free)) return false
+                // Room that a more important service of another owner waits for is not filled again by arrays.
+                for (d in ahead) if (wants(d, m) && Amount(d.cores, d.cards, d.ram).fitsIn(free)) return false
+                score = Placement.score(spec, m, f, free) + if (spec.isService) turn(m) * TURN_WEIGHT else 0.0
+                return true
+            }
+        }
+
+        private val ahead = if (spec.isService) emptyList() else foreignServices.filter { it.priority < spec.priority.ordinal }
+        var rule = Placement.zones(job, spec)
+            private set
+        private val candidates = ArrayList<Candidate>()
+        /** There is room whose turn is still to come, so that more machines need not be asked for yet. */
+        var deferred = false
+            private set
+        private var last: Candidate? = null
+
+        init {
+            for (m in machines.byName.values) {
+                if (!usable(m, now) || (zone != null && m.zone != zone) || !Placement.kindAllowed(spec, m)) continue
+                if (withImage && spec.image !in m.images) continue
+                if (m.name in job.badMachines && job.badMachines.size <= FEW_FAULTS) continue
+                val c = Candidate(m, machines.flavors[m.type] ?: continue)
+                if (!c.look()) continue
+                if (!spec.isService && now < m.freedAt + turn(m) * turnMs) deferred = true else candidates.add(c)
+            }
+        }
+
+        /** The best machine for one more task; the one given before has been filled meanwhile. */
+        fun next(): Machine? {
+            last?.let { if (!it.look()) candidates.remove(it); rule = Placement.zones(job, spec) }
+            var best: Candidate? = null
+            var bestScore = Double.MAX_VALUE
+            for (c in candidates) {
+                if (!rule.allows(c.m.zone)) continue
+                val s = c.score + Placement.zoneScore(spec, rule.used[c.m.zone] ?: 0)
+                if (s < bestScore || (s == bestScore && c.m.name < best!!.m.name)) { best = c; bestScore = s }
+            }
+            last = best
+            return best?.m
         }
-        return best
     }
 
+    private val hosts = (settings.peers.map { it.host } + settings.host).sorted()
+    private val me = hosts.indexOf(settings.host)
+
+    /** Owners see the same free room and would all choose it, and the worker refuses all but one. So each has its turn at
+     * a machine: first the one whose task left the room, then the others in an order of the machine's own. */
+    private fun turn(m: Machine): Int = if (m.freedBy == null) 0 else Math.floorMod(m.name.hashCode() - me, hosts.size) + if (m.freedBy == Machine.NOBODY) 0 else 1
+
     private fun wants(d: Demand, m: Machine) =
         (d.types.isEmpty() || m.type in d.types) && (d.zones.isEmpty() || m.zone in d.zones) && (!m.spot || d.spot)
 
@@ -172,7 +244,7 @@
 
     private fun Need(spec: JobSpec, rule: Placement.ZoneRule, queue: Int, name: String) = Need(
         spec.amount, spec.priority.ordinal, queue, name, { m -> Placement.kindAllowed(spec, m) && rule.allows(m.zone) },
-        { m, f, free -> Placement.score(spec, m, f, free, rule.used[m.zone] ?: 0) },
+        { m, f, free -> Placement.score(spec, m, f, free) + Placement.zoneScore(spec, rule.used[m.zone] ?: 0) },
     )
 
     /** The design's stop: an array task past its queue's bound may be stopped once for a waiter two queues higher that
@@ -184,15 +256,17 @@
         for (m in machines.byName.values) {
             if (!usable(m, now) || !need.fits(m)) continue
             val f = machines.flavors[m.type] ?: continue
-            var free = f.amount - m.used() - (promised[m.name] ?: Amount.NONE)
+            var free = f.amount - m.used - (promised[m.name] ?: Amount.NONE)
             // Room that is on its way already.
             for (a in m.attempts) if (a.stop != null) free = free + (a.job.spec?.amount ?: Amount.NONE)
             if (need.amount.fitsIn(free)) { promised.merge(m.name, need.amount, Amount::plus); return true }
             val victims = ArrayList<Attempt>()
-            for (a in m.attempts.sortedByDescending { it.runningSince ?: 0L }) {
-                val s = a.job.spec ?: continue
-                if (s.isService || s.isGang || a.stop != null || a.state != AttemptState.RUNNING || a.lap in a.job.stoppedOnce) continue
-                if (s.priority.ordinal <= need.priority) continue
+            val stoppable = m.attempts.filter { a ->
+                val s = a.job.spec
+                s != null && !s.isService && !s.isGang && a.stop == null && a.state == AttemptState.RUNNING && a.lap !in a.job.stoppedOnce && s.priority.ordinal > need.priority
+            }
+            for (a in stoppable.sortedByDescending { it.runningSince ?: 0L }) {
+                val s = a.job.spec!!
                 val ran = (now - (a.runningSince ?: now)) / 1000.0
                 if (!queues.pastBound(a.inherited, ran) || queues.of(a.inherited + ran) < need.queue + 2) continue
                 victims.add(a)
@@ -218,8 +292,7 @@
      * turns go round, so that not all make room for the same waiter. */
     private fun makeRoomForPeers(now: Long) {
         val turnMs = settings.reportMs * 2
-        val hosts = (settings.peers.map { it.host } + settings.host).sorted()
-        if ((now / turnMs % hosts.size).toInt() != hosts.indexOf(settings.host)) return
+        if ((now / turnMs % hosts.size).toInt() != me) return
         for (d in foreignServices) {
             val key = "${d.image}/${d.cards}/${d.cores}"
             if (now - (stoppedForPeersAt[key] ?: Long.MIN_VALUE / 2) < turnMs * hosts.size) continue
@@ -240,7 +313,7 @@
             val spec = a.job.spec ?: continue
             if (!spec.isService || spec.isGang || a.stop != null || a.state != AttemptState.RUNNING || a.job.pendingCount > 0) continue
             // Its own place is counted against its zone until it is gone, so the check is on the safe side.
-            choose(a.job, spec, now, null, true) ?: continue
+            Choice(a.job, spec, now, null, true).next() ?: continue
             a.stop(StopReason.DRAIN, now)
             log.info("task {} moves", a)
             orders.poke(m)
@@ -254,5 +327,9 @@
         const val ROUND_TASKS = 100
         const val STOPS_A_ROUND = 8
         const val FEW_FAULTS = 6
+        /** How much longer the pause after a round is than the round. */
+        const val REST = 3
+        /** What a later turn counts against a machine, for services, which don't wait for theirs. */
+        const val TURN_WEIGHT = 0.5
     }
 }
--- a/src/main/kotlin/micatally/state/RateBudget.kt
+++ b/src/main/kotlin/micatally/state/RateBudget.kt
@@ -10,10 +10,17 @@
 /** What a call to the state service is for, most urgent first. */
 enum class Urgency { LEASE, ACCEPTANCE, INTENT, SUMMARY }
 
-/** A token bucket whose waiters are served by urgency, then in order. */
-class RateBudget(private val scope: CoroutineScope, private val perSecond: Double, private val nowMs: () -> Long) {
+/** A token bucket whose waiters are served by urgency, then in order. Work lands unevenly on the controllers, so what is
+ * urgent also tries the share that others may have left unused, [lent] a second, until the service says no. */
+class RateBudget(private val scope: CoroutineScope, private val perSecond: Double, private val nowMs: () -> Long, private val lent: Double = 0.0) {
     private class Waiter(val n: Int, val c: Continuation<Unit>) { var gone = false }
 
+    private val counts = IntArray(Urgency.entries.size)
+    private val waits = LongArray(Urgency.entries.size)
+    private val longest = LongArray(Urgency.entries.size)
+    private var credit = lent
+    private var noLoanUntil = Long.MIN_VALUE / 2
+
     private val queues = Urgency.entries.map { ArrayDeque<Waiter>() }
     private val burst = maxOf(1.0, perSecond)
     private var tokens = burst
@@ -23,8 +30,36 @@
     /** How many wait; the measure of overload that admission looks at. */
     val waiting get() = queues.sumOf { it.size }
 
-    suspend fun take(n: Int, urgency: Urgency) {
-        if (n == 0) return
+    /** Waits until [n] may be taken; true if they are borrowed. */
+    suspend fun take(n: Int, urgency: Urgency, mayBorrow: Boolean = false): Boolean {
+        if (n == 0) return false
+        val began = nowMs()
+        val borrowed = mayBorrow && borrow(n, urgency)
+        if (!borrowed) await(n, urgency)
+        val waited = nowMs() - began
+        counts[urgency.ordinal]++
+        waits[urgency.ordinal] += waited
+        if (waited > longest[urgency.ordinal]) longest[urgency.ordinal] = waited
+        return borrowed
+    }
+
+    private fun borrow(n: Int, urgency: Urgency): Boolean {
+        refill()
+        if (lent <= 0 || urgency > Urgency.INTENT || waiting == 0 && tokens >= n || credit < n || filledAt < noLoanUntil) return false
+        credit -= n
+        return true
+    }
+
+    /** The service refused what was borrowed: the others use their shares. */
+    fun loanRefused() { credit = 0.0; noLoanUntil = nowMs() + NO_LOAN_MS }
+
+    /** For each urgency: how many, and how long they waited on average and at the most, since the last call. */
+    fun tell(): String = Urgency.entries.filter { counts[it.ordinal] > 0 }.joinToString(",") { u ->
+        val i = u.ordinal
+        "${u.name.lowercase()}:${counts[i]}x/${waits[i] / counts[i]}ms/${longest[i]}ms"
+    }.also { counts.fill(0); waits.fill(0); longest.fill(0) }
+
+    private suspend fun await(n: Int, urgency: Urgency) {
         refill()
         if (waiting == 0 && tokens >= minOf(n.toDouble(), burst)) { tokens -= n; return }
         suspendCancellableCoroutine { c ->
@@ -41,6 +76,7 @@
     private fun refill() {
         val now = nowMs()
         tokens = minOf(burst, tokens + (now - filledAt) * perSecond / 1000.0)
+        credit = minOf(lent, credit + (now - filledAt) * lent / 1000.0)
         filledAt = now
     }
 
@@ -66,4 +102,9 @@
             } finally { pumping = false }
         }
     }
+
+    private companion object {
+        /** The service's limits allow one second's worth at once, so after that long they may have room again. */
+        const val NO_LOAN_MS = 1000L
+    }
 }
--- a/src/main/kotlin/micatally/state/StateClient.kt
+++ b/src/main/kotlin/micatally/state/StateClient.kt
@@ -35,8 +35,10 @@
     /** The keys whose marks did not hold. Nothing was changed. */
     class Failed(val keys: Set<String>) : TxnResult
     data object NoSuchLease : TxnResult
-    /** Certainly not carried out: refused (503, 429) or never sent. */
+    /** Certainly not carried out: refused (503) or never sent. */
     data object Refused : TxnResult
+    /** Certainly not carried out: over the limits. */
+    data object Limited : TxnResult
     /** Perhaps carried out, perhaps carried out later. */
     data object Unknown : TxnResult
 }
@@ -104,9 +106,22 @@
     /** Runs a transaction of [count] changes. It is put together only when the budget allows it to leave, so that
      * what waited meanwhile goes along. Null from [build]: nothing to do any more. */
     suspend fun txn(count: Int, urgency: Urgency, build: () -> Txn?): TxnResult {
-        writes.take(count, urgency)
+        var borrowed = writes.take(count, urgency, true)
         requests.take(1, urgency)
-        val txn = build() ?: return TxnResult.Refused
+        while (true) {
+            val txn = build() ?: return TxnResult.Refused
+            val r = commit(txn)
+            if (r !is TxnResult.Limited) return r
+            if (!borrowed) { writes.drained(); return r }
+            // Nothing was carried out; now it waits for this node's own share.
+            writes.loanRefused()
+            writes.take(count, urgency)
+            requests.take(1, urgency)
+            borrowed = false
+        }
+    }
+
+    private suspend fun commit(txn: Txn): TxnResult {
         val body = buildJsonObject {
             put("when", JsonArray(txn.conditions.map { c -> buildJsonObject { put("k", c.key); put("mark", c.mark) } }))
             put("then", buildJsonArray {
@@ -125,7 +140,7 @@
                 200 -> TxnResult.Applied(parseObject(out.body).long("odometer"))
                 409 -> TxnResult.Failed((parseObject(out.body).listOrNull("failed") ?: emptyList()).map { it.asText() }.toSet())
                 400 -> if (out.body.decodeToString().contains("no such lease")) TxnResult.NoSuchLease else throw IllegalStateException("state service: " + out.body.decodeToString())
-                429 -> { writes.drained(); TxnResult.Refused }
+                429 -> TxnResult.Limited
                 503 -> TxnResult.Refused
                 else -> TxnResult.Unknown
             }
--- a/src/main/kotlin/micatally/wire/Peers.kt
+++ b/src/main/kotlin/micatally/wire/Peers.kt
@@ -18,31 +18,50 @@
     @ProtoNumber(7) val tick: Long, @ProtoNumber(8) val noticeS: Double = -1.0, @ProtoNumber(9) val tasks: List<NoteTask> = emptyList(),
     /** How long ago the report came, in milliseconds. */
     @ProtoNumber(10) val ageMs: Long = 0,
+    /** The tick of the report in which its tasks last changed: who has heard of none as late lacks something. */
+    @ProtoNumber(11) val changedTick: Long = 0,
 )
 
-/** What one owner holds on one machine, together with the images that it knows to be there. */
+/** What one owner holds on one machine, together with the images that its own tasks ran with there and their sizes. */
 @Serializable
-class HeldRoom(
+data class HeldRoom(
     @ProtoNumber(1) val machine: String, @ProtoNumber(2) val cores: Double = 0.0, @ProtoNumber(3) val cards: Double = 0.0,
-    @ProtoNumber(4) val ram: Double = 0.0, @ProtoNumber(5) val images: List<String> = emptyList(),
+    @ProtoNumber(4) val ram: Double = 0.0, @ProtoNumber(5) val images: List<String> = emptyList(), @ProtoNumber(6) val imagesGb: List<Double> = emptyList(),
 )
 
 /** Tasks of one shape that find no room. */
 @Serializable
-class Demand(
+data class Demand(
     @ProtoNumber(1) val cores: Double, @ProtoNumber(2) val cards: Double, @ProtoNumber(3) val ram: Double,
     @ProtoNumber(4) val types: List<String> = emptyList(), @ProtoNumber(5) val zones: List<String> = emptyList(),
     @ProtoNumber(6) val spot: Boolean = false, @ProtoNumber(7) val count: Int = 1, @ProtoNumber(8) val priority: Int = 0,
     @ProtoNumber(9) val service: Boolean = false, @ProtoNumber(10) val estimateS: Double = 0.0, @ProtoNumber(11) val image: String = "",
 )
 
-/** An owner's free-room summary: what it holds where, and what it could not place. */
+/** An owner's free-room summary: what it holds where, and what it could not place. With a [base] only the rooms are in
+ * it that have changed since the summary of that number, those given up as empty ones; the demand is always whole.
+ * Through the state service it goes in pieces of one value each: piece [bucket] of [buckets] holds all rooms whose
+ * machines fall in it, and the first one holds the demand. */
 @Serializable
 class RoomSummary(
     @ProtoNumber(1) val host: String, @ProtoNumber(2) val process: String, @ProtoNumber(3) val number: Long,
     @ProtoNumber(4) val rooms: List<HeldRoom> = emptyList(), @ProtoNumber(5) val demand: List<Demand> = emptyList(),
+    @ProtoNumber(6) val base: Long = 0, @ProtoNumber(7) val bucket: Int = 0, @ProtoNumber(8) val buckets: Int = 0,
 )
 
+@Serializable
+class NewsAnswer(
+    /** The changes did not join on to what the receiver has: it needs the whole summary. */
+    @ProtoNumber(1) val needsWhole: Boolean = false,
+    /** The epoch that the answering node knows, if it knows all withdrawn tasks of its ledgers; 0 if it doesn't. */
+    @ProtoNumber(2) val epoch: Long = 0,
+    /** Tasks of withdrawn jobs that are not proven gone: whoever hears their machines hands the stop on. */
+    @ProtoNumber(3) val kills: List<KillNote> = emptyList(),
+)
+
+@Serializable
+class KillNote(@ProtoNumber(1) val machine: String, @ProtoNumber(2) val ref: String, @ProtoNumber(3) val lap: Int, @ProtoNumber(4) val attempt: Long)
+
 @Serializable
 class PeerNews(
     @ProtoNumber(1) val notes: List<MachineNote> = emptyList(), @ProtoNumber(2) val summary: RoomSummary? = null,
--- a/src/main/kotlin/micatally/wire/Workers.kt
+++ b/src/main/kotlin/micatally/wire/Workers.kt
@@ -8,7 +8,7 @@
 import kotlinx.serialization.json.put
 
 /** One task on one machine under one attempt, as a worker lists it. */
-class ListedTask(val ref: String, val lap: Int, val attempt: Long, val status: String, val why: String?, val saved: Boolean) {
+data class ListedTask(val ref: String, val lap: Int, val attempt: Long, val status: String, val why: String?, val saved: Boolean) {
     val ended get() = status == ENDED
     val done get() = ended && why == DONE
 
--- a/src/main/kotlin/micatally/worker/Machine.kt
+++ b/src/main/kotlin/micatally/worker/Machine.kt
@@ -29,6 +29,8 @@
 
     var session = 0L
     var tick = 0L
+    /** The tick with which the tasks last changed. */
+    var changedTick = 0L
     var tasks: List<ListedTask> = emptyList()
     /** When any node heard from it last, and when this node got an answer from it last. */
     var heardAt = 0L
@@ -42,10 +44,19 @@
     /** This node's attempts that are not proven gone, and what they take. */
     val attempts = LinkedHashSet<Attempt>()
     var ownUsed = Amount.NONE
+        private set
     /** What other owners said they hold here. */
-    val othersUsed = HashMap<String, Amount>()
+    private val othersUsed = HashMap<String, Amount>()
+    /** What all owners hold here, kept as a sum: a round looks at it for every machine. */
+    var used = Amount.NONE
+        private set
     /** Images that were seen here, most recent last. */
     val images = LinkedHashMap<String, Double>()
+    /** Those of them that this node's own tasks ran with: it tells its peers of no others, or none would ever be forgotten. */
+    val ownImages = HashSet<String>()
+    /** When room on it last became free, and whose task left it: null for this node's own. */
+    var freedAt = 0L
+    var freedBy: String? = NOBODY
     var fullUntil = 0L
     var sickUntil = 0L
     var sickTimes = 0
@@ -64,13 +75,40 @@
     /** Runs whose answer never came, with the token that they carried. */
     val loose = HashMap<AttemptId, Long>()
     var mustAsk = false
+    private var again: (() -> Unit)? = null
+    /** One and the same for each machine, so that it is waited for once. */
+    fun retry(make: () -> Unit): () -> Unit = again ?: make.also { again = it }
 
     val recalled get() = noticeAt != null
-    fun used(): Amount = othersUsed.values.fold(ownUsed) { a, b -> a + b }
+    private fun sum() { used = othersUsed.values.fold(ownUsed) { a, b -> a + b } }
+
+    fun attach(a: Attempt) {
+        if (attempts.add(a)) { a.job.spec?.let { ownUsed = ownUsed + it.amount }; sum() }
+    }
+
+    fun detach(a: Attempt, nowMs: Long) {
+        if (!attempts.remove(a)) return
+        freedAt = nowMs
+        freedBy = null
+        ownUsed = if (attempts.isEmpty()) Amount.NONE else ownUsed - (a.job.spec?.amount ?: Amount.NONE)
+        sum()
+    }
+
+    /** What another owner holds here; nothing takes its entry away. */
+    fun others(host: String, amount: Amount, nowMs: Long) {
+        val old = (if (amount == Amount.NONE) othersUsed.remove(host) else othersUsed.put(host, amount)) ?: Amount.NONE
+        if (!old.fitsIn(amount)) { freedAt = nowMs; freedBy = host }
+        sum()
+    }
 
     fun sawImage(image: String, gb: Double, cacheGb: Double) {
         images.remove(image)
         images[image] = gb
-        while (images.size > 1 && images.values.sum() > cacheGb) images.remove(images.keys.first())
+        while (images.size > 1 && images.values.sum() > cacheGb) images.keys.first().let { images.remove(it); ownImages.remove(it) }
+    }
+
+    companion object {
+        /** Stands for a machine that has only just come up. */
+        const val NOBODY = ""
     }
 }
--- a/src/main/kotlin/micatally/worker/Machines.kt
+++ b/src/main/kotlin/micatally/worker/Machines.kt
@@ -13,13 +13,16 @@
     /** Names of machines that a delete is known to have ended: late reports must not bring them back. */
     val deletedNames = HashSet<String>()
 
+    /** Its tasks have changed and this node has missed it. */
+    var onBehind: (Machine) -> Unit = {}
+    var onNew: (Machine) -> Unit = {}
     var onSession: (Machine) -> Unit = {}
     var onTasks: (Machine, Boolean) -> Unit = { _, _ -> }
 
     fun of(name: String) = byName[name]
 
     fun known(name: String, addr: String, type: String, zone: String, spot: Boolean): Machine =
-        byName.getOrPut(name) { Machine(name, addr, type, zone, spot).also { it.deleted = name in deletedNames; it.busyAt = nowMs() } }
+        byName.getOrPut(name) { Machine(name, addr, type, zone, spot).also { it.deleted = name in deletedNames; it.busyAt = nowMs(); onNew(it) } }
             .also { it.describe(addr, type, zone, spot) }
 
     /** A report from the worker itself; [ownAnswer] when it is the answer to an order of ours. True if it was news. */
@@ -40,25 +43,28 @@
         val newSession = session > m.session
         m.session = session
         m.tick = tick
-        m.tasks = tasks
+        val changed = newSession || tasks != m.tasks
+        if (changed) { m.tasks = tasks; m.changedTick = tick }
         // Copies of reports come late; only one that is newer than all before shows life, and the age is its sender's.
         m.heardAt = maxOf(m.heardAt, nowMs() - ageMs)
         m.noticeAt = if (noticeS == null) null else nowMs() + (noticeS * 1000).toLong()
-        if (newSession) { m.loose.clear(); m.images.clear(); onSession(m) }
-        onTasks(m, own)
+        if (newSession) { m.loose.clear(); m.images.clear(); m.ownImages.clear(); m.freedAt = nowMs(); m.freedBy = Machine.NOBODY; onSession(m) }
+        // Most reports say what the one before said.
+        if (changed || own) onTasks(m, own)
         return true
     }
 
-    /** Another node hears this machine, without its task list being known here. */
+    /** Another node hears this machine, without its task list being known here; it may say that there is a newer one. */
     fun heard(n: MachineNote) {
         val m = known(n.machine, n.addr, n.type, n.zone, n.spot)
         m.heardAt = maxOf(m.heardAt, nowMs() - n.ageMs)
+        if (n.session > m.session || n.session == m.session && n.changedTick > m.tick) onBehind(m)
     }
 
     fun note(m: Machine, withTasks: Boolean) = MachineNote(
         m.name, m.addr, m.type, m.zone, m.spot, m.session, m.tick, m.noticeAt?.let { maxOf(0L, it - nowMs()) / 1000.0 } ?: -1.0,
         if (withTasks) m.tasks.map { NoteTask(it.ref, it.lap, it.attempt, it.status, it.why ?: "", it.saved) } else emptyList(),
-        maxOf(0L, nowMs() - m.heardAt),
+        maxOf(0L, nowMs() - m.heardAt), m.changedTick,
     )
 
     fun total(m: Machine) = flavors[m.type]?.amount
--- a/src/main/kotlin/micatally/worker/Orders.kt
+++ b/src/main/kotlin/micatally/worker/Orders.kt
@@ -141,9 +141,8 @@
         if (status == 409) {
             machines.absorb(r, true)
             if (r.session == session) {
-                m.poked = true
                 m.mustAsk = true
-                if (r.token > b.token) scope.launch { membership.refresh(); poke(m) }
+                if (r.token > b.token) { m.poked = false; membership.catchUp(m.retry { poke(m) }) } else m.poked = true
             }
             return
         }
