--- a/src/main/kotlin/micatally/fleet/Keeper.kt
+++ b/src/main/kotlin/micatally/fleet/Keeper.kt
@@ -20,6 +20,7 @@
 import micatally.state.Txn
 import micatally.state.TxnResult
 import micatally.state.Urgency
+import micatally.wire.Amount
 import micatally.wire.Demand
 import micatally.wire.EMPTY_OBJECT
 import micatally.wire.Flavor
@@ -37,7 +38,7 @@
 /** Whoever holds the fleet key rents, drains and returns machines for all owners. */
 class Keeper(
     private val scope: CoroutineScope, private val settings: Settings, private val state: StateClient, private val cloud: CloudClient,
-    private val membership: Membership, private val machines: Machines, private val demand: () -> List<Demand>, private val peersInContact: () -> Boolean,
+    private val membership: Membership, private val machines: Machines, private val demand: () -> List<Demand>, private val recent: () -> List<Demand>, private val peersInContact: () -> Boolean,
     private val operator: Operator, private val nowMs: () -> Long,
 ) {
     private val log = LoggerFactory.getLogger("micatally.fleet")
@@ -223,7 +224,7 @@
             if (now - maxOf(m.busyAt, since) > idleMs) drain(m, now, DrainState.EMPTY, "idle")
         }
         drains.keys.removeIf { it in machines.deletedNames }
-        if (demands.isEmpty() && now - since > settings.leaseMs * 2 && now - lastEmptying > settings.leaseMs / 2) emptyOne(now)
+        if (demands.isEmpty() && now - since > settings.leaseMs * 2 && now - lastEmptying > settings.leaseMs / 2) { lastEmptying = now; emptySome(now) }
     }
 
     private var lastEmptying = 0L
@@ -231,22 +232,47 @@
 
     private fun allowedOn(d: Demand, m: Machine) = (d.types.isEmpty() || m.type in d.types) && (d.zones.isEmpty() || m.zone in d.zones) && (!m.spot || d.spot)
 
-    /** Of each type the machine with the least on it, if the others have room for that and some more besides: the
-     * headroom, a share of what is used and never less than a machine. */
-    private fun emptyOne(now: Long) {
-        if (drains.values.count { it.state == DrainState.EMPTYING } >= EMPTYING_AT_ONCE) return
-        for (f in machines.flavors.values) {
-            val key: (micatally.wire.Amount) -> Double = { if (f.amount.cards > 0) it.cards / f.amount.cards else it.cores / f.amount.cores }
-            val up = machines.byName.values.filter { it.type == f.label && !it.deleted && !it.recalled && it.session > 0 && it.name !in drains && now - it.heardAt < settings.leaseMs / 2 }
-            val used = up.sumOf { key(it.used) }
-            val free = up.sumOf { 1.0 - key(it.used) }
-            val m = up.filter { (keptUntil[it.name] ?: 0L) < now && now - (rentals[it.name]?.at ?: 0L) > settings.leaseMs * 6 }
-                .minWithOrNull(compareBy({ key(it.used) }, { it.used.cores }, { it.name })) ?: continue
-            val mine = key(m.used)
-            if (mine > MOSTLY_FREE || free - (1.0 - mine) < mine + maxOf(1.0, used * operator.fleetHeadroom)) continue
-            lastEmptying = now
-            drain(m, now, DrainState.EMPTYING, "%.2f used, %.1f free elsewhere".format(mine, free - 1.0 + mine))
-            return
+    /** The machines with the least on them, dearest types first, as long as the others have room for that and some more
+     * besides: the headroom, a share of what is used, never less than a machine, nor than the services that came lately:
+     * as many may come while a machine boots. What is on its way off emptying
+     * machines has its room counted already. Tasks without cards may go to any type, but stay in their zone. */
+    private fun emptySome(now: Long) {
+        val up = machines.byName.values.filter { !it.deleted && !it.recalled && it.session > 0 && it.name !in drains && now - it.heardAt < settings.leaseMs / 2 }
+        var emptying = drains.count { (name, d) -> d.state == DrainState.EMPTYING && machines.of(name)?.deleted == false }
+        val most = maxOf(EMPTYING_AT_ONCE, (up.size * EMPTYING_SHARE).toInt())
+        if (emptying >= most) return
+        val leaving = drains.filterValues { it.state == DrainState.EMPTYING }.keys.mapNotNull { machines.of(it) }.filter { !it.deleted }
+        val gone = HashSet<Machine>()
+        val lately = recent()
+        for (f in machines.flavors.values.sortedByDescending { it.hourly }) {
+            fun share(a: Amount) = maxOf(if (f.amount.cards > 0) a.cards / f.amount.cards else 0.0, a.cores / f.amount.cores)
+            val candidates = up.filter { it.type == f.label && (keptUntil[it.name] ?: 0L) < now && now - (rentals[it.name]?.at ?: 0L) > settings.leaseMs * 6 }
+                .sortedWith(compareBy({ it.used.cards }, { share(it.used) }, { it.name }))
+            val next = lately.filter { (it.types.isEmpty() || f.label in it.types) && (it.cards > 0) == (f.amount.cards > 0) }
+            val nextCards = next.sumOf { it.cards * it.count }
+            val nextCores = next.sumOf { it.cores * it.count }
+            for (m in candidates) {
+                if (emptying >= most) return
+                val mine = m.used
+                if (share(mine) > MOSTLY_FREE) break
+                val plain = mine.cards <= 0.0 && f.amount.cards > 0
+                fun takes(x: Machine) = if (plain) x.zone == m.zone else x.type == m.type
+                var free = Amount.NONE
+                var used = Amount.NONE
+                for (x in up) {
+                    if (x === m || x in gone || !takes(x)) continue
+                    free = free + ((machines.total(x) ?: continue) - x.used)
+                    used = used + x.used
+                }
+                for (x in leaving) if (if (plain) x.zone == m.zone else x.type == m.type) free = free - x.used
+                for (x in gone) if (takes(x)) free = free - x.used
+                val spare = if (plain) used.cores * operator.fleetHeadroom else maxOf(f.amount.cores, used.cores * operator.fleetHeadroom, nextCores)
+                val spareCards = if (plain) 0.0 else maxOf(f.amount.cards, used.cards * operator.fleetHeadroom, nextCards)
+                if (free.cores < mine.cores + spare || free.cards < mine.cards + spareCards) break
+                drain(m, now, DrainState.EMPTYING, "%.2f used, %.0f cores and %.0f cards free elsewhere".format(share(mine), free.cores, free.cards))
+                gone.add(m)
+                emptying++
+            }
         }
     }
 
@@ -285,7 +311,8 @@
             if (!r.up) coming.add(RentPlan.Room(r.offer.type, r.offer.zone, r.offer.spot, f.amount))
         }
         val plan = RentPlan.plan(demands, coming, machines.flavors.values, { (refusedUntil[it] ?: 0L) > now }, owned, MOST_AT_ONCE)
-        for ((o, n) in plan) {
+        for ((o, all) in plan) for (part in 0 until all step MOST_A_BOOKING) {
+            val n = minOf(MOST_A_BOOKING, all - part)
             val name = "b$term-${++bookings}"
             renting.add(name)
             scope.launch {
@@ -335,9 +362,13 @@
 
     private companion object {
         const val LATE_BOOTS = 4
+        /** Machines being emptied at once: at least so many, or a share of those that are up. */
         const val EMPTYING_AT_ONCE = 2
+        const val EMPTYING_SHARE = 0.08
         /** A machine used beyond this is not worth emptying. */
         const val MOSTLY_FREE = 0.6
-        const val MOST_AT_ONCE = 20
+        const val MOST_AT_ONCE = 100
+        /** The protocol's limit for one request. */
+        const val MOST_A_BOOKING = 50
     }
 }
--- a/src/main/kotlin/micatally/fleet/RentPlan.kt
+++ b/src/main/kotlin/micatally/fleet/RentPlan.kt
@@ -14,12 +14,21 @@
     private fun allowed(d: Demand, type: String, zone: String, spot: Boolean) =
         (d.types.isEmpty() || type in d.types) && (d.zones.isEmpty() || zone in d.zones) && (!spot || d.spot)
 
+    /** What tasks without cards may use of a room: not the cores that the cards in it will need. */
+    private fun open(task: Amount, free: Amount, machine: Amount) =
+        if (task.cards > 0 || machine.cards <= 0) free else Amount(free.cores - free.cards * machine.cores / machine.cards * CORES_KEPT, 0.0, free.ram)
+
     /** How many such tasks an empty machine takes. */
     fun perMachine(task: Amount, machine: Amount): Int {
         fun n(one: Double, all: Double) = if (one <= 0) Int.MAX_VALUE else ((all + Amount.SLACK) / one).toInt()
-        return minOf(n(task.cores, machine.cores), n(task.cards, machine.cards), n(task.ram, machine.ram))
+        val room = open(task, machine, machine)
+        return minOf(n(task.cores, room.cores), n(task.cards, room.cards), n(task.ram, room.ram))
     }
 
+    /** Tasks of one shape, of whichever job: together they may fill a machine that would be too large for one job's. */
+    private data class Shape(val task: Amount, val types: List<String>, val spot: Boolean)
+    private fun shape(d: Demand) = Shape(Amount(d.cores, d.cards, d.ram), d.types, d.spot)
+
     /** Fills the rooms that are coming first, then picks offers for the rest, by the cost of what each would carry.
      * [coming] is changed. [refused] are offers that the cloud turned down lately. */
     fun plan(
@@ -27,11 +36,23 @@
     ): Map<Offer, Int> {
         val out = LinkedHashMap<Offer, Int>()
         val perZone = HashMap(owned)
-        for (d in demands.sortedBy { it.priority }) {
+        val amounts = flavors.associate { it.label to it.amount }
+        val bulk = HashMap<Shape, Int>()
+        for (d in demands) bulk.merge(shape(d), d.count, Int::plus)
+        // Those with cards first: what they leave of their machines serves the others.
+        for (d in demands.sortedWith(compareBy({ it.priority }, { -it.cards }))) {
             val task = Amount(d.cores, d.cards, d.ram)
             var left = d.count
+            val zoneRoom = if (d.zoneRoom.isEmpty()) null else d.zones.zip(d.zoneRoom).toMap(HashMap())
+            fun roomIn(zone: String) = zoneRoom == null || (zoneRoom[zone] ?: 0) > 0
             fun fill(r: Room) {
-                while (left > 0 && allowed(d, r.type, r.zone, r.spot) && task.fitsIn(r.free)) { r.free = r.free - task; left-- }
+                if (!allowed(d, r.type, r.zone, r.spot)) return
+                val machine = amounts[r.type] ?: return
+                while (left > 0 && roomIn(r.zone) && task.fitsIn(open(task, r.free, machine))) {
+                    r.free = r.free - task
+                    left--
+                    zoneRoom?.merge(r.zone, -1, Int::plus)
+                }
             }
             for (r in coming) { if (left == 0) break; fill(r) }
             while (left > 0 && out.values.sum() < most) {
@@ -42,8 +63,9 @@
                     if (n == 0) continue
                     for (z in f.zones) for (spot in if (d.spot) listOf(true, false) else listOf(false)) {
                         val o = Offer(f.label, z, spot)
-                        if (!allowed(d, f.label, z, spot) || refused(o)) continue
-                        val cost = f.price(spot) * Math.ceil(left.toDouble() / n) / left * (1 + (perZone["${f.label}/$z"] ?: 0) * ZONE_BALANCE)
+                        if (!allowed(d, f.label, z, spot) || refused(o) || !roomIn(z)) continue
+                        val many = maxOf(left, bulk[shape(d)] ?: 0)
+                        val cost = f.price(spot) * Math.ceil(many.toDouble() / n) / many * (1 + (perZone["${f.label}/$z"] ?: 0) * ZONE_BALANCE)
                         if (cost < bestCost) { best = o; bestCost = cost }
                     }
                 }
@@ -55,10 +77,13 @@
                 coming.add(room)
                 fill(room)
             }
+            bulk.merge(shape(d), -d.count, Int::plus)
         }
         return out
     }
 
     /** Ties between zones go to the one with fewer machines of the type. */
     private const val ZONE_BALANCE = 1e-3
+    /** How much of its even share of the cores each card keeps. */
+    private const val CORES_KEPT = 0.7
 }
--- a/src/main/kotlin/micatally/job/Owner.kt
+++ b/src/main/kotlin/micatally/job/Owner.kt
@@ -13,6 +13,7 @@
 import micatally.settings.Settings
 import micatally.state.StateClient
 import micatally.state.Urgency
+import micatally.wire.Demand
 import micatally.wire.JobAnswer
 import micatally.wire.JobSpec
 import micatally.wire.KillNote
@@ -256,12 +257,24 @@
         if (poke) orders.poke(m)
     }
 
+    private val recent = ArrayDeque<Pair<Long, JobSpec>>()
+
+    /** The services submitted here within the last leases, by shape. */
+    fun recentServices(): List<Demand> {
+        val since = nowMs() - settings.leaseMs * RECENT_LEASES
+        while (recent.isNotEmpty() && recent.first().first < since) recent.removeFirst()
+        return recent.groupBy { (_, s) -> s.amount to s.types }.map { (shape, list) ->
+            Demand(shape.first.cores, shape.first.cards, shape.first.ram, shape.second?.toList() ?: emptyList(), count = list.sumOf { it.second.laps }, service = true)
+        }
+    }
+
     // What users ask for
 
     /** Creates a job of this node's own ledger; the caller waits for the store. */
     fun create(spec: JobSpec, ledger: Ledger): Job {
         val job = Job(spec.ref, spec, ledger, spec.laps, wallMs(), JobState.NEW)
         ledger.jobs[spec.ref] = job
+        if (spec.isService) recent.addLast(nowMs() to spec)
         log.info("job {} of {} lane {}: {} tasks of {} cores {} cards", spec.ref, spec.crew, spec.lane, spec.laps, spec.amount.cores, spec.amount.cards)
         return job
     }
@@ -303,5 +316,6 @@
     private companion object {
         const val FINALS = 20_000L
         const val FAULTS_TO_PAUSE = 3
+        const val RECENT_LEASES = 4
     }
 }
--- a/src/main/kotlin/micatally/node/Controller.kt
+++ b/src/main/kotlin/micatally/node/Controller.kt
@@ -65,10 +65,10 @@
     private val store = JobStore(scope, state, membership.process, settings.reportMs / 4, settings.leaseMs / 10)
     val owner = Owner(scope, settings, state, membership, machines, store, nowMs, wallMs)
     private val orders = Orders(scope, http, settings, membership, machines, owner, nowMs)
-    private val quota = Quota(scope, state, membership.cluster, settings.teams, { owner.ledgers.values.filter { it.mine } }) { rounds.wake() }
+    private val quota = Quota(scope, state, membership.cluster, settings.teams, { owner.ledgers.values.filter { it.mine } }, settings.controllers) { rounds.wake() }
     val rounds: Rounds = Rounds(scope, settings, owner, machines, store, quota, orders, Queues(operator.queueBounds.map { it * settings.leaseMs / 1000.0 }, operator.queueLift), effort, nowMs)
     private val peers = Peers(scope, http, settings, state, membership, machines, owner, rounds, nowMs)
-    private val keeper = Keeper(scope, settings, state, cloud, membership, machines, { rounds.unplaced.values.toList() + peers.demandOfPeers() }, { peers.allInContact() }, operator, nowMs)
+    private val keeper = Keeper(scope, settings, state, cloud, membership, machines, { rounds.unplaced.values.toList() + peers.demandOfPeers() }, { peers.recentServices() }, { peers.allInContact() }, operator, nowMs)
     private val users = UserApi(settings, state, membership, owner, store, machines, peers, rounds, nowMs)
     private val workers = WorkerApi(settings, membership, machines, peers, nowMs)
 
@@ -133,6 +133,7 @@
                 owner.sweep()
                 rounds.wake()
                 rounds.moveOff(now)
+                for (m in machines.byName.values) m.releaseOld(now)
             }
             for (m in machines.byName.values) if (m.recalled && !m.deleted) {
                 var touched = false
--- a/src/main/kotlin/micatally/peer/Peers.kt
+++ b/src/main/kotlin/micatally/peer/Peers.kt
@@ -63,6 +63,7 @@
     private class Theirs(val process: String) {
         var number = 0L
         var demand: List<Demand> = emptyList()
+        var recent: List<Demand> = emptyList()
         val rooms = HashMap<String, HeldRoom>()
     }
 
@@ -73,6 +74,7 @@
     private val theirs = HashMap<String, Theirs>()
     private val mine = HashMap<String, Mine>()
     private var myDemand: List<Demand> = emptyList()
+    private var myRecent: List<Demand> = emptyList()
     private var number = 1L
     private val tellMs = settings.reportMs / 8
     private val heardEveryMs = maxOf(settings.reportMs / 2, settings.leaseMs / 10)
@@ -109,6 +111,9 @@
 
     fun killsOn(machine: String): List<KillNote> = lines.flatMap { l -> l.kills.filter { it.machine == machine } }
 
+    /** Services that came to any controller lately. */
+    fun recentServices(): List<Demand> = myRecent + theirs.values.flatMap { it.recent }
+
     fun demandOfPeers(): List<Demand> = theirs.values.flatMap { it.demand }
 
     /** A report here showed something new: the owners of its tasks are to hear of it. */
@@ -137,7 +142,7 @@
         var changed = false
         for (m in machines.byName.values) {
             val old = mine[m.name]?.room
-            if (m.deleted || m.attempts.isEmpty()) {
+            if (m.deleted || m.attempts.isEmpty() && !m.isPromised) {
                 if (old != null && old.isHeld) { mine[m.name] = Mine(HeldRoom(m.name), next); changed = true }
                 continue
             }
@@ -149,13 +154,15 @@
         }
         val demand = rounds.unplaced.values.toList()
         if (demand != myDemand) { myDemand = demand; changed = true }
+        val recent = owner.recentServices()
+        if (recent != myRecent) { myRecent = recent; changed = true }
         if (changed) number = next
     }
 
     private val HeldRoom.isHeld get() = cores > 0 || cards > 0 || ram > 0
 
     private fun summarySince(base: Long) = RoomSummary(
-        settings.host, membership.process, number, mine.values.filter { it.number > base && (base > 0 || it.room.isHeld) }.map { it.room }, myDemand, base,
+        settings.host, membership.process, number, mine.values.filter { it.number > base && (base > 0 || it.room.isHeld) }.map { it.room }, myDemand, base, recent = myRecent,
     )
 
     private fun heardHere(): List<MachineNote> = machines.byName.values.filter { !it.deleted && nowMs() - it.heardHereAt < settings.leaseMs / 2 }.map { machines.note(it, false) }
@@ -216,6 +223,7 @@
         val t = if (old != null && s.base > 0) old else { forget(s.host); Theirs(s.process).also { theirs[s.host] = it } }
         t.number = s.number
         t.demand = s.demand
+        t.recent = s.recent
         for (r in s.rooms) put(s.host, t, r)
         return true
     }
--- a/src/main/kotlin/micatally/placement/Placement.kt
+++ b/src/main/kotlin/micatally/placement/Placement.kt
@@ -1,5 +1,6 @@
 package micatally.placement
 
+import micatally.job.Attempt
 import micatally.job.Job
 import micatally.wire.Amount
 import micatally.wire.Flavor
@@ -18,9 +19,9 @@
     fun zoneCap(spec: JobSpec) = if (spec.scatter) (spec.laps + 1) / 2 else spec.laps
 
     /** The zones in which a further task of the job may start, given its live attempts; null: any. */
-    fun zones(job: Job, spec: JobSpec): ZoneRule {
+    fun zones(job: Job, spec: JobSpec, without: Attempt? = null): ZoneRule {
         val used = HashMap<String, Int>()
-        for (a in job.attempts.values) used.merge(a.machine.zone, 1, Int::plus)
+        for (a in job.attempts.values) if (a !== without) used.merge(a.machine.zone, 1, Int::plus)
         return ZoneRule(spec, used)
     }
 
--- a/src/main/kotlin/micatally/placement/Quota.kt
+++ b/src/main/kotlin/micatally/placement/Quota.kt
@@ -26,8 +26,9 @@
  * an intent is written under the ledger's mark, so a holder that has lost the ledger can't use it up any more. */
 class Quota(
     private val scope: CoroutineScope, private val state: StateClient, private val cluster: Cluster, private val teams: Map<String, Team>,
-    private val held: () -> Collection<Ledger>, private val changed: () -> Unit,
+    private val held: () -> Collection<Ledger>, controllers: Int, private val changed: () -> Unit,
 ) {
+    private val chunk = SLACK / controllers
     private val log = LoggerFactory.getLogger("micatally.quota")
     private val used = HashMap<Pair<String, String>, Share>()
     private val busy = HashSet<String>()
@@ -68,12 +69,15 @@
         if (!limited(team)) return true
         val u = used(job.ledger.name, team.name)
         val a = allotted(job.ledger.name, team.name)
-        val ok = (team.coresMax <= 0 || u.cores + spec.amount.cores <= a.cores + EPS) &&
-            (team.cardsMax <= 0 || u.cards + spec.amount.cards <= a.cards + EPS)
+        val ok = covers(team, a, Share(u.cores + spec.amount.cores, u.cards + spec.amount.cards))
         if (!ok) raise(job.ledger, team, Share(spec.amount.cores, spec.amount.cards), job.pendingCount)
         return ok
     }
 
+    /** Only what the team is limited in counts: the other dimension has no allotment. */
+    private fun covers(team: Team, allotment: Share, use: Share) =
+        (team.coresMax <= 0 || use.cores <= allotment.cores + EPS) && (team.cardsMax <= 0 || use.cards <= allotment.cards + EPS)
+
     private fun raise(ledger: Ledger, team: Team, task: Share, tasks: Int) {
         val key = ledger.name to team.name
         if (key in lowering) return
@@ -83,7 +87,7 @@
         val freeCards = team.cardsMax - others.sumOf { it.cards }
         val u = used(ledger.name, team.name)
         fun wish(used: Double, one: Double, max: Double, free: Double) =
-            if (max <= 0) 0.0 else minOf(free, maxOf(used + one * maxOf(1, minOf(tasks, 64)) + max * CHUNK, 0.0))
+            if (max <= 0) 0.0 else minOf(free, maxOf(used + one * maxOf(1, minOf(tasks, 64)) + max * chunk, 0.0))
         val want = Share(wish(u.cores, task.cores, team.coresMax, freeCores), wish(u.cards, task.cards, team.cardsMax, freeCards))
         val now = all[ledger.name] ?: Share(0.0, 0.0)
         if (want.cores <= now.cores + EPS && want.cards <= now.cards + EPS) return
@@ -101,8 +105,7 @@
                     val all = allotments(team.name).toMutableMap()
                     if (lower) {
                         // What was placed while the write waited stays covered.
-                        val u = used(ledger.name, team.name)
-                        if (u.cores > to.cores + EPS || u.cards > to.cards + EPS) return@txn null
+                        if (!covers(team, to, used(ledger.name, team.name))) return@txn null
                     }
                     all[ledger.name] = to
                     if (!lower && (team.coresMax > 0 && all.values.sumOf { it.cores } > team.coresMax + EPS || team.cardsMax > 0 && all.values.sumOf { it.cards } > team.cardsMax + EPS)) return@txn null
@@ -141,9 +144,9 @@
             if (!limited(t)) continue
             val a = allotments(t.name)[l.name] ?: continue
             val u = used(l.name, t.name)
-            val keepCores = if (t.coresMax > 0) u.cores + t.coresMax * CHUNK else 0.0
-            val keepCards = if (t.cardsMax > 0) u.cards + t.cardsMax * CHUNK else 0.0
-            if (a.cores > keepCores + t.coresMax * CHUNK || a.cards > keepCards + t.cardsMax * CHUNK) {
+            val keepCores = if (t.coresMax > 0) u.cores + t.coresMax * chunk else 0.0
+            val keepCards = if (t.cardsMax > 0) u.cards + t.cardsMax * chunk else 0.0
+            if (a.cores > keepCores + t.coresMax * chunk || a.cards > keepCards + t.cardsMax * chunk) {
                 write(l, t, Share(minOf(a.cores, keepCores), minOf(a.cards, keepCards)), true)
             }
         }
@@ -151,7 +154,7 @@
 
     private companion object {
         const val EPS = 1e-6
-        /** The slack of an allotment, as a share of the team's limit. */
-        const val CHUNK = 1.0 / 16
+        /** The slack of all allotments together, as a share of the team's limit. */
+        const val SLACK = 1.0 / 8
     }
 }
--- a/src/main/kotlin/micatally/placement/Rounds.kt
+++ b/src/main/kotlin/micatally/placement/Rounds.kt
@@ -68,7 +68,11 @@
     }
 
     private fun ordered(): List<Job> = owner.openJobs().filter { it.pendingCount > 0 }
-        .sortedWith(compareBy<Job>({ queues.current(it) }, { it.spec?.priority?.ordinal ?: 9 }, { it.submittedAt }, { it.ref }))
+        .sortedWith(compareBy<Job>({ queues.current(it) }, { it.spec?.priority?.ordinal ?: 9 }, { rank(it) }, { it.ref }))
+
+    /** Within a queue the earlier job comes first, and of jobs that came together the one with fewer tasks left: it is over
+     * sooner, and the other one hardly later. */
+    private fun rank(job: Job): Long = job.submittedAt + if (job.spec?.isService != false) 0L else (job.laps - job.doneCount).toLong() * settings.leaseMs / TASKS_A_LEASE
 
     private fun round() {
         val now = nowMs()
@@ -83,6 +87,7 @@
         foreignServices = foreign().filter { it.service }
         resumeAfter = null
         for (i in from until jobs.size) {
+            if (i == from || !alike(jobs[i - 1], jobs[i])) placeWhereImagesAre(jobs, i, now)
             placeJob(jobs[i], now)
             if (nowMs() - now > budgetMs && i + 1 < jobs.size) { resumeAfter = jobs[i].ref; break }
         }
@@ -97,6 +102,22 @@
         if (resumeAfter != null) wake()
     }
 
+    private fun alike(a: Job, b: Job) = queues.current(a) == queues.current(b) && a.spec?.priority == b.spec?.priority
+
+    /** Among arrays of one queue and priority a room goes first to those whose image is there: a fetch takes about as long
+     * as a third of a task, during which the room does nothing. */
+    private fun placeWhereImagesAre(jobs: List<Job>, from: Int, now: Long) {
+        var to = from + 1
+        while (to < jobs.size && alike(jobs[from], jobs[to])) to++
+        if (to - from < 2) return
+        for (i in from until to) {
+            val spec = jobs[i].spec ?: continue
+            if (spec.isService || spec.isGang || shape(spec, Placement.zones(jobs[i], spec)) in noRoom) continue
+            placeJob(jobs[i], now, true)
+            if (nowMs() - now > budgetMs) return
+        }
+    }
+
     private fun tickWaits(now: Long) {
         val step = now - lastAt
         if (lastAt == 0L || step <= 0) return
@@ -104,23 +125,24 @@
     }
 
     /** Places what can be placed of one job. Returns whether all of it found room. */
-    fun placeJob(job: Job, now: Long): Boolean {
+    fun placeJob(job: Job, now: Long, withImage: Boolean = false): Boolean {
         val spec = job.spec ?: return true
         if (!job.wantsTasks || now < job.retryAt) return true
         val room = MAX_ATTEMPTS - job.attempts.size
         if (room <= 0) return true
+        if (spec.isService && moved.isNotEmpty()) placeMoved(job, spec, now)
         if (!spec.isGang && shape(spec, Placement.zones(job, spec)) in noRoom && quota.allows(job)) { unplaceable(job, spec, 1, now); return false }
         val laps = job.pending(if (spec.isService || spec.isGang) spec.laps.coerceAtMost(room) else minOf(room, ROUND_TASKS))
         if (laps.isEmpty()) return true
         if (spec.isGang) return gang(job, spec, laps, now)
         var placed = 0
         var blocked = false
-        val choice = Choice(job, spec, now, null)
+        val choice = Choice(job, spec, now, null, withImage)
         for (lap in laps) {
             if (!quota.allows(job)) { blocked = true; break }
             val m = choice.next()
             if (m == null) {
-                if (choice.deferred) blocked = true else if (job.badMachines.isEmpty()) noRoom.add(shape(spec, choice.rule))
+                if (choice.deferred || withImage) blocked = true else if (job.badMachines.isEmpty()) noRoom.add(shape(spec, choice.rule))
                 break
             }
             owner.place(job, lap, m)
@@ -139,6 +161,20 @@
         return !blocked
     }
 
+    /** Replicas that were stopped to move go where room was kept for them. */
+    private fun placeMoved(job: Job, spec: JobSpec, now: Long) {
+        val each = moved.entries.iterator()
+        while (each.hasNext()) {
+            val (task, to) = each.next()
+            if (task.first != job.ref || task.second in job.attempts) continue
+            each.remove()
+            if (!to.release(task.first, task.second) || job.done[task.second] || !quota.allows(job)) continue
+            if (!usable(to, now) || !spec.amount.fitsIn((machines.total(to) ?: continue) - to.used) || !Placement.zones(job, spec).allows(to.zone)) continue
+            owner.place(job, task.second, to)
+            store.touch(job, true)
+        }
+    }
+
     private fun unplaceable(job: Job, spec: JobSpec, count: Int, now: Long) {
         note(job, spec, job.pendingCount)
         val rule = Placement.zones(job, spec)
@@ -154,6 +190,7 @@
         finding[job.ref] = Demand(
             spec.amount.cores, spec.amount.cards, spec.amount.ram, spec.types?.toList() ?: emptyList(), zones, spec.spot, count,
             spec.priority.ordinal, spec.isService, spec.estimateS, spec.image,
+            if (spec.scatter) zones.map { Placement.zoneCap(spec) - (rule.used[it] ?: 0) } else emptyList(),
         )
     }
 
@@ -181,7 +218,7 @@
 
     /** The machines that could take tasks of a job, best first. Scores are worked out once: placing one task changes
      * that of its own machine only, and what its zone counts. */
-    private inner class Choice(private val job: Job, private val spec: JobSpec, now: Long, zone: String?, withImage: Boolean = false) {
+    private inner class Choice(private val job: Job, private val spec: JobSpec, now: Long, zone: String?, withImage: Boolean = false, moving: Attempt? = null) {
         private inner class Candidate(val m: Machine, val f: micatally.wire.Flavor) {
             var score = 0.0
             fun look(): Boolean {
@@ -195,7 +232,7 @@
         }
 
         private val ahead = if (spec.isService) emptyList() else foreignServices.filter { it.priority < spec.priority.ordinal }
-        var rule = Placement.zones(job, spec)
+        var rule = Placement.zones(job, spec, moving)
             private set
         private val candidates = ArrayList<Candidate>()
         /** There is room whose turn is still to come, so that more machines need not be asked for yet. */
@@ -269,6 +306,8 @@
                 val s = a.job.spec!!
                 val ran = (now - (a.runningSince ?: now)) / 1000.0
                 if (!queues.pastBound(a.inherited, ran) || queues.of(a.inherited + ran) < need.queue + 2) continue
+                // A task that never saves loses all it did: beyond what a new machine takes to boot that is not worth it.
+                if (s.checkpointS <= 0 && ran > f.readyS) continue
                 victims.add(a)
                 free = free + s.amount
                 if (need.amount.fitsIn(free)) break
@@ -306,21 +345,40 @@
     /** Machines that are being emptied: replicas move to rooms that have their image, one at a time, so that each is
      * away for a blink only. Whatever ends by itself is left to do so. */
     fun moveOff(now: Long) {
+        moved.entries.removeIf { (task, to) -> !to.promised(task.first, task.second) }
         val draining = machines.byName.values.filter { it.draining && !it.deleted && !it.recalled && it.attempts.isNotEmpty() }
         if (draining.isEmpty() || unplaced.isNotEmpty()) return
         if (machines.byName.values.any { m -> m.attempts.any { it.stop == StopReason.DRAIN } }) return
+        val next = moving
+        if (next != null && next.a.live && next.a.stop == null && next.to.promised(next.a.job.ref, next.a.lap)) {
+            // The peers have heard of the promise by now; whoever was faster has the room.
+            if (now - next.at < settings.reportMs / 2) return
+            moving = null
+            val total = machines.total(next.to)
+            if (total != null && usable(next.to, now) && next.to.used.fitsIn(total)) {
+                next.a.stop(StopReason.DRAIN, now)
+                moved[next.a.job.ref to next.a.lap] = next.to
+                log.info("task {} moves to {}", next.a, next.to.name)
+                orders.poke(next.a.machine)
+                return
+            }
+            next.to.release(next.a.job.ref, next.a.lap)
+        }
         for (m in draining) for (a in m.attempts) {
             val spec = a.job.spec ?: continue
             if (!spec.isService || spec.isGang || a.stop != null || a.state != AttemptState.RUNNING || a.job.pendingCount > 0) continue
-            // Its own place is counted against its zone until it is gone, so the check is on the safe side.
-            Choice(a.job, spec, now, null, true).next() ?: continue
-            a.stop(StopReason.DRAIN, now)
-            log.info("task {} moves", a)
-            orders.poke(m)
+            // It is gone before it starts elsewhere, so its own place does not count against its zone.
+            val to = Choice(a.job, spec, now, null, true, a).next() ?: continue
+            to.promise(a.job.ref, a.lap, spec.amount, now + settings.leaseMs)
+            moving = Move(a, to, now)
             return
         }
     }
 
+    private class Move(val a: Attempt, val to: Machine, val at: Long)
+    private var moving: Move? = null
+    private val moved = HashMap<Pair<String, Int>, Machine>()
+
     private companion object {
         /** How many tasks of a job may be on machines at once: keeps its record within the state service's value limit. */
         const val MAX_ATTEMPTS = 400
@@ -329,6 +387,8 @@
         const val FEW_FAULTS = 6
         /** How much longer the pause after a round is than the round. */
         const val REST = 3
+        /** So many tasks left put a job behind one that came a lease later. */
+        const val TASKS_A_LEASE = 20
         /** What a later turn counts against a machine, for services, which don't wait for theirs. */
         const val TURN_WEIGHT = 0.5
     }
--- a/src/main/kotlin/micatally/standin/StateStandin.kt
+++ b/src/main/kotlin/micatally/standin/StateStandin.kt
@@ -21,8 +21,36 @@
 import micatally.wire.textOrNull
 import java.util.TreeMap
 
+/** The limits of a state service: requests and changes a second, with bursts of one second's worth, and sizes. */
+class StateLimits(val rps: Double, val writeRps: Double, val valueBytes: Int, val txnOps: Int)
+
 /** The state service as the protocol page describes it, kept in memory. */
-class StateStandin(private val nowMs: () -> Long) {
+class StateStandin(private val limits: StateLimits? = null, private val nowMs: () -> Long) {
+    private inner class Bucket(private val perSecond: Double) {
+        private var tokens = perSecond
+        private var at = nowMs()
+        fun take(n: Int): Boolean {
+            val now = nowMs()
+            tokens = minOf(perSecond, tokens + (now - at) * perSecond / 1000)
+            at = now
+            if (tokens < n) return false
+            tokens -= n
+            return true
+        }
+    }
+
+    private val requests = limits?.let { Bucket(it.rps) }
+    private val writes = limits?.let { Bucket(it.writeRps) }
+    /** Changes made, the largest value among them, and requests turned away over the limits. */
+    var changesMade = 0
+        private set
+    var largestValue = 0
+        private set
+    var limited = 0
+        private set
+
+    private fun overLimit(): HttpResponse { limited++; return errorResponse(429, "too many") }
+
     private class Entry(val value: JsonObject, val mark: Long, val lease: Long?)
     private class Lease(val lifeMs: Long, var endsAt: Long)
     private class Change(val key: String, val value: JsonObject?, val mark: Long)
@@ -71,6 +99,7 @@
     private fun item(k: String, e: Entry) = buildJsonObject { put("k", k); put("value", e.value); put("mark", e.mark); if (e.lease != null) put("permit", e.lease) }
 
     suspend fun handle(r: HttpRequest): HttpResponse {
+        if (!down && requests?.take(1) == false) return overLimit()
         if (r.path == "/watch") return watch(r)
         if (down) return errorResponse(503, "trouble")
         expire()
@@ -97,10 +126,18 @@
     }
 
     private fun txn(o: JsonObject): HttpResponse {
+        val changed = o.listOrNull("then") ?: emptyList()
+        if (limits != null && (changed.size > limits.txnOps || (o.listOrNull("when") ?: emptyList()).size > limits.txnOps * 4 || o.toString().length > 64 * 1024)) return errorResponse(400, "too large")
+        if (writes?.take(changed.size) == false) return overLimit()
         val failed = (o.listOrNull("when") ?: emptyList()).map { it.asObject() }.filter { (keys[it.text("k")]?.mark ?: 0L) != it.long("mark") }.map { it.text("k") }
         if (failed.isNotEmpty()) return json(409, buildJsonObject { put("failed", JsonArray(failed.map { JsonPrimitive(it) })); put("odometer", revision) })
         val then = (o.listOrNull("then") ?: emptyList()).map { it.asObject() }
         for (c in then) { val l = c.longOrNull("permit"); if (l != null && l !in leases) return errorResponse(400, "no such lease") }
+        for (c in then) c.child("value")?.toString()?.length?.let { n ->
+            largestValue = maxOf(largestValue, n)
+            if (limits != null && n > limits.valueBytes) return errorResponse(400, "the value is too large")
+        }
+        changesMade += then.size
         if (then.isNotEmpty()) {
             revision++
             for (c in then) {
--- a/src/main/kotlin/micatally/wire/Peers.kt
+++ b/src/main/kotlin/micatally/wire/Peers.kt
@@ -36,6 +36,8 @@
     @ProtoNumber(4) val types: List<String> = emptyList(), @ProtoNumber(5) val zones: List<String> = emptyList(),
     @ProtoNumber(6) val spot: Boolean = false, @ProtoNumber(7) val count: Int = 1, @ProtoNumber(8) val priority: Int = 0,
     @ProtoNumber(9) val service: Boolean = false, @ProtoNumber(10) val estimateS: Double = 0.0, @ProtoNumber(11) val image: String = "",
+    /** For each of [zones], how many of them may go there at the most; empty: any number. */
+    @ProtoNumber(12) val zoneRoom: List<Int> = emptyList(),
 )
 
 /** An owner's free-room summary: what it holds where, and what it could not place. With a [base] only the rooms are in
@@ -47,6 +49,8 @@
     @ProtoNumber(1) val host: String, @ProtoNumber(2) val process: String, @ProtoNumber(3) val number: Long,
     @ProtoNumber(4) val rooms: List<HeldRoom> = emptyList(), @ProtoNumber(5) val demand: List<Demand> = emptyList(),
     @ProtoNumber(6) val base: Long = 0, @ProtoNumber(7) val bucket: Int = 0, @ProtoNumber(8) val buckets: Int = 0,
+    /** Services that were submitted here lately, by shape: what may come next. */
+    @ProtoNumber(9) val recent: List<Demand> = emptyList(),
 )
 
 @Serializable
--- a/src/main/kotlin/micatally/worker/Machine.kt
+++ b/src/main/kotlin/micatally/worker/Machine.kt
@@ -80,6 +80,31 @@
     fun retry(make: () -> Unit): () -> Unit = again ?: make.also { again = it }
 
     val recalled get() = noticeAt != null
+    private class Promise(val amount: Amount, val until: Long)
+
+    /** Room kept for replicas of this node that are about to move here, by job and task. It counts as used and is told to
+     * the peers, or somebody else's task would be in it when the replica comes. */
+    private val promises = HashMap<Pair<String, Int>, Promise>()
+
+    fun promise(ref: String, lap: Int, amount: Amount, until: Long) {
+        if (promises.put(ref to lap, Promise(amount, until)) == null) { ownUsed = ownUsed + amount; sum() }
+    }
+
+    /** Takes a promise back, whether it is kept or has run out; false if there is none. */
+    fun release(ref: String, lap: Int): Boolean {
+        val p = promises.remove(ref to lap) ?: return false
+        ownUsed = if (attempts.isEmpty() && promises.isEmpty()) Amount.NONE else ownUsed - p.amount
+        sum()
+        return true
+    }
+
+    fun releaseOld(nowMs: Long) {
+        if (promises.isNotEmpty()) for ((id, p) in promises.entries.map { it.key to it.value }) if (p.until <= nowMs) release(id.first, id.second)
+    }
+
+    fun promised(ref: String, lap: Int) = ref to lap in promises
+    val isPromised get() = promises.isNotEmpty()
+
     private fun sum() { used = othersUsed.values.fold(ownUsed) { a, b -> a + b } }
 
     fun attach(a: Attempt) {
@@ -90,7 +115,7 @@
         if (!attempts.remove(a)) return
         freedAt = nowMs
         freedBy = null
-        ownUsed = if (attempts.isEmpty()) Amount.NONE else ownUsed - (a.job.spec?.amount ?: Amount.NONE)
+        ownUsed = if (attempts.isEmpty() && promises.isEmpty()) Amount.NONE else ownUsed - (a.job.spec?.amount ?: Amount.NONE)
         sum()
     }
 
--- /dev/null
+++ b/src/test/kotlin/micatally/fleet/RentPlanTest.kt
@@ -0,0 +1,33 @@
+package micatally.fleet
+
+import micatally.wire.Amount
+import micatally.wire.Demand
+import micatally.wire.Flavor
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class RentPlanTest {
+    private val small = Flavor("small", Amount(8.0, 0.0, 32.0), 40.0, 0.1, 0.62, 0.2, 30.0, listOf("a"))
+    private val large = Flavor("large", Amount(32.0, 0.0, 64.0), 70.0, 0.1, 2.01, 0.5, 15.0, listOf("a", "b"))
+    private val cards = Flavor("cards", Amount(96.0, 8.0, 768.0), 400.0, 1.7, 27.0, 7.0, 30.0, listOf("a", "b", "c"))
+    private fun gateway(count: Int, room: List<Int>) = Demand(2.0, 0.0, 2.7, zones = listOf("a", "b", "c"), count = count, service = true, zoneRoom = room)
+    private fun plan(demands: List<Demand>, coming: MutableList<RentPlan.Room> = ArrayList()) = RentPlan.plan(demands, coming, listOf(small, large, cards), { false }, emptyMap(), 100)
+
+    /** Found at size: each job alone was too small for the larger and cheaper machine, and the tasks that its zone rule kept
+     * out of the one zone were only seen to need another when the machines were up. */
+    @Test
+    fun `many small jobs share large machines and are spread from the start`() {
+        val p = plan(List(16) { gateway(4, listOf(2, 2, 2)) })
+        assertTrue(p.keys.all { it.type == "large" }, "$p")
+        assertEquals(setOf("a", "b"), p.keys.map { it.zone }.toSet())
+        assertEquals(4, p.values.sum())
+    }
+
+    @Test
+    fun `tasks without cards leave the cores that cards need`() {
+        val room = RentPlan.Room("cards", "c", false, cards.amount)
+        plan(listOf(gateway(60, emptyList())), arrayListOf(room))
+        assertTrue(room.free.cores >= 8 * 12 * 0.7 - 1e-6, "${room.free}")
+    }
+}
--- a/src/test/kotlin/micatally/sim/FoundTest.kt
+++ b/src/test/kotlin/micatally/sim/FoundTest.kt
@@ -3,8 +3,9 @@
 import micatally.standin.Rehearsal
 import micatally.wire.JobSpec
 import micatally.wire.bytes
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
 import org.junit.jupiter.api.Assertions.assertEquals
-import org.junit.jupiter.api.Assertions.assertNotEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 
@@ -23,7 +24,8 @@
     }
 
     /** Found by the simulation (seed 159): a node that had taken over a ledger, and then lost the state service, went on
-     * answering from memory after the ledger's own host had come back and its user had cancelled the job there. */
+     * answering from memory after the ledger's own host had come back and its user had cancelled the job there. Found at size:
+     * such a node, whose workers know a higher token, asked for the shared keys without pause, and users' questions hung. */
     @Test
     fun `a ledger that was taken over is not answered for from memory`() = fleet(1) { f ->
         val ref = f.submit(0, 1, "daemon", 1)
@@ -39,4 +41,60 @@
         val (status, word) = f.asked(taker, "GET", "/work/$ref")
         assertTrue(status == 503 || word == "withdrawn", "$status $word")
     }
+
+    /** Found on a rough day: in an outage longer than a node's right, every node stopped answering and the whole fleet lost
+     * its leases, though no cancellation can be recorded while the state service is out and the nodes heard each other. */
+    @Test
+    fun `tasks outlive a long outage of the state service while the controllers hear each other`() = fleet(2) { f ->
+        val ref = f.submit(0, 1, "daemon", 2)
+        f.runFor(20_000)
+        assertEquals(2, f.rules.running.count { it.ref == ref })
+        f.state.down = true
+        f.runFor(45_000)
+        f.state.down = false
+        f.runFor(10_000)
+        assertEquals(2, f.rules.running.count { it.ref == ref })
+        assertEquals(2, f.rules.starts)
+    }
+
+    /** Found at size: a team limited in cards only never gave an allotment back, because the cores that its tasks used had none;
+     * the jobs of the controllers that came last waited to the end of the day. */
+    @Test
+    fun `what one ledger no longer uses of a team's limit another one gets`() = fleet(6) { f ->
+        fun submit(node: Int, n: Int, format: String, laps: Int): String {
+            val spec = JobSpec.parse(JsonObject(Rehearsal.job(n, format, laps) + mapOf("crew" to JsonPrimitive("cards"), "cards" to JsonPrimitive(1.0))))
+            f.rules.submitted(spec)
+            assertEquals(201, f.asked(node, "POST", "/work", spec.source.bytes()).first)
+            return spec.ref
+        }
+        submit(0, 1, "daemon", 1)
+        for ((node, n) in listOf(0 to 2, 1 to 3)) {
+            val ref = submit(node, n, "sweep", 7)
+            f.runFor(120_000)
+            assertEquals(7, f.rules.completed[ref]?.size, ref)
+        }
+    }
+
+    /** The other side of it: a node that hears neither the state service nor a peer must stop answering in time. */
+    @Test
+    fun `a node alone without the state service stops answering workers`() = fleet(3) { f ->
+        f.runFor(3000)
+        f.crash(1); f.crash(2)
+        f.state.down = true
+        f.runFor(f.settings[0].rightMs + 3000)
+        assertEquals(micatally.ledger.Right.LAPSED, f.live[0]!!.membership.right)
+    }
+
+    /** Found at size: a summary of hundreds of machines was larger than a value may be, and was never published again. */
+    @Test
+    fun `summaries of many machines fit the state service's values`() = fleet(5) { f ->
+        for (n in 0 until 500) {
+            val m = f.live[0]!!.machines.known("m-%06d".format(n), "10.0.0.1:9", "g8", "a", false)
+            m.promise("j-1", n, micatally.wire.Amount(1.0, 0.0, 1.0), Long.MAX_VALUE)
+        }
+        f.runFor(15_000)
+        assertTrue(f.state.keysUnder("c/room/pitbox-0/").size > 1)
+        assertTrue(f.state.largestValue <= 16 * 1024)
+        for (n in 0 until 500) assertEquals(1.0, f.live[1]!!.machines.known("m-%06d".format(n), "10.0.0.1:9", "g8", "a", false).used.cores)
+    }
 }
