Room is told once ledgers are loaded and kept over a hand-over; withdrawn jobs are indexed

Cause: a starting controller's first summary left before its ledgers were loaded and read as free room; a taken-over ledger's room looked free until the taker had loaded it; each message from a peer went through all tasks of all machines for withdrawn ones.

--- a/src/main/kotlin/micatally/job/Owner.kt
+++ b/src/main/kotlin/micatally/job/Owner.kt
@@ -58,9 +58,13 @@
     /** Whether all jobs of this node's ledgers are known here. */
     val settled get() = own() != null && ledgers.values.all { it.state == LedgerState.ACTIVE }
 
+    /** Withdrawn jobs with tasks that are not proven gone. Kept, not looked for: each message from a peer asks for them. */
+    private val withdrawing = LinkedHashSet<Job>()
+
     /** Tasks of withdrawn jobs that may still be on their machines. */
-    fun withdrawnTasks(): List<KillNote> = machines.byName.values.flatMap { m ->
-        if (m.deleted) emptyList() else m.attempts.filter { it.stop == StopReason.WITHDRAWN }.map { KillNote(m.name, it.job.ref, it.lap, it.number) }
+    fun withdrawnTasks(): List<KillNote> {
+        withdrawing.removeIf { it.attempts.isEmpty() || it.state != JobState.WITHDRAWN }
+        return withdrawing.flatMap { j -> j.attempts.values.map { KillNote(it.machine.name, j.ref, it.lap, it.number) } }
     }
 
     // Ledgers
@@ -90,7 +94,11 @@
         log.info("ledger {} lost with {} jobs", l.name, l.jobs.size)
         l.become(LedgerState.LOST)
         for (j in l.jobs.values) {
-            for (a in j.attempts.values) a.machine.detach(a, nowMs())
+            for (a in j.attempts.values) {
+                a.machine.detach(a, nowMs())
+                // Its new owner has yet to load it; to all that see this node's summary the room would look free meanwhile.
+                j.spec?.let { a.machine.promise(j.ref, a.lap, it.amount, nowMs() + settings.handOverMs) }
+            }
             store.drop(j)
         }
         l.jobs.clear()
@@ -121,6 +129,7 @@
                     job.attempts[p.lap] = a
                     attach(a)
                 }
+                if (job.state == JobState.WITHDRAWN) withdrawing.add(job)
             }
             l.become(LedgerState.ACTIVE)
             log.info("ledger {} loaded at epoch {}: {} jobs in {} ms", l.name, l.holder.epoch, open, nowMs() - began)
@@ -288,6 +297,7 @@
         if (job.state != JobState.OPEN && job.state != JobState.NEW) return
         job.become(JobState.WITHDRAWN)
         log.info("job {} withdrawn with {} tasks", job.ref, job.attempts.size)
+        withdrawing.add(job)
         val now = nowMs()
         val touched = LinkedHashSet<Machine>()
         for (a in job.attempts.values.toList()) {
@@ -302,10 +312,7 @@
     /** Adopted after a takeover: a withdrawn job's tasks must still go. */
     fun sweep() {
         val now = nowMs()
-        for (l in ledgers.values) {
-            if (l.state != LedgerState.ACTIVE) continue
-            for (j in l.jobs.values) if (j.state == JobState.WITHDRAWN) for (a in j.attempts.values) a.stop(StopReason.WITHDRAWN, now)
-        }
+        for (j in withdrawing) if (j.ledger.state == LedgerState.ACTIVE) for (a in j.attempts.values) a.stop(StopReason.WITHDRAWN, now)
         for (m in machines.byName.values) {
             if (m.deleted || m.attempts.isEmpty() && m.tasks.none { it.ended && mine(it.ref) }) continue
             if (m.flushing) continue
--- a/src/main/kotlin/micatally/peer/Peers.kt
+++ b/src/main/kotlin/micatally/peer/Peers.kt
@@ -76,7 +76,8 @@
     private val mine = HashMap<String, Mine>()
     private var myDemand: List<Demand> = emptyList()
     private var myRecent: List<Demand> = emptyList()
-    private var number = 1L
+    /** Of this node's summary; 0 until it first knows what it holds. */
+    private var number = 0L
     private val tellMs = settings.reportMs / 8
     private val heardEveryMs = maxOf(settings.reportMs / 2, settings.leaseMs / 10)
     var onRetire: (List<String>) -> Unit = {}
@@ -130,7 +131,9 @@
         scope.launch {
             while (true) {
                 delay(tellMs)
-                refreshSummary()
+                forgetOrphans()
+                // Before its ledgers are loaded a node does not know what it holds, and an empty summary reads as free room.
+                if (owner.settled) refreshSummary()
                 for (l in lines) if (!l.talking && nowMs() >= l.nextAt && (l.untold.isNotEmpty() || l.toldSummary != number || nowMs() - l.toldHeardAt > heardEveryMs || pendingRetire.isNotEmpty())) {
                     l.talking = true
                     scope.launch { try { talk(l) } finally { l.talking = false } }
@@ -160,7 +163,7 @@
         if (demand != myDemand) { myDemand = demand; changed = true }
         val recent = owner.recentServices()
         if (recent != myRecent) { myRecent = recent; changed = true }
-        if (changed) number = next
+        if (changed || number == 0L) number = next
     }
 
     private val HeldRoom.isHeld get() = cores > 0 || cards > 0 || ram > 0
@@ -225,10 +228,14 @@
         val old = theirs[s.host]?.takeIf { it.process == s.process }
         if (old != null && old.number >= s.number) return true
         if (s.base > (old?.number ?: 0L)) return false
-        val t = if (old != null && s.base > 0) old else { forget(s.host); Theirs(s.process).also { theirs[s.host] = it } }
+        val t = if (old != null && s.base > 0) old else succeed(s.host, s.process)
         t.number = s.number
         t.demand = s.demand
         t.recent = s.recent
+        if (s.base == 0L) {
+            val there = s.rooms.mapTo(HashSet()) { it.machine }
+            for (name in t.rooms.keys.filter { it !in there }) put(s.host, t, HeldRoom(name))
+        }
         for (r in s.rooms) put(s.host, t, r)
         return true
     }
@@ -241,7 +248,7 @@
         val current = membership.cluster.value(Keys.live(s.host))?.textOrNull("process")
             ?: membership.cluster.ledgers().mapNotNull { membership.cluster.holder(it) }.find { it.host == s.host }?.process
         if (current != null && current != s.process) return
-        val t = theirs[s.host]?.takeIf { it.process == s.process } ?: run { forget(s.host); Theirs(s.process).also { theirs[s.host] = it } }
+        val t = theirs[s.host]?.takeIf { it.process == s.process } ?: succeed(s.host, s.process)
         if (t.number >= s.number) return
         if (s.bucket == 0) t.demand = s.demand
         val there = s.rooms.mapTo(HashSet()) { it.machine }
@@ -260,6 +267,11 @@
         for ((i, image) in r.images.withIndex()) if (image !in m.images) m.sawImage(image, r.imagesGb.getOrElse(i) { 0.0 }, cacheGb)
     }
 
+    /** A new process of a host holds what the one before held until it says otherwise, room by room: its tasks have
+     * not left their machines, and what looked free for a moment was filled by others, whose starts were then refused. */
+    private fun succeed(host: String, process: String): Theirs =
+        Theirs(process).also { t -> theirs[host]?.let { t.rooms.putAll(it.rooms) }; theirs[host] = t }
+
     private fun forget(host: String) {
         val t = theirs.remove(host) ?: return
         for (name in t.rooms.keys) machines.of(name)?.others(host, Amount.NONE, nowMs())
@@ -276,11 +288,19 @@
         }
     }
 
-    /** The shared keys have changed: summaries that have no one behind them any more go. */
+    /** The shared keys have changed: summaries that have no one behind them any more go, a while later. Who took their
+     * ledgers over has to load them before it can say what it holds. */
     fun sharedChanged() {
         if (theirs.isEmpty()) return
         val holders = membership.cluster.ledgers().mapNotNullTo(HashSet()) { membership.cluster.holder(it)?.host }
-        for (host in theirs.keys.toList()) if (host !in holders) forget(host)
+        for (host in theirs.keys) if (host in holders) orphanedAt.remove(host) else orphanedAt.putIfAbsent(host, nowMs())
+    }
+
+    private val orphanedAt = HashMap<String, Long>()
+
+    private fun forgetOrphans() {
+        if (orphanedAt.isEmpty()) return
+        for ((host, at) in orphanedAt.entries.map { it.key to it.value }) if (nowMs() - at > settings.handOverMs) { orphanedAt.remove(host); forget(host) }
     }
 
     private fun bucketOf(machine: String, buckets: Int) = Math.floorMod(machine.hashCode(), buckets)
@@ -312,7 +332,7 @@
     private val heardPieces = Pieces(Keys.HEARD + settings.host)
 
     private suspend fun publishLoop() {
-        var publishedNumber = -1L
+        var publishedNumber = 0L
         while (true) {
             delay(settings.leaseMs / 2)
             if (number != publishedNumber) {
--- a/src/main/kotlin/micatally/settings/Settings.kt
+++ b/src/main/kotlin/micatally/settings/Settings.kt
@@ -37,6 +37,9 @@
     /** A node's own lease at the state service. */
     val liveMs get() = leaseMs * 8 / 10
 
+    /** How long room counts as held after its owner has changed, until the new one has loaded the ledger and told. */
+    val handOverMs get() = leaseMs / 4
+
     companion object {
         fun parse(body: ByteArray): Settings = try {
             read(parseObject(body))
