Machines without power are deleted at once; the fleet is paced by boots, not leases

Changed: the keeper asks a machine that missed two reports; when three connections in a row hang, the rest of its zone is heard and this node's own workers are heard too, it has no power and is deleted. A machine that takes the connection hangs and is waited for; one that answers counts as heard. Ruled out: deleting on silence alone sooner, since workers whose controller ends are silent for up to 10 s.

--- a/src/main/kotlin/micatally/fleet/Keeper.kt
+++ b/src/main/kotlin/micatally/fleet/Keeper.kt
@@ -171,17 +171,26 @@
         if (alone.isNotEmpty()) contactLostAt = now
         val silentMs = if (now - contactLostAt < settings.leaseMs * 3 / 2) settings.leaseMs * 5 / 2 else settings.leaseMs
         val heard = HashMap<String, Int>()
+        val quiet = HashMap<String, Int>()
         val hungMs = settings.leaseMs * 2
         val silent = HashMap<String, ArrayList<Machine>>()
         for (m in machines.byName.values) {
             val r = rentals[m.name]
             if (m.deleted || r != null && !r.up) continue
             val silence = now - maxOf(m.heardAt, since, r?.at ?: 0L)
-            if (silence > settings.leaseMs / 2) probe(m, now) else heard.merge(m.zone, 1, Int::plus)
+            if (silence > probeAfterMs) { probe(m, now); quiet.merge(m.zone, 1, Int::plus) } else heard.merge(m.zone, 1, Int::plus)
             // A machine that takes connections and says nothing hangs and may go on soon: its tasks are lost by then, but
             // not its images, and those take longer to fetch than the wait.
             if (silence > if (now - m.connectedAt < settings.leaseMs / 2) maxOf(silentMs, hungMs) else silentMs) silent.getOrPut(m.zone) { ArrayList() }.add(m)
         }
+        // Nothing answers on it, not even its system, while the rest of its zone and this node's own workers are heard: it has no
+        // power. Waiting for its lease to end would only keep its replicas away for longer.
+        val dark = machines.byName.values.filter { it.dark > 0 && !it.deleted }
+        // With few workers here nothing may have come for a while: one that is heard is asked, to see whether this node reaches any.
+        if (dark.isNotEmpty() && now - machines.reachedAt > settings.reportMs / 2) machines.byName.values.firstOrNull { !it.deleted && it.dark == 0 && now - it.heardAt < probeAfterMs }?.let { probe(it, now) }
+        if (now - machines.reachedAt < settings.reportMs) for (m in dark) {
+            if (m.dark >= DARK && now - m.heardAt > probeAfterMs && (quiet[m.zone] ?: 0) <= (heard[m.zone] ?: 0)) { log.info("machine {} has no power", m.name); wantedGone.add(m.name) }
+        }
         for ((zone, list) in silent) {
             // Few machines tell little, but when the zone's controller is silent with them, that is a cut too.
             val cut = list.size >= (heard[zone] ?: 0) && (list.size >= 3 || zone in alone)
@@ -196,15 +205,16 @@
 
     /** Asks a silent machine itself. What it answers counts as heard. */
     private fun probe(m: Machine, now: Long) {
-        if (m.addr.isEmpty() || probing.size >= settings.maxSockets / 8 || now - m.probedAt < settings.leaseMs / 8 || !probing.add(m.name)) return
+        if (m.addr.isEmpty() || probing.size >= settings.maxSockets / 8 || now - m.probedAt < probeMs || !probing.add(m.name)) return
         m.probedAt = now
         scope.launch {
             try {
-                when (val out = http.call(m.addr, "GET", "/show", null, settings.leaseMs / 8)) {
-                    is Outcome.Answer -> if (out.status == 200) { m.mute = 0; machines.absorb(Report.parse(parseObject(out.body)), false) }
+                when (val out = http.call(m.addr, "GET", "/show", null, probeMs)) {
+                    is Outcome.Answer -> if (out.status == 200) { m.mute = 0; m.dark = 0; machines.absorb(Report.parse(parseObject(out.body)), false) }
                     // The first one may have gone into a connection from before; the second has made one.
-                    Outcome.Silence -> if (++m.mute >= 2) m.connectedAt = nowMs()
-                    Outcome.NotSent -> m.mute = 0
+                    Outcome.Silence -> { m.dark = 0; if (++m.mute >= 2) m.connectedAt = nowMs() }
+                    // A refusal comes at once; a connection that hangs takes the whole time.
+                    Outcome.NotSent -> { m.mute = 0; if (nowMs() - now >= probeMs * 9 / 10) m.dark++ else m.dark = 0 }
                 }
             } catch (e: WireError) {
                 log.info("machine {} answers what is no report: {}", m.name, e.message)
@@ -225,7 +235,7 @@
 
     private fun keep(name: String, now: Long, why: String) {
         drains.remove(name)
-        keptUntil[name] = now + settings.leaseMs * 6
+        keptUntil[name] = now + machines.bootMs(machines.of(name)?.type) * 2
         log.info("machine {} kept: {}", name, why)
         scope.launch { state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Delete(Keys.DRAIN + name))) } }
     }
@@ -241,7 +251,7 @@
                 if (d == null || m.recalled) continue
                 if (d.state == DrainState.EMPTY) { d.state = DrainState.EMPTYING; d.stateSince = now }
                 val wanted = demands.any { x -> allowedOn(x, m) }
-                if (wanted) keep(m.name, now, "there is demand for it") else if (now - d.since > settings.leaseMs * 12) keep(m.name, now, "it does not empty")
+                if (wanted) keep(m.name, now, "there is demand for it") else if (now - d.since > machines.bootMs(m.type) * 4) keep(m.name, now, "it does not empty")
                 continue
             }
             if (d != null) {
@@ -249,14 +259,16 @@
                 if (now - d.stateSince > settings.reportMs + settings.leaseMs / 10 && cluster.has(Keys.DRAIN + m.name)) wantedGone.add(m.name)
                 continue
             }
-            val idleMs = if (m.recalled) 0L else (settings.leaseMs * operator.fleetIdleLeases).toLong()
+            val idleMs = if (m.recalled) 0L else (machines.bootMs(m.type) * operator.fleetIdleBoots).toLong()
             if (now - maxOf(m.busyAt, since) > idleMs) drain(m, now, DrainState.EMPTY, "idle")
         }
         drains.keys.removeIf { it in machines.deletedNames }
-        if (demands.isEmpty() && now - since > settings.leaseMs * 2 && now - lastEmptying > settings.leaseMs / 2) { lastEmptying = now; emptySome(now) }
+        if (demands.isEmpty() && now - since > settings.leaseMs * 2 && now - lastEmptying > machines.bootMs(null) / 6) { lastEmptying = now; emptySome(now) }
     }
 
     private val probing = HashSet<String>()
+    private val probeAfterMs = maxOf(settings.reportMs * 2, settings.leaseMs / 4)
+    private val probeMs = settings.leaseMs / 16
     private var lastEmptying = 0L
     private var contactLostAt = Long.MIN_VALUE / 2
 
@@ -276,7 +288,7 @@
         val lately = recent()
         for (f in machines.flavors.values.sortedByDescending { it.hourly }) {
             fun share(a: Amount) = maxOf(if (f.amount.cards > 0) a.cards / f.amount.cards else 0.0, a.cores / f.amount.cores)
-            val candidates = up.filter { it.type == f.label && (keptUntil[it.name] ?: 0L) < now && now - (rentals[it.name]?.at ?: 0L) > settings.leaseMs * 6 }
+            val candidates = up.filter { it.type == f.label && (keptUntil[it.name] ?: 0L) < now && now - (rentals[it.name]?.at ?: 0L) > MIN_CHARGE_MS }
                 .sortedWith(compareBy({ it.used.cards }, { share(it.used) }, { it.name }))
             val next = lately.filter { (it.types.isEmpty() || f.label in it.types) && (it.cards > 0) == (f.amount.cards > 0) }
             val nextCards = next.sumOf { it.cards * it.count }
@@ -380,7 +392,7 @@
 
     private fun refuse(o: Offer) {
         val n = refusals.merge(o, 1, Int::plus)!!
-        refusedUntil[o] = nowMs() + minOf(n, 6) * settings.leaseMs / 2
+        refusedUntil[o] = nowMs() + minOf(n, 6) * machines.bootMs(o.type) / 6
     }
 
     /** Old proofs are dropped; a machine whose proof is missed is simply deleted again. */
@@ -392,6 +404,10 @@
 
     private companion object {
         const val LATE_BOOTS = 4
+        /** The protocol charges a machine for so long at least. */
+        const val MIN_CHARGE_MS = 60_000L
+        /** Connections in a row that have to hang. */
+        const val DARK = 3
         /** Machines being emptied at once: at least so many, or a share of those that are up. */
         const val EMPTYING_AT_ONCE = 2
         const val EMPTYING_SHARE = 0.25
--- a/src/main/kotlin/micatally/job/Owner.kt
+++ b/src/main/kotlin/micatally/job/Owner.kt
@@ -343,9 +343,9 @@
 
     private val recent = ArrayDeque<Pair<Long, JobSpec>>()
 
-    /** The services submitted here within the last leases, by shape. */
+    /** The services submitted here while a machine boots, by shape. */
     fun recentServices(): List<Demand> {
-        val since = nowMs() - settings.leaseMs * RECENT_LEASES
+        val since = nowMs() - machines.bootMs(null) * RECENT_BOOTS / 3
         while (recent.isNotEmpty() && recent.first().first < since) recent.removeFirst()
         return recent.groupBy { (_, s) -> s.amount to s.types }.map { (shape, list) ->
             Demand(shape.first.cores, shape.first.cards, shape.first.ram, shape.second?.toList() ?: emptyList(), count = list.sumOf { it.second.laps }, service = true)
@@ -398,6 +398,7 @@
     private companion object {
         const val FINALS = 20_000L
         const val FAULTS_TO_PAUSE = 3
-        const val RECENT_LEASES = 4
+        /** Services of so many thirds of a boot may come while a machine boots. */
+        const val RECENT_BOOTS = 4
     }
 }
--- a/src/main/kotlin/micatally/settings/Operator.kt
+++ b/src/main/kotlin/micatally/settings/Operator.kt
@@ -2,18 +2,18 @@
 
 import java.util.Properties
 
-/** Operators' own settings, beyond the file that the platform hands over. Durations are multiples of a worker's lease. */
-class Operator(val queueBounds: List<Double>, val queueLift: Double, val fleetHeadroom: Double, val fleetIdleLeases: Double) {
+/** Operators' own settings, beyond the file that the platform hands over. Durations are multiples of a worker's lease or of a machine's boot. */
+class Operator(val queueBounds: List<Double>, val queueLift: Double, val fleetHeadroom: Double, val fleetIdleBoots: Double) {
     companion object {
         private const val BOUNDS = "queue.bounds-leases"
         private const val LIFT = "queue.lift"
         private const val HEADROOM = "fleet.headroom"
-        private const val IDLE = "fleet.idle-leases"
+        private const val IDLE = "fleet.idle-boots"
         private val KEYS = listOf(BOUNDS, LIFT, HEADROOM, IDLE)
 
         /** The queues' bounds: the source's own split leaves tasks of a minute in the top queue, beside the services that
          * wait for their machines. */
-        val DEFAULT = Operator(listOf(0.1, 1.0, 10.0), 2.0, 0.1, 4.0)
+        val DEFAULT = Operator(listOf(0.1, 1.0, 10.0), 2.0, 0.1, 1.3)
 
         fun parse(p: Properties): Operator {
             for (key in p.stringPropertyNames()) if (key !in KEYS) {
@@ -31,7 +31,7 @@
             }
             return Operator(
                 bounds ?: DEFAULT.queueBounds, number(LIFT, DEFAULT.queueLift, 0.1..100.0),
-                number(HEADROOM, DEFAULT.fleetHeadroom, 0.0..1.0), number(IDLE, DEFAULT.fleetIdleLeases, 0.5..360.0),
+                number(HEADROOM, DEFAULT.fleetHeadroom, 0.0..1.0), number(IDLE, DEFAULT.fleetIdleBoots, 0.1..100.0),
             )
         }
 
--- a/src/main/kotlin/micatally/worker/Machine.kt
+++ b/src/main/kotlin/micatally/worker/Machine.kt
@@ -42,6 +42,8 @@
     var probedAt = Long.MIN_VALUE / 2
     var mute = 0
     var connectedAt = Long.MIN_VALUE / 2
+    /** How many connections to it hung in a row. */
+    var dark = 0
     var noticeAt: Long? = null
     var deleted = false
     var draining = false
--- a/src/main/kotlin/micatally/worker/Machines.kt
+++ b/src/main/kotlin/micatally/worker/Machines.kt
@@ -13,6 +13,10 @@
     /** Names of machines that a delete is known to have ended: late reports must not bring them back. */
     val deletedNames = HashSet<String>()
 
+    /** When any worker's own words reached this node last. */
+    var reachedAt = Long.MIN_VALUE / 2
+        private set
+
     /** Its tasks have changed and this node has missed it. */
     var onBehind: (Machine) -> Unit = {}
     var onNew: (Machine) -> Unit = {}
@@ -28,6 +32,7 @@
     /** A report from the worker itself; [ownAnswer] when it is the answer to an order of ours. True if it was news. */
     fun absorb(r: Report, ownAnswer: Boolean): Boolean {
         val m = known(r.machine, r.addr, r.type, r.zone, r.spot)
+        reachedAt = nowMs()
         if (ownAnswer) m.answeredAt = nowMs()
         return absorb(m, r.session, r.tick, r.noticeS, r.tasks, ownAnswer, 0)
     }
@@ -67,5 +72,12 @@
         maxOf(0L, nowMs() - m.heardAt), m.changedTick,
     )
 
+    /** How long a machine type takes to boot, the longest if no type is named: how far ahead the fleet has to look, and how
+     * long it may dwell. */
+    fun bootMs(type: String?): Long =
+        ((flavors[type]?.readyS ?: flavors.values.maxOfOrNull { it.readyS } ?: 0.0) * 1000).toLong().coerceAtLeast(MIN_BOOT_MS)
+
     fun total(m: Machine) = flavors[m.type]?.amount
+
+    private companion object { const val MIN_BOOT_MS = 5000L }
 }
--- a/src/test/kotlin/micatally/sim/FoundTest.kt
+++ b/src/test/kotlin/micatally/sim/FoundTest.kt
@@ -147,4 +147,26 @@
         assertEquals(200, status)
         assertTrue(f.rules.running.isEmpty() || f.now - asked >= f.settings[0].untoldMs)
     }
+
+    /** Found on a day of losses: replicas of machines that had stopped stayed away for a lease before their machines were deleted. */
+    @Test
+    fun `a machine without power is deleted before its lease would end, one that hangs is not`() = fleet(10) { f ->
+        // Three machines of one zone: if the whole zone were silent it would look like a cut.
+        val spec = JobSpec.parse(JsonObject(Rehearsal.job(1, "daemon", 4) + mapOf("circuit" to JsonPrimitive("a"), "cores" to JsonPrimitive(5.0))))
+        f.rules.submitted(spec)
+        assertEquals(201, f.asked(0, "POST", "/work", spec.source.bytes()).first)
+        f.runFor(25_000)
+        val (lost, hung) = f.cloud.workers.filter { w -> f.rules.running.any { it.machine == w.name } }.take(2)
+        withoutPower(f, lost.name)
+        f.runFor(f.settings[0].leaseMs * 9 / 10)
+        assertTrue(f.live.any { it!!.machines.of(lost.name)?.deleted == true })
+        hung.hung = true
+        f.runFor(f.settings[0].leaseMs * 3 / 2)
+        hung.hung = false
+        f.runFor(3000)
+        assertTrue(f.live.none { it!!.machines.of(hung.name)?.deleted == true })
+    }
+
+    /** The cloud's list goes on naming a machine that stopped, for a while. */
+    private fun withoutPower(f: SimFleet, name: String) { f.net.hosts.getValue(name).dark = true; f.cloud.workers.first { it.name == name }.hung = true; f.net.deaf.add(name) }
 }
--- a/src/test/kotlin/micatally/sim/SimFleet.kt
+++ b/src/test/kotlin/micatally/sim/SimFleet.kt
@@ -45,7 +45,7 @@
 
 /** Hosts, messages between them, and what can happen to messages. */
 class SimNet(private val scope: CoroutineScope, private val random: Random) {
-    class Host(val name: String, var zone: String) { var scope: CoroutineScope? = null; var handler: (suspend (String, HttpRequest) -> HttpResponse)? = null }
+    class Host(val name: String, var zone: String) { var scope: CoroutineScope? = null; var handler: (suspend (String, HttpRequest) -> HttpResponse)? = null; var dark = false }
     class Cut(val between: (Host, Host) -> Boolean, val mode: CutMode) { val over = CompletableDeferred<Unit>() }
 
     val hosts = HashMap<String, Host>()
@@ -63,7 +63,7 @@
     fun callerOf(from: Host) = HttpCaller { addr, method, target, body, timeoutMs ->
         val to = host(addr)
         val request = HttpRequest(method, target, body ?: ByteArray(0))
-        if (to?.scope == null || peersRefuse && addr.endsWith(":81")) { delay(1 + random.nextLong(3)); Outcome.NotSent } else withTimeoutOrNull(timeoutMs) { deliver(from, to, addr, request, target) } ?: Outcome.Silence
+        if (to?.dark == true) { delay(timeoutMs); Outcome.NotSent } else if (to?.scope == null || peersRefuse && addr.endsWith(":81")) { delay(1 + random.nextLong(3)); Outcome.NotSent } else withTimeoutOrNull(timeoutMs) { deliver(from, to, addr, request, target) } ?: Outcome.Silence
     }
 
     private suspend fun deliver(from: Host, to: Host, addr: String, request: HttpRequest, target: String): Outcome {
@@ -207,6 +207,9 @@
         return w
     }
 
+    /** A machine stops with all that is on it: connections to it hang from now on. */
+    fun lose(w: WorkerStandin) { cloud.take(w.name); net.hosts[w.name]?.dark = true }
+
     override fun spec(ref: String) = rules.specs[ref]
     override fun runMs(ref: String, lap: Int): Long? = if (rules.specs[ref]?.isService == true) null else runTimes.getOrPut(ref to lap) { random.nextLong(500, 12_000) }
     override fun completed(ref: String, lap: Int) = rules.completed[ref]?.contains(lap) == true
--- a/src/test/kotlin/micatally/sim/SimTest.kt
+++ b/src/test/kotlin/micatally/sim/SimTest.kt
@@ -19,7 +19,7 @@
             4 -> { note("state refuses $n"); stateRefuses.add("n$n"); scope.launch { delay(random.nextLong(5000, 40_000)); stateRefuses.remove("n$n") } }
             5 -> { note("cloud outage"); cloud.down = true; scope.launch { delay(20_000); cloud.down = false } }
             6 -> cloud.workers.randomOrNull(random)?.let { w -> note("hang ${w.name}"); w.hung = true; scope.launch { delay(random.nextLong(3000, 30_000)); w.hung = false } }
-            7 -> for (w in cloud.workers.filter { it.spot }.take(3)) { note("taken ${w.name}"); cloud.take(w.name) }
+            7 -> for (w in cloud.workers.filter { it.spot }.take(3)) { note("taken ${w.name}"); lose(w) }
             8 -> cloud.workers.randomOrNull(random)?.let { w -> note("deaf ${w.name}"); net.deaf.add(w.name); scope.launch { delay(random.nextLong(3000, 25_000)); net.deaf.remove(w.name) } }
             9 -> cut("n$n", null, random.nextLong(5000, 40_000))
             10 -> cut("n$n", "state", random.nextLong(5000, 40_000))
@@ -27,7 +27,7 @@
             13 -> { note("state slow"); net.slowMs["state"] = random.nextLong(20, 200); scope.launch { delay(random.nextLong(5000, 40_000)); net.slowMs.remove("state") } }
             14 -> { note("peers refuse"); net.peersRefuse = true; scope.launch { delay(random.nextLong(5000, 40_000)); net.peersRefuse = false } }
             15 -> { note("freeze $n"); freeze(n, true); val c = live[n]; scope.launch { delay(random.nextLong(3000, 28_000)); if (live[n] === c) freeze(n, false) } }
-            16 -> { val z = listOf("a", "b", "c").random(random); note("zone $z lost"); for (w in cloud.workers.filter { it.zone == z }) cloud.take(w.name) }
+            16 -> { val z = listOf("a", "b", "c").random(random); note("zone $z lost"); for (w in cloud.workers.filter { it.zone == z }) lose(w) }
             17 -> { val z = listOf("a", "b", "c").random(random); note("zone $z cut for long"); cutIf(random.nextLong(30_000, 45_000)) { x, y -> x.zone == z && y.zone != z } }
             12 -> cloud.workers.randomOrNull(random)?.let { w -> note("sick ${w.name}"); w.sick = true; scope.launch { delay(30_000); w.sick = false } }
         }
