Replicas move off one for every two machines that are being emptied, not one in all

Changed: as many are on their way as a share of the machines being emptied; one of a job at a time. Ruled out: demand that stops the emptying (10 machines only).

--- a/src/main/kotlin/micatally/placement/Rounds.kt
+++ b/src/main/kotlin/micatally/placement/Rounds.kt
@@ -343,34 +343,36 @@
         }
     }
 
-    /** Machines that are being emptied: replicas move to rooms that have their image, one at a time, so that each is
+    /** Machines that are being emptied: replicas move to rooms that have their image, a few at a time, so that each is
      * away for a blink only. Whatever ends by itself is left to do so. */
     fun moveOff(now: Long) {
         moved.entries.removeIf { (task, to) -> !to.promised(task.first, task.second) }
         val draining = machines.byName.values.filter { it.draining && !it.deleted && !it.recalled && it.attempts.isNotEmpty() }
-        if (draining.isEmpty() || unplaced.isNotEmpty()) return
-        if (machines.byName.values.any { m -> m.attempts.any { it.stop == StopReason.DRAIN } }) return
-        if (checking) return
-        val next = moving
-        if (next != null && next.a.live && next.a.stop == null && next.to.promised(next.a.job.ref, next.a.lap)) {
-            // The peers have heard of the promise by now; whoever was faster has the room.
-            if (now - next.at < settings.reportMs / 2) return
-            moving = null
+        if (draining.isEmpty() || unplaced.isNotEmpty() || checking) return
+        val most = maxOf(1, draining.size / MACHINES_A_MOVE)
+        moving.removeIf { !it.a.live || it.a.stop != null || !it.to.promised(it.a.job.ref, it.a.lap) }
+        // The peers have heard of a promise after a while; whoever was faster has the room.
+        val due = moving.filter { now - it.at >= settings.reportMs / 2 }
+        if (due.isNotEmpty()) {
+            moving.removeAll(due.toSet())
             checking = true
             scope.launch {
                 val ok = try { withTimeoutOrNull(settings.reportMs / 4) { stateAnswers() } ?: false } finally { checking = false }
-                carryOut(next, ok)
+                for (move in due) carryOut(move, ok)
             }
-            return
         }
+        var under = moving.size + due.size + machines.byName.values.sumOf { m -> m.attempts.count { it.stop == StopReason.DRAIN } }
         for (m in draining) for (a in m.attempts) {
+            if (under >= most) return
             val spec = a.job.spec ?: continue
             if (!spec.isService || spec.isGang || a.stop != null || a.state != AttemptState.RUNNING || a.job.pendingCount > 0) continue
+            // One replica of a job at a time: its zones are counted with the others where they are.
+            if (moving.any { it.a.job === a.job } || due.any { it.a.job === a.job } || a.job.attempts.values.any { it.stop != null }) continue
             // It is gone before it starts elsewhere, so its own place does not count against its zone.
             val to = Choice(a.job, spec, now, null, true, a).next() ?: continue
             to.promise(a.job.ref, a.lap, spec.amount, now + settings.leaseMs)
-            moving = Move(a, to, now)
-            return
+            moving.add(Move(a, to, now))
+            under++
         }
     }
 
@@ -393,7 +395,7 @@
     private var checking = false
 
     private class Move(val a: Attempt, val to: Machine, val at: Long)
-    private var moving: Move? = null
+    private val moving = ArrayList<Move>()
     private val moved = HashMap<Pair<String, Int>, Machine>()
 
     private companion object {
@@ -402,6 +404,8 @@
         const val ROUND_TASKS = 100
         const val STOPS_A_ROUND = 8
         const val FEW_FAULTS = 6
+        /** For so many machines that are being emptied one replica may be on its way. */
+        const val MACHINES_A_MOVE = 2
         /** How much longer the pause after a round is than the round. */
         const val REST = 3
         /** So many tasks left put a job behind one that came a lease later. */
