--- a/src/main/kotlin/micatally/cli/Main.kt
+++ b/src/main/kotlin/micatally/cli/Main.kt
@@ -1,8 +1,14 @@
 package micatally.cli
 
+import com.google.common.util.concurrent.MoreExecutors
+import kotlinx.coroutines.CancellableContinuation
+import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Delay
+import kotlinx.coroutines.DisposableHandle
+import kotlinx.coroutines.InternalCoroutinesApi
+import kotlinx.coroutines.Runnable
 import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
@@ -20,20 +26,40 @@
 import java.nio.channels.AsynchronousChannelGroup
 import java.nio.file.Files
 import java.nio.file.Path
-import java.util.concurrent.Executors
 import java.util.concurrent.ScheduledThreadPoolExecutor
+import java.util.concurrent.TimeUnit
+import kotlin.coroutines.CoroutineContext
 import kotlin.random.Random
 import kotlin.system.exitProcess
 
 const val VERSION = "0.1.0"
 
-/** The event loop and its channel group: one thread decides, one waits for the kernel. */
+/** Runs one thing at a time, on whichever thread brings it: the one that waits for the kernel or the one that keeps the timers.
+ * Handing each event to a thread of its own cost more system calls than the event itself. */
+@OptIn(InternalCoroutinesApi::class)
+private class Serial(private val timers: ScheduledThreadPoolExecutor) : CoroutineDispatcher(), Delay {
+    private val inTurn = MoreExecutors.newSequentialExecutor(MoreExecutors.directExecutor())
+
+    override fun dispatch(context: CoroutineContext, block: Runnable) = inTurn.execute(block)
+
+    override fun scheduleResumeAfterDelay(timeMillis: Long, continuation: CancellableContinuation<Unit>) {
+        val timer = timers.schedule({ inTurn.execute { with(continuation) { resumeUndispatched(Unit) } } }, timeMillis, TimeUnit.MILLISECONDS)
+        continuation.invokeOnCancellation { timer.cancel(false) }
+    }
+
+    override fun invokeOnTimeout(timeMillis: Long, block: Runnable, context: CoroutineContext): DisposableHandle {
+        val timer = timers.schedule({ inTurn.execute(block) }, timeMillis, TimeUnit.MILLISECONDS)
+        return DisposableHandle { timer.cancel(false) }
+    }
+}
+
+/** The event loop and its channel group: what one thread reads and another one times is decided in turn. */
 class Loop {
-    private val executor = ScheduledThreadPoolExecutor(1) { Thread(it, "loop") }.apply { removeOnCancelPolicy = true }
+    private val timers = ScheduledThreadPoolExecutor(1) { Thread(it, "timers") }.apply { removeOnCancelPolicy = true }
     val group: AsynchronousChannelGroup = AsynchronousChannelGroup.withFixedThreadPool(1) { Thread(it, "io").apply { isDaemon = true } }
     private val log = LoggerFactory.getLogger("micatally.node")
     val scope = CoroutineScope(
-        SupervisorJob() + executor.asCoroutineDispatcher() +
+        SupervisorJob() + Serial(timers) +
             kotlinx.coroutines.CoroutineExceptionHandler { _, e -> log.error("a task of the event loop failed", e) },
     )
 
@@ -85,6 +111,8 @@
     System.setProperty("org.slf4j.simpleLogger.showThreadName", "false")
     System.setProperty("org.slf4j.simpleLogger.showLogName", "true")
     System.setProperty("java.net.preferIPv4Stack", "true")
+    // A read that is tried at once finds nothing: requests come seconds apart, answers after a round trip.
+    System.setProperty("sun.nio.ch.disableSynchronousRead", "true")
     val spec = CommandSpec.create().name("micatally").version("micatally $VERSION").mixinStandardHelpOptions(true)
     spec.usageMessage().description("A scheduler for fleets that serve language models.")
     spec.addOption(OptionSpec.builder("--config").paramLabel("FILE").type(String::class.java).description("the platform's settings file (JSON); starts a controller").build())
