Rounds look only at machines with something free

Changed: a round collects the machines with free cores, and with free cards, once; within a round room only shrinks. Ruled out: news and shared keys (under 0.3%).

--- a/src/main/kotlin/micatally/placement/Rounds.kt
+++ b/src/main/kotlin/micatally/placement/Rounds.kt
@@ -86,12 +86,15 @@
         if (from >= jobs.size) from = 0
         if (from == 0) { finding.clear(); promised.clear() }
         foreignServices = foreign().filter { it.service }
+        open = machines.byName.values.filter { m -> usable(m, now) && machines.total(m)?.let { it.cores - m.used.cores > Amount.SLACK } == true }
+        openCards = open!!.filter { m -> machines.total(m)!!.cards - m.used.cards > Amount.SLACK }
         resumeAfter = null
         for (i in from until jobs.size) {
             if (i == from || !alike(jobs[i - 1], jobs[i])) placeWhereImagesAre(jobs, i, now)
             placeJob(jobs[i], now)
             if (nowMs() - now > budgetMs && i + 1 < jobs.size) { resumeAfter = jobs[i].ref; break }
         }
+        open = null
         if (resumeAfter == null) {
             unplaced = finding
             finding = LinkedHashMap()
@@ -242,7 +245,7 @@
         private var last: Candidate? = null
 
         init {
-            for (m in machines.byName.values) {
+            for (m in among(spec)) {
                 if (!usable(m, now) || (zone != null && m.zone != zone) || !Placement.kindAllowed(spec, m)) continue
                 if (withImage && spec.image !in m.images) continue
                 if (m.name in job.badMachines && job.badMachines.size <= FEW_FAULTS) continue
@@ -267,6 +270,12 @@
         }
     }
 
+    /** Machines with anything free, as this round found them, and those of them with cards free: with a full fleet and many waiters
+     * the search through all machines for each was nearly all that a round did. Null outside a round. */
+    private var open: List<Machine>? = null
+    private var openCards: List<Machine> = emptyList()
+    private fun among(spec: JobSpec): Collection<Machine> = open?.takeIf { spec.amount.cores > 0 }?.let { if (spec.amount.cards > 0) openCards else it } ?: machines.byName.values
+
     private val hosts = (settings.peers.map { it.host } + settings.host).sorted()
     private val me = hosts.indexOf(settings.host)
 
