--- a/src/main/kotlin/micatally/placement/Rounds.kt
+++ b/src/main/kotlin/micatally/placement/Rounds.kt
@@ -418,7 +418,7 @@
         /** How much longer the pause after a round is than the round. */
         const val REST = 3
         /** So many tasks left put a job behind one that came a lease later. */
-        const val TASKS_A_LEASE = 20
+        const val TASKS_A_LEASE = 8
         /** What a later turn counts against a machine, for services, which don't wait for theirs. */
         const val TURN_WEIGHT = 0.5
     }
