A machine has no power only if others of its zone are reached from the same node

Changed: the proof that the node reaches the zone is a machine of that zone that answered this node itself or reported to it just now.

--- a/src/main/kotlin/micatally/fleet/Keeper.kt
+++ b/src/main/kotlin/micatally/fleet/Keeper.kt
@@ -183,13 +183,15 @@
             // not its images, and those take longer to fetch than the wait.
             if (silence > if (now - m.connectedAt < settings.leaseMs / 2) maxOf(silentMs, hungMs) else silentMs) silent.getOrPut(m.zone) { ArrayList() }.add(m)
         }
-        // Nothing answers on it, not even its system, while the rest of its zone and this node's own workers are heard: it has no
-        // power. Waiting for its lease to end would only keep its replicas away for longer.
+        // Nothing answers on it, not even its system, while the rest of its zone is heard and reached from here: it has no power.
+        // When two zones lose each other, the other one's machines look just the same, but none of them is reached. Waiting for its lease to end would only keep its replicas away for longer.
         val dark = machines.byName.values.filter { it.dark > 0 && !it.deleted }
         // With few workers here nothing may have come for a while: one that is heard is asked, to see whether this node reaches any.
-        if (dark.isNotEmpty() && now - machines.reachedAt > settings.reportMs / 2) machines.byName.values.firstOrNull { !it.deleted && it.dark == 0 && now - it.heardAt < probeAfterMs }?.let { probe(it, now) }
-        if (now - machines.reachedAt < settings.reportMs) for (m in dark) {
-            if (m.dark >= DARK && now - m.heardAt > probeAfterMs && (quiet[m.zone] ?: 0) <= (heard[m.zone] ?: 0)) { log.info("machine {} has no power", m.name); wantedGone.add(m.name) }
+        for (zone in dark.mapTo(HashSet()) { it.zone }) if (now - machines.reachedAt(zone) > settings.reportMs / 2) {
+            machines.byName.values.firstOrNull { it.zone == zone && !it.deleted && it.dark == 0 && now - it.heardAt < probeAfterMs }?.let { probe(it, now) }
+        }
+        for (m in dark) {
+            if (m.dark >= DARK && now - machines.reachedAt(m.zone) < settings.reportMs && now - m.heardAt > probeAfterMs && (quiet[m.zone] ?: 0) <= (heard[m.zone] ?: 0)) { log.info("machine {} has no power", m.name); wantedGone.add(m.name) }
         }
         for ((zone, list) in silent) {
             // Few machines tell little, but when the zone's controller is silent with them, that is a cut too.
--- a/src/main/kotlin/micatally/worker/Machines.kt
+++ b/src/main/kotlin/micatally/worker/Machines.kt
@@ -13,9 +13,9 @@
     /** Names of machines that a delete is known to have ended: late reports must not bring them back. */
     val deletedNames = HashSet<String>()
 
-    /** When any worker's own words reached this node last. */
-    var reachedAt = Long.MIN_VALUE / 2
-        private set
+    /** When a worker's own words reached this node last, by zone: other nodes may hear a zone that this one is cut off from. */
+    private val reachedAt = HashMap<String, Long>()
+    fun reachedAt(zone: String) = reachedAt[zone] ?: (Long.MIN_VALUE / 2)
 
     /** Its tasks have changed and this node has missed it. */
     var onBehind: (Machine) -> Unit = {}
@@ -32,9 +32,9 @@
     /** A report from the worker itself; [ownAnswer] when it is the answer to an order of ours. True if it was news. */
     fun absorb(r: Report, ownAnswer: Boolean): Boolean {
         val m = known(r.machine, r.addr, r.type, r.zone, r.spot)
-        reachedAt = nowMs()
         if (ownAnswer) m.answeredAt = nowMs()
-        return absorb(m, r.session, r.tick, r.noticeS, r.tasks, ownAnswer, 0)
+        // Copies of old reports come late and show nothing.
+        return absorb(m, r.session, r.tick, r.noticeS, r.tasks, ownAnswer, 0).also { if (it) reachedAt[m.zone] = nowMs() }
     }
 
     fun absorb(n: MachineNote): Boolean {
