--- a/src/main/kotlin/micatally/api/UserApi.kt
+++ b/src/main/kotlin/micatally/api/UserApi.kt
@@ -39,7 +39,8 @@
     /** Which ledger a job belongs to never changes. */
     private val ledgerOf = CacheBuilder.newBuilder().maximumSize(20_000).build<String, String>()
     private val durableMs = settings.leaseMs * 3 / 10
-    private val askMs = settings.leaseMs / 10
+    /** Users wait two seconds for a poll, and after a peer's silence there is the state service to be asked. */
+    private val askMs = minOf(settings.leaseMs / 20, 1000L)
 
     private fun later(why: String) = errorResponse(503, why, 1)
     private fun ok(a: JobAnswer) = HttpResponse(200, a.json().bytes())
@@ -76,6 +77,7 @@
     private suspend fun waitFor(job: Job, status: Int): HttpResponse {
         val durable = withTimeoutOrNull(durableMs) { store.durable(job) }
         if (durable == null) return later("not stored yet")
+        if (durable && !owner.mayTell(job)) return later("a cancellation is under way")
         if (durable) return if (status == 201) HttpResponse(201, JobAnswer(job.ref, JobAnswer.PENDING, 0, 0).brief().bytes()) else ok(job.answer())
         owner.forget(job)
         return knownOr(job.ref) { later("not stored") }
@@ -116,7 +118,7 @@
         if (job.durableState == JobState.NEW || !membership.leaseHolds()) return null
         // This node's lease keeps others from its own ledger only: a ledger that it took over goes back to its host the
         // moment that host starts again, so of its jobs only the state service can tell.
-        if (job.ledger.name != settings.host) return null
+        if (job.ledger.name != settings.host || !owner.mayTell(job)) return null
         return job.answer()
     }
 
@@ -135,7 +137,8 @@
             is ReadResult.Missing -> Look.Missing
             is ReadResult.Found -> {
                 ledgerOf.put(ref, JobRecord.ledgerOf(read.item.value))
-                Look.Known(fromRecord(ref, read.item.value))
+                // Withdrawn, but not all controllers know of it yet: only its owner can tell when they do.
+                if (JobRecord.isTellable(read.item.value)) Look.Known(fromRecord(ref, read.item.value)) else Look.Unclear
             }
         }
     }
@@ -152,7 +155,7 @@
 
     private suspend fun askHolder(ledger: String, what: String, ref: String): JobAnswer? {
         val host = membership.cluster.holder(ledger)?.host ?: return null
-        if (host == settings.host || !membership.cluster.isLive(host)) return null
+        if (host == settings.host || !membership.cluster.isLive(host) || !peers.reaches(host)) return null
         val a = peers.ask(host, what, ref, askMs) ?: return null
         return JobAnswer(ref, a.status, a.done, a.running).also { owner.rememberFinal(it) }
     }
@@ -161,7 +164,7 @@
         if (!JobSpec.validRef(ref)) return errorResponse(404, "no such job")
         owner.final(ref)?.let { return brief(it) }
         withdrawHere(ref)?.let { return brief(it) }
-        if (owner.job(ref) != null) return later("not stored yet")
+        if (owner.job(ref) != null) return later("the cancellation is not known everywhere yet")
         val cached = ledgerOf.getIfPresent(ref)
         if (cached == null) when (val r = look(ref)) {
             Look.Missing -> return errorResponse(404, "no such job")
@@ -182,6 +185,10 @@
         owner.withdraw(job)
         val ok = withTimeoutOrNull(durableMs) { store.durable(job) } ?: false
         if (!ok || job.durableState != JobState.WITHDRAWN && job.durableState != JobState.DONE) return null
+        if (!owner.mayTell(job)) {
+            peers.spread(job)
+            if (!owner.mayTell(job)) { owner.publish(job); return null }
+        }
         return job.answer()
     }
 
--- a/src/main/kotlin/micatally/api/WorkerApi.kt
+++ b/src/main/kotlin/micatally/api/WorkerApi.kt
@@ -1,12 +1,10 @@
 package micatally.api
 
-import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import micatally.http.HttpRequest
 import micatally.http.HttpResponse
 import micatally.http.errorResponse
-import micatally.ledger.Keys
 import micatally.ledger.Membership
 import micatally.ledger.Right
 import micatally.peer.Peers
@@ -15,18 +13,17 @@
 import micatally.wire.Report
 import micatally.wire.Verb
 import micatally.wire.WireError
-import micatally.wire.asLong
-import micatally.wire.asText
 import micatally.wire.bytes
-import micatally.wire.listOrNull
 import micatally.wire.parseObject
 import micatally.wire.reportAnswer
+import micatally.worker.AttemptId
+import micatally.worker.KillBook
 import micatally.worker.Machines
 
 /** Workers' reports. A 200 keeps a worker's tasks alive, so it is given only while this node is entitled to. */
 class WorkerApi(
     private val settings: Settings, private val membership: Membership, private val machines: Machines,
-    private val peers: Peers, private val nowMs: () -> Long,
+    private val peers: Peers, private val kills: KillBook, private val nowMs: () -> Long,
 ) {
     private val movedAt = HashMap<String, Long>()
 
@@ -56,18 +53,15 @@
             }
         }
         known.heardHereAt = nowMs()
-        return HttpResponse(200, reportAnswer(membership.cluster.epoch, kills(report)).bytes())
+        return HttpResponse(200, reportAnswer(membership.cluster.epoch, killsFor(report)).bytes())
     }
 
     private fun differs(before: List<micatally.wire.ListedTask>, r: Report) =
         before.size != r.tasks.size || r.noticeS != null || before.zip(r.tasks).any { (a, b) -> a.ref != b.ref || a.lap != b.lap || a.attempt != b.attempt || a.status != b.status }
 
     /** Tasks of withdrawn jobs whose owner can't reach the machine. */
-    private fun kills(r: Report): List<Command> {
-        val rows = membership.cluster.value(Keys.KILL + r.machine)?.listOrNull("tasks") ?: emptyList()
-        return rows.map { it as JsonArray }.map { Command(Verb.KILL, it[0].asText(), it[1].asLong().toInt(), it[2].asLong(), 0.0) } +
-            peers.killsOn(r.machine).map { Command(Verb.KILL, it.ref, it.lap, it.attempt, 0.0) }
-    }
+    private fun killsFor(r: Report): List<Command> =
+        r.tasks.filter { !it.ended && kills.has(r.machine, AttemptId(it.ref, it.lap, it.attempt)) }.map { Command(Verb.KILL, it.ref, it.lap, it.attempt, 0.0) }
 
     private fun refuse(): HttpResponse {
         val other = peers.entitledPeer()
--- a/src/main/kotlin/micatally/fleet/Keeper.kt
+++ b/src/main/kotlin/micatally/fleet/Keeper.kt
@@ -7,6 +7,8 @@
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
+import micatally.http.HttpCaller
+import micatally.http.Outcome
 import micatally.ledger.Cluster
 import micatally.ledger.Keys
 import micatally.ledger.Membership
@@ -25,11 +27,13 @@
 import micatally.wire.EMPTY_OBJECT
 import micatally.wire.Flavor
 import micatally.wire.ListedMachine
+import micatally.wire.Report
 import micatally.wire.WireError
 import micatally.wire.asText
 import micatally.wire.flag
 import micatally.wire.listOrNull
 import micatally.wire.long
+import micatally.wire.parseObject
 import micatally.wire.text
 import micatally.worker.Machine
 import micatally.worker.Machines
@@ -37,8 +41,8 @@
 
 /** Whoever holds the fleet key rents, drains and returns machines for all owners. */
 class Keeper(
-    private val scope: CoroutineScope, private val settings: Settings, private val state: StateClient, private val cloud: CloudClient,
-    private val membership: Membership, private val machines: Machines, private val demand: () -> List<Demand>, private val recent: () -> List<Demand>, private val peersInContact: () -> Boolean,
+    private val scope: CoroutineScope, private val http: HttpCaller, private val settings: Settings, private val state: StateClient, private val cloud: CloudClient,
+    private val membership: Membership, private val machines: Machines, private val demand: () -> List<Demand>, private val recent: () -> List<Demand>, private val silentZones: () -> Set<String>,
     private val operator: Operator, private val nowMs: () -> Long,
 ) {
     private val log = LoggerFactory.getLogger("micatally.fleet")
@@ -163,17 +167,24 @@
      * gone; while a whole zone is silent, a cut is likelier than so many ends, and waiting costs less. */
     private fun findDead(now: Long) {
         // While a node can't be heard, its workers may be looking for another, or it may hear them and can't say so.
-        if (!peersInContact()) contactLostAt = now
+        val alone = silentZones()
+        if (alone.isNotEmpty()) contactLostAt = now
         val silentMs = if (now - contactLostAt < settings.leaseMs * 3 / 2) settings.leaseMs * 5 / 2 else settings.leaseMs
         val heard = HashMap<String, Int>()
+        val hungMs = settings.leaseMs * 2
         val silent = HashMap<String, ArrayList<Machine>>()
         for (m in machines.byName.values) {
             val r = rentals[m.name]
             if (m.deleted || r != null && !r.up) continue
-            if (now - maxOf(m.heardAt, since, r?.at ?: 0L) > silentMs) silent.getOrPut(m.zone) { ArrayList() }.add(m) else heard.merge(m.zone, 1, Int::plus)
+            val silence = now - maxOf(m.heardAt, since, r?.at ?: 0L)
+            if (silence > settings.leaseMs / 2) probe(m, now) else heard.merge(m.zone, 1, Int::plus)
+            // A machine that takes connections and says nothing hangs and may go on soon: its tasks are lost by then, but
+            // not its images, and those take longer to fetch than the wait.
+            if (silence > if (now - m.connectedAt < settings.leaseMs / 2) maxOf(silentMs, hungMs) else silentMs) silent.getOrPut(m.zone) { ArrayList() }.add(m)
         }
         for ((zone, list) in silent) {
-            val cut = list.size >= 3 && list.size >= (heard[zone] ?: 0)
+            // Few machines tell little, but when the zone's controller is silent with them, that is a cut too.
+            val cut = list.size >= (heard[zone] ?: 0) && (list.size >= 3 || zone in alone)
             for (m in list) if (!cut || now - maxOf(m.heardAt, since) > settings.rightMs + settings.leaseMs * 2) wantedGone.add(m.name)
         }
         for (r in rentals.values) {
@@ -183,6 +194,24 @@
         }
     }
 
+    /** Asks a silent machine itself. What it answers counts as heard. */
+    private fun probe(m: Machine, now: Long) {
+        if (m.addr.isEmpty() || probing.size >= settings.maxSockets / 8 || now - m.probedAt < settings.leaseMs / 8 || !probing.add(m.name)) return
+        m.probedAt = now
+        scope.launch {
+            try {
+                when (val out = http.call(m.addr, "GET", "/show", null, settings.leaseMs / 8)) {
+                    is Outcome.Answer -> if (out.status == 200) { m.mute = 0; machines.absorb(Report.parse(parseObject(out.body)), false) }
+                    // The first one may have gone into a connection from before; the second has made one.
+                    Outcome.Silence -> if (++m.mute >= 2) m.connectedAt = nowMs()
+                    Outcome.NotSent -> m.mute = 0
+                }
+            } catch (e: WireError) {
+                log.info("machine {} answers what is no report: {}", m.name, e.message)
+            } finally { probing.remove(m.name) }
+        }
+    }
+
     private fun empty(m: Machine): Boolean {
         val u = m.used
         return m.tasks.all { it.ended } && m.attempts.isEmpty() && u.cores < 1e-6 && u.cards < 1e-6 && u.ram < 1e-6
@@ -227,6 +256,7 @@
         if (demands.isEmpty() && now - since > settings.leaseMs * 2 && now - lastEmptying > settings.leaseMs / 2) { lastEmptying = now; emptySome(now) }
     }
 
+    private val probing = HashSet<String>()
     private var lastEmptying = 0L
     private var contactLostAt = Long.MIN_VALUE / 2
 
--- a/src/main/kotlin/micatally/job/Job.kt
+++ b/src/main/kotlin/micatally/job/Job.kt
@@ -32,6 +32,14 @@
     val badMachines = HashSet<String>()
     val stoppedOnce = HashSet<Int>()
 
+    // Of a withdrawn job: the controllers that know its tasks, since when they stand in the state service, and whether its
+    // user may be told.
+    val knownTo = HashSet<String>()
+    var publishedAt: Long? = null
+    var publishing = false
+    var tellable = false
+    var tellableRecorded = false
+
     // What the store keeps about writing the record.
     var mark = 0L
     var version = 0L
--- a/src/main/kotlin/micatally/job/JobStore.kt
+++ b/src/main/kotlin/micatally/job/JobStore.kt
@@ -46,6 +46,8 @@
         if (job.spec != null && !(final && job.attempts.isEmpty())) put("s", job.spec.source)
         if (job.doneCount > 0) put("d", ranges(job.done))
         if (final && job.attempts.isEmpty()) return@buildJsonObject
+        // Withdrawn, and the user may have been told: any node may say so.
+        if (final && job.tellable) put("x", 1)
         put("n", job.nextAttempt)
         put("t", job.submittedAt)
         if (job.service > 0) { put("v", Math.round(job.service)); put("q", job.queue) }
@@ -81,6 +83,9 @@
     fun state(o: JsonObject) = when (o.text("e")) { DONE -> JobState.DONE; WITHDRAWN -> JobState.WITHDRAWN; else -> JobState.OPEN }
     fun isSettled(o: JsonObject) = state(o) != JobState.OPEN && o["a"] == null
 
+    /** Whether a user may hear of the end that the record has. */
+    fun isTellable(o: JsonObject) = state(o) != JobState.WITHDRAWN || o["a"] == null || o["x"] != null
+
     fun placed(o: JsonObject): List<Placed> = (o.listOrNull("a") ?: emptyList()).flatMap { e ->
         val row = e as JsonArray
         (6 until row.size step 2).map {
@@ -100,6 +105,8 @@
         job.queue = (o.longOrNull("q") ?: 0L).toInt()
         job.mark = mark
         job.durableState = state
+        job.tellable = state == JobState.WITHDRAWN && isTellable(o)
+        job.tellableRecorded = job.tellable
         return job
     }
 
--- a/src/main/kotlin/micatally/job/Owner.kt
+++ b/src/main/kotlin/micatally/job/Owner.kt
@@ -4,6 +4,11 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonArray
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
 import micatally.ledger.Holder
 import micatally.ledger.Keys
 import micatally.ledger.Ledger
@@ -11,13 +16,22 @@
 import micatally.ledger.Membership
 import micatally.placement.Quota
 import micatally.settings.Settings
+import micatally.state.Condition
+import micatally.state.Delete
+import micatally.state.Put
 import micatally.state.StateClient
+import micatally.state.Txn
+import micatally.state.TxnResult
 import micatally.state.Urgency
 import micatally.wire.Demand
 import micatally.wire.JobAnswer
 import micatally.wire.JobSpec
 import micatally.wire.KillNote
 import micatally.wire.ListedTask
+import micatally.wire.asLong
+import micatally.wire.asText
+import micatally.wire.listOrNull
+import micatally.worker.KillBook
 import micatally.worker.Machine
 import micatally.worker.Machines
 import micatally.worker.OrderBook
@@ -62,10 +76,7 @@
     private val withdrawing = LinkedHashSet<Job>()
 
     /** Tasks of withdrawn jobs that may still be on their machines. */
-    fun withdrawnTasks(): List<KillNote> {
-        withdrawing.removeIf { it.attempts.isEmpty() || it.state != JobState.WITHDRAWN }
-        return withdrawing.flatMap { j -> j.attempts.values.map { KillNote(it.machine.name, j.ref, it.lap, it.number) } }
-    }
+    fun withdrawnTasks(): List<KillNote> = withdrawing.filter { it.durableState == JobState.WITHDRAWN }.flatMap { notes(it) }
 
     // Ledgers
 
@@ -114,12 +125,14 @@
             if (!l.mine) return
             var open = 0
             for (item in listing.items) {
-                if (JobRecord.ledgerOf(item.value) != l.name) continue
                 val ref = item.key.removePrefix(Keys.JOB)
+                // Whoever's job it is: a node that has just started must stop its tasks where it hears them.
+                if (JobRecord.state(item.value) == JobState.WITHDRAWN) kills.take(JobRecord.placed(item.value).map { KillNote(it.machine, ref, it.lap, it.number) })
+                if (JobRecord.ledgerOf(item.value) != l.name) continue
                 // Accepted by this process while the list was on its way.
                 if (ref in l.jobs) continue
                 val job = JobRecord.decode(ref, item.value, l, item.mark)
-                if (JobRecord.isSettled(item.value)) { rememberFinal(job.answer()); continue }
+                if (JobRecord.isSettled(item.value)) { rememberFinal(job.answer()); unpublish(ref); continue }
                 l.jobs[ref] = job
                 open++
                 for (p in JobRecord.placed(item.value)) {
@@ -129,8 +142,12 @@
                     job.attempts[p.lap] = a
                     attach(a)
                 }
-                if (job.state == JobState.WITHDRAWN) withdrawing.add(job)
+                if (job.state == JobState.WITHDRAWN) {
+                    withdrawing.add(job)
+                    if (membership.cluster.has(Keys.kill(ref))) job.publishedAt = nowMs()
+                }
             }
+            membership.knowsWithdrawn = true
             l.become(LedgerState.ACTIVE)
             log.info("ledger {} loaded at epoch {}: {} jobs in {} ms", l.name, l.holder.epoch, open, nowMs() - began)
             for (m in machines.byName.values.toList()) {
@@ -143,6 +160,64 @@
         }
     }
 
+    // Withdrawn jobs, and when their users may be told
+
+    /** What other owners have withdrawn. */
+    val kills = KillBook(settings.cancelMs * 2, nowMs)
+
+    /** Every controller that may answer workers either knows the job's tasks, and stops them where it hears them, or has lost
+     * touch: then its right ends early enough after [Settings.untoldMs] have passed since they lie in the state service.
+     * Telling the user before that would leave a zone that is cut off only until its workers' leases end. */
+    fun mayTell(job: Job): Boolean {
+        if (job.durableState != JobState.WITHDRAWN || job.attempts.isEmpty() || job.tellable) return true
+        val published = job.publishedAt
+        job.tellable = job.knownTo.size >= settings.peers.size || published != null && nowMs() - published >= settings.untoldMs
+        return job.tellable
+    }
+
+    fun notes(job: Job) = job.attempts.values.map { KillNote(it.machine.name, job.ref, it.lap, it.number) }
+
+    /** Puts the tasks of a withdrawn job where every node sees them. */
+    fun publish(job: Job) {
+        if (job.publishing || job.publishedAt != null || job.durableState != JobState.WITHDRAWN) return
+        job.publishing = true
+        scope.launch {
+            try {
+                val r = state.txn(1, Urgency.ACCEPTANCE) {
+                    if (!job.ledger.mine || job.attempts.isEmpty()) return@txn null
+                    val rows = buildJsonArray { for (a in job.attempts.values) add(JsonArray(listOf(JsonPrimitive(a.machine.name), JsonPrimitive(a.lap), JsonPrimitive(a.number)))) }
+                    Txn(listOf(Condition(Keys.ledger(job.ledger.name), job.ledger.holder.mark)), listOf(Put(Keys.kill(job.ref), buildJsonObject { put("tasks", rows) })))
+                }
+                if (r is TxnResult.Applied) { job.publishedAt = nowMs(); log.info("job {} withdrawn: {} tasks told through the state service", job.ref, job.attempts.size) }
+            } finally { job.publishing = false }
+        }
+    }
+
+    private fun unpublish(ref: String) {
+        if (!membership.cluster.has(Keys.kill(ref))) return
+        scope.launch { state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Delete(Keys.kill(ref)))) } }
+    }
+
+    /** The shared keys have changed: tasks that some owner has published. */
+    fun published(key: String) {
+        val ref = key.removePrefix(Keys.KILL)
+        val rows = membership.cluster.value(key)?.listOrNull("tasks") ?: return
+        kills.take(rows.map { it as JsonArray }.map { KillNote(it[0].asText(), ref, it[1].asLong().toInt(), it[2].asLong()) })
+    }
+
+    /** Withdrawn tasks that their machines do not confirm in time are published; once their user may hear of it, any node may say so. */
+    fun followWithdrawn(now: Long) {
+        for (j in withdrawing.toList()) {
+            if (j.ledger.state != LedgerState.ACTIVE || j.durableState != JobState.WITHDRAWN) continue
+            if (j.attempts.isEmpty()) { if (j.publishedAt != null) unpublish(j.ref); continue }
+            if (j.attempts.values.none { it.stop == StopReason.WITHDRAWN && now - it.stopSince > settings.leaseMs / 10 }) continue
+            publish(j)
+            if (mayTell(j) && !j.tellableRecorded) { j.tellableRecorded = true; store.touch(j, true) }
+        }
+        withdrawing.removeIf { it.attempts.isEmpty() || it.state != JobState.WITHDRAWN }
+        kills.prune()
+    }
+
     private fun attach(a: Attempt) {
         a.machine.attach(a)
         quota.take(a.job)
@@ -167,7 +242,7 @@
         }
         for (m in touched) orders.poke(m)
         if (job.durableState == JobState.DONE || job.durableState == JobState.WITHDRAWN) {
-            rememberFinal(job.answer())
+            if (mayTell(job)) rememberFinal(job.answer())
             if (job.attempts.isEmpty() && job.durableVersion == job.version) {
                 // Kept in memory for a while so that its ended entries are still cleared from the machines.
                 val l = job.ledger
--- a/src/main/kotlin/micatally/ledger/Cluster.kt
+++ b/src/main/kotlin/micatally/ledger/Cluster.kt
@@ -29,6 +29,7 @@
     fun job(ref: String) = JOB + ref
     fun ledger(name: String) = LEDGER + name
     fun live(host: String) = LIVE + host
+    fun kill(ref: String) = KILL + ref
     fun team(name: String) = TEAM + name
 }
 
--- a/src/main/kotlin/micatally/ledger/Membership.kt
+++ b/src/main/kotlin/micatally/ledger/Membership.kt
@@ -57,13 +57,17 @@
         right = next
     }
 
+    /** Set when this process knows what was withdrawn before its start; until then it does not count on having been told. */
+    var knowsWithdrawn = false
+    private val rightNowMs get() = if (knowsWithdrawn) settings.rightMs else settings.rightMs - settings.untoldMs
+
     val viewAgeMs get() = nowMs() - viewProvenAt
 
     /** Looks at the clock: a right lapses by time alone. */
     fun checkRight(): Right {
         when {
             !started -> {}
-            nowMs() - maxOf(viewProvenAt, toldAllAt()) > settings.rightMs -> become(Right.LAPSED, "no proof of state contact for ${settings.rightMs} ms")
+            nowMs() - maxOf(viewProvenAt, toldAllAt()) > rightNowMs -> become(Right.LAPSED, "no proof of state contact for $rightNowMs ms")
             right != Right.ENTITLED -> become(Right.ENTITLED, "state contact")
         }
         return right
--- a/src/main/kotlin/micatally/node/Controller.kt
+++ b/src/main/kotlin/micatally/node/Controller.kt
@@ -5,11 +5,6 @@
 import kotlinx.coroutines.launch
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
-import kotlinx.serialization.json.JsonArray
-import kotlinx.serialization.json.JsonPrimitive
-import kotlinx.serialization.json.buildJsonArray
-import kotlinx.serialization.json.buildJsonObject
-import kotlinx.serialization.json.put
 import kotlinx.serialization.protobuf.ProtoBuf
 import micatally.api.UserApi
 import micatally.api.WorkerApi
@@ -32,12 +27,9 @@
 import micatally.queue.Queues
 import micatally.settings.Operator
 import micatally.settings.Settings
-import micatally.state.Delete
-import micatally.state.Put
 import micatally.state.RateBudget
 import micatally.state.ReadResult
 import micatally.state.StateClient
-import micatally.state.Txn
 import micatally.state.Urgency
 import micatally.wire.PeerAsk
 import micatally.worker.Machine
@@ -69,9 +61,9 @@
     private val quota = Quota(scope, state, membership.cluster, settings.teams, { owner.ledgers.values.filter { it.mine } }, settings.controllers) { rounds.wake() }
     val rounds: Rounds = Rounds(scope, settings, owner, machines, store, quota, orders, Queues(operator.queueBounds.map { it * settings.leaseMs / 1000.0 }, operator.queueLift), effort, nowMs)
     private val peers = Peers(scope, http, settings, state, membership, machines, owner, rounds, nowMs)
-    private val keeper = Keeper(scope, settings, state, cloud, membership, machines, { rounds.unplaced.values.toList() + peers.demandOfPeers() }, { peers.recentServices() }, { peers.allInContact() }, operator, nowMs)
+    private val keeper = Keeper(scope, http, settings, state, cloud, membership, machines, { rounds.unplaced.values.toList() + peers.demandOfPeers() }, { peers.recentServices() }, { peers.silentZones() }, operator, nowMs)
     private val users = UserApi(settings, state, membership, owner, store, machines, peers, rounds, nowMs)
-    private val workers = WorkerApi(settings, membership, machines, peers, nowMs)
+    private val workers = WorkerApi(settings, membership, machines, peers, owner.kills, nowMs)
 
     fun start() {
         owner.orders = orders
@@ -107,6 +99,7 @@
                     machines.of(name)?.let { owner.deleted(it) }
                 }
             }
+            if (k.startsWith(Keys.KILL)) owner.published(k)
             if (k.startsWith(Keys.DRAIN)) machines.of(k.removePrefix(Keys.DRAIN))?.draining = membership.cluster.has(k)
         }
         peers.sharedChanged()
@@ -149,30 +142,13 @@
                 membership.raiseEpoch("a run without an answer must not come late")
             }
             if (++round % 20 == 0) { quota.handBack(); keeper.prune() }
-            if (round % 4 == 0) publishKills(now)
+            if (round % 4 == 0) owner.followWithdrawn(now)
             if (now - effortAt > settings.leaseMs) { effortAt = now; effort.tell(" machines=${machines.byName.size} waiting=${rounds.unplaced.size} writes=${writeBudget.tell()} requests=${requestBudget.tell()}") }
             if (round % 8 == 0) askForEnds(now)
             if (round % 100 == 0) machines.byName.values.removeIf { it.deleted && it.attempts.isEmpty() && now - it.heardAt > settings.leaseMs * 6 }
         }
     }
 
-    /** Tasks of withdrawn jobs on machines that don't answer here: whichever node hears the machine passes it on. */
-    private fun publishKills(now: Long) {
-        for (m in machines.byName.values) {
-            val late = if (m.deleted) emptyList() else m.attempts.filter { it.stop == StopReason.WITHDRAWN && now - it.stopSince > settings.leaseMs / 10 }
-            val key = Keys.KILL + m.name
-            if (late.isEmpty()) {
-                if (membership.cluster.has(key) && membership.cluster.value(key)?.get("by")?.toString() == "\"${settings.host}\"") {
-                    scope.launch { state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Delete(key))) } }
-                }
-                continue
-            }
-            val rows = buildJsonArray { for (a in late.take(200)) add(JsonArray(listOf(JsonPrimitive(a.job.ref), JsonPrimitive(a.lap), JsonPrimitive(a.number)))) }
-            val value = buildJsonObject { put("by", settings.host); put("tasks", rows) }
-            if (membership.cluster.value(key)?.toString() != value.toString()) scope.launch { state.txn(1, Urgency.ACCEPTANCE) { Txn(emptyList(), listOf(Put(key, value))) } }
-        }
-    }
-
     /** Machines that hold attempts of this node but that nobody hears: their end must be proven before the tasks move. */
     private fun askForEnds(now: Long) {
         for (m in machines.byName.values) {
@@ -208,6 +184,7 @@
         val bytes = try {
             when (r.path) {
                 Peers.NEWS -> effort.of(Effort.Kind.NEWS) { peers.takeNews(r.body) }
+                Peers.KILLS -> peers.takeKills(r.body)
                 Peers.QUERY -> ProtoBuf.encodeToByteArray(users.peerQuery(ProtoBuf.decodeFromByteArray<PeerAsk>(r.body).ref))
                 Peers.CANCEL -> ProtoBuf.encodeToByteArray(users.peerCancel(ProtoBuf.decodeFromByteArray<PeerAsk>(r.body).ref))
                 else -> return errorResponse(404, "no such resource")
--- a/src/main/kotlin/micatally/peer/Peers.kt
+++ b/src/main/kotlin/micatally/peer/Peers.kt
@@ -3,6 +3,7 @@
 package micatally.peer
 
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.serialization.decodeFromByteArray
@@ -12,6 +13,7 @@
 import kotlinx.serialization.protobuf.ProtoBuf
 import micatally.http.HttpCaller
 import micatally.http.Outcome
+import micatally.job.Job
 import micatally.job.Owner
 import micatally.ledger.Keys
 import micatally.ledger.Membership
@@ -26,7 +28,7 @@
 import micatally.wire.Demand
 import micatally.wire.HeardList
 import micatally.wire.HeldRoom
-import micatally.wire.KillNote
+import micatally.wire.KillList
 import micatally.wire.MachineNote
 import micatally.wire.PeerAnswer
 import micatally.wire.PeerAsk
@@ -57,7 +59,6 @@
         /** When the question left whose answer told all that the peer has withdrawn, and the epoch of that answer. */
         var toldAllAt = Long.MIN_VALUE / 2
         var toldAllEpoch = 0L
-        var kills: List<KillNote> = emptyList()
     }
 
     /** A peer's summary, put together from what came. */
@@ -101,8 +102,11 @@
     private val steps: Map<String, Int> = (settings.peers.map { it.host to it.zone } + (settings.host to settings.zone)).sortedBy { it.first }.let { all ->
         all.withIndex().associate { (i, h) -> h.first to (1..all.size).first { all[(i + it) % all.size].second == h.second } }
     }
-    /** False while some peer can't be heard: then what it hears may not be known here. */
-    fun allInContact(): Boolean = lines.all { nowMs() - it.contactAt < settings.leaseMs * 3 / 10 }
+    /** False when the last words to a peer got no answer. */
+    fun reaches(host: String) = lines.any { it.peer.host == host && it.failures == 0 }
+
+    /** Where peers are that can't be heard: what they hear may not be known here. */
+    fun silentZones(): Set<String> = lines.filter { nowMs() - it.contactAt >= settings.leaseMs * 3 / 10 }.mapTo(HashSet()) { it.peer.zone }
     fun entitledPeer(): String? = lines.filter { nowMs() - it.contactAt < settings.leaseMs / 5 }.minByOrNull { it.peer.host }?.peer?.host
 
     /** The time up to which this node has heard of every cancellation from the other controllers themselves: each has
@@ -114,8 +118,6 @@
         return lines.minOf { it.toldAllAt }
     }
 
-    fun killsOn(machine: String): List<KillNote> = lines.flatMap { l -> l.kills.filter { it.machine == machine } }
-
     /** Services that came to any controller lately. */
     fun recentServices(): List<Demand> = myRecent + theirs.values.flatMap { it.recent }
 
@@ -191,7 +193,7 @@
             l.failures = 0
             val answer = ProtoBuf.decodeFromByteArray<NewsAnswer>(out.body)
             l.toldSummary = if (answer.needsWhole) 0 else sentNumber
-            l.kills = answer.kills
+            owner.kills.take(answer.kills)
             l.toldAllEpoch = answer.epoch
             l.toldAllAt = at
             if (heard.isNotEmpty()) l.toldHeardAt = at
@@ -351,6 +353,22 @@
 
     private fun packed(bytes: ByteArray) = buildJsonObject { put("b", Base64.getEncoder().encodeToString(bytes)) }
 
+    /** Makes the tasks of a withdrawn job known to the controllers that have not confirmed them yet. */
+    suspend fun spread(job: Job) {
+        val body = ProtoBuf.encodeToByteArray(KillList(owner.notes(job)))
+        coroutineScope {
+            for (l in lines) if (l.peer.host !in job.knownTo) launch {
+                val out = http.call(l.peer.addr, "POST", KILLS, body, settings.leaseMs / 20)
+                if (out is Outcome.Answer && out.status == 200) job.knownTo.add(l.peer.host)
+            }
+        }
+    }
+
+    fun takeKills(body: ByteArray): ByteArray {
+        owner.kills.take(ProtoBuf.decodeFromByteArray<KillList>(body).kills)
+        return ByteArray(0)
+    }
+
     /** Asks the holder of a ledger about a job, or hands a cancellation on to it. Null: no usable answer. */
     suspend fun ask(host: String, what: String, ref: String, timeoutMs: Long): PeerAnswer? {
         val peer = settings.peers.find { it.host == host } ?: return null
@@ -361,6 +379,7 @@
 
     companion object {
         const val NEWS = "/peer/news"
+        const val KILLS = "/peer/kills"
         const val QUERY = "/peer/query"
         const val CANCEL = "/peer/cancel"
         private const val NOTES = 100
--- a/src/main/kotlin/micatally/settings/Settings.kt
+++ b/src/main/kotlin/micatally/settings/Settings.kt
@@ -30,9 +30,13 @@
 ) {
     val controllers get() = peers.size + 1
 
-    /** For how long a node may answer reports after its last proof of contact with the state service: together
-     * with the worker's lease and a margin of three tenths of it, this fits in the time a cancellation has. */
-    val rightMs get() = maxOf(leaseMs / 2, cancelMs - leaseMs * 13 / 10)
+    /** How long a cancellation that some controller has not confirmed lies in the state service before its user is told. */
+    val untoldMs get() = leaseMs
+
+    /** For how long a node may answer reports after its last proof of contact with the state service. What it has not heard of
+     * by then is told [untoldMs] later at the earliest; from there the worker's lease and a margin of a tenth of it fit in
+     * the time that a cancellation has. */
+    val rightMs get() = maxOf(leaseMs / 2, untoldMs + cancelMs - leaseMs * 11 / 10)
 
     /** A node's own lease at the state service. */
     val liveMs get() = leaseMs * 8 / 10
--- a/src/main/kotlin/micatally/wire/Peers.kt
+++ b/src/main/kotlin/micatally/wire/Peers.kt
@@ -66,6 +66,10 @@
 @Serializable
 class KillNote(@ProtoNumber(1) val machine: String, @ProtoNumber(2) val ref: String, @ProtoNumber(3) val lap: Int, @ProtoNumber(4) val attempt: Long)
 
+/** All tasks of a job that was withdrawn. */
+@Serializable
+class KillList(@ProtoNumber(1) val kills: List<KillNote>)
+
 @Serializable
 class PeerNews(
     @ProtoNumber(1) val notes: List<MachineNote> = emptyList(), @ProtoNumber(2) val summary: RoomSummary? = null,
--- /dev/null
+++ b/src/main/kotlin/micatally/worker/KillBook.kt
@@ -0,0 +1,21 @@
+package micatally.worker
+
+import micatally.wire.KillNote
+
+/** Tasks of withdrawn jobs, as the owners told them. Whichever node hears their machines hands the stop on. A note is kept
+ * well beyond the time that a cancellation has: its owner may end before it can say that the task is gone. */
+class KillBook(private val keepMs: Long, private val nowMs: () -> Long) {
+    private val byMachine = HashMap<String, HashMap<AttemptId, Long>>()
+
+    fun take(notes: List<KillNote>) {
+        val until = nowMs() + keepMs
+        for (k in notes) byMachine.getOrPut(k.machine) { HashMap() }[AttemptId(k.ref, k.lap, k.attempt)] = until
+    }
+
+    fun has(machine: String, id: AttemptId) = byMachine[machine]?.containsKey(id) == true
+
+    fun prune() {
+        val now = nowMs()
+        byMachine.values.removeIf { ids -> ids.values.removeIf { it < now }; ids.isEmpty() }
+    }
+}
--- a/src/main/kotlin/micatally/worker/Machine.kt
+++ b/src/main/kotlin/micatally/worker/Machine.kt
@@ -37,6 +37,11 @@
     var answeredAt = 0L
     /** When this node answered a report of its last. */
     var heardHereAt = 0L
+    /** When the keeper asked it last because it was silent, how often in a row it took the question and said nothing, and when
+     * it last took a connection of its own for that: a machine without power does not. */
+    var probedAt = Long.MIN_VALUE / 2
+    var mute = 0
+    var connectedAt = Long.MIN_VALUE / 2
     var noticeAt: Long? = null
     var deleted = false
     var draining = false
--- a/src/main/kotlin/micatally/worker/Machines.kt
+++ b/src/main/kotlin/micatally/worker/Machines.kt
@@ -48,7 +48,7 @@
         // Copies of reports come late; only one that is newer than all before shows life, and the age is its sender's.
         m.heardAt = maxOf(m.heardAt, nowMs() - ageMs)
         m.noticeAt = if (noticeS == null) null else nowMs() + (noticeS * 1000).toLong()
-        if (newSession) { m.loose.clear(); m.images.clear(); m.ownImages.clear(); m.freedAt = nowMs(); m.freedBy = Machine.NOBODY; onSession(m) }
+        if (newSession) { m.loose.clear(); m.freedAt = nowMs(); m.freedBy = Machine.NOBODY; onSession(m) }
         // Most reports say what the one before said.
         if (changed || own) onTasks(m, own)
         return true
--- a/src/test/kotlin/micatally/sim/FoundTest.kt
+++ b/src/test/kotlin/micatally/sim/FoundTest.kt
@@ -110,4 +110,41 @@
         assertTrue(f.state.largestValue <= 16 * 1024)
         for (n in 0 until 500) assertEquals(1.0, f.live[1]!!.machines.known("m-%06d".format(n), "10.0.0.1:9", "g8", "a", false).used.cores)
     }
+
+    /** Found on the days of the fleets: a zone was cut off for longer than a lease, and all its tasks were lost a few seconds
+     * before the cut ended, though its controller heard the workers all the time. */
+    @Test
+    fun `tasks in a zone that is cut off outlive the cut while its controller answers`() = fleet(8) { f ->
+        val refs = (1..3).map { f.submit(1, it, "daemon", 3) }
+        f.runFor(25_000)
+        val before = f.rules.running.toSet()
+        assertEquals(9, before.size)
+        val cut = SimNet.Cut({ x, y -> x.zone == "a" && y.zone != "a" }, CutMode.HOLD)
+        f.net.cuts.add(cut)
+        f.runFor(f.settings[0].leaseMs + 25_000)
+        f.net.cuts.remove(cut); cut.over.complete(Unit)
+        f.runFor(10_000)
+        assertEquals(before, f.rules.running.toSet())
+        assertEquals(9, f.rules.starts, refs.toString())
+    }
+
+    /** The other side of it: a cancellation is not told while a controller that may answer workers has not heard of it, nor
+     * by a node that reads it from the state service. */
+    @Test
+    fun `a cancellation is told when all controllers know of it, or a lease after it was published`() = fleet(9) { f ->
+        val ref = f.submit(0, 1, "daemon", 3)
+        f.runFor(20_000)
+        f.rules.asksToCancel(ref)
+        f.net.cuts.add(SimNet.Cut({ x, _ -> x.name == "n1" }, CutMode.HOLD))
+        // The tasks' machines don't answer their owner, so that their end is not proven at once.
+        for (m in f.rules.running.map { it.machine }.toSet()) f.net.deaf.add(m)
+        val asked = f.now
+        assertEquals(503, f.asked(0, "POST", "/work/$ref/cancel").first)
+        f.runFor(3000)
+        assertEquals(503, f.asked(2, "GET", "/work/$ref").first)
+        var status = 0
+        while (status != 200 && f.now < asked + 60_000) { f.runFor(1000); status = f.asked(0, "POST", "/work/$ref/cancel").first }
+        assertEquals(200, status)
+        assertTrue(f.rules.running.isEmpty() || f.now - asked >= f.settings[0].untoldMs)
+    }
 }
