--- a/src/main/kotlin/micatally/job/JobStore.kt
+++ b/src/main/kotlin/micatally/job/JobStore.kt
@@ -43,11 +43,12 @@
         put("tasks", buildJsonArray { for (a in job.attempts.values) add(JsonArray(listOf(JsonPrimitive(a.machine.name), JsonPrimitive(a.lap), JsonPrimitive(a.number)))) })
     }
 
-    fun encode(job: Job, process: String): JsonObject = buildJsonObject {
+    fun encode(job: Job): JsonObject = buildJsonObject {
         put("l", job.ledger.name)
         put("e", when (job.state) { JobState.DONE -> DONE; JobState.WITHDRAWN -> WITHDRAWN; else -> OPEN })
         put("k", job.laps)
-        put("c", process)
+        // Under which hold on the ledger it was written: the record of a new job that is found there is this node's own only then.
+        put("c", job.ledger.hold)
         val final = job.state == JobState.DONE || job.state == JobState.WITHDRAWN
         if (job.spec != null && !(final && job.attempts.isEmpty())) put("s", job.spec.source)
         if (job.doneCount > 0) put("d", ranges(job.done))
@@ -85,7 +86,7 @@
     class Placed(val machine: String, val session: Long, val addr: String, val type: String, val zone: String, val spot: Boolean, val lap: Int, val number: Long)
 
     fun ledgerOf(o: JsonObject) = o.text("l")
-    fun processOf(o: JsonObject) = (o["c"])?.asText() ?: ""
+    fun holdOf(o: JsonObject) = (o["c"])?.asText() ?: ""
     fun state(o: JsonObject) = when (o.text("e")) { DONE -> JobState.DONE; WITHDRAWN -> JobState.WITHDRAWN; else -> JobState.OPEN }
     fun isSettled(o: JsonObject) = state(o) != JobState.OPEN && o["a"] == null
 
@@ -126,7 +127,7 @@
 /** Writes job records. A record is always written whole, on the condition that the ledger is still this node's and
  * that the record is the one last seen: a write whose answer was lost and which comes late then changes nothing. */
 class JobStore(
-    private val scope: CoroutineScope, private val state: StateClient, private val process: String, private val pauseMs: Long, private val countsMs: Long,
+    private val scope: CoroutineScope, private val state: StateClient, private val pauseMs: Long, private val countsMs: Long,
     private val nowMs: () -> Long,
 ) {
     private val log = LoggerFactory.getLogger("micatally.job")
@@ -201,7 +202,7 @@
                 }
                 Txn(
                     listOf(Condition(Keys.ledger(job.ledger.name), job.ledger.holder.mark), Condition(Keys.job(job.ref), job.mark)),
-                    listOfNotNull(Put(Keys.job(job.ref), JobRecord.encode(job, process)), tasks),
+                    listOfNotNull(Put(Keys.job(job.ref), JobRecord.encode(job)), tasks),
                 )
             }
             when (r) {
@@ -236,7 +237,7 @@
                 is ReadResult.Missing -> { job.mark = 0L; return true }
                 is ReadResult.Found -> {
                     val o = read.item.value
-                    if (JobRecord.ledgerOf(o) != job.ledger.name || (job.mark == 0L && JobRecord.processOf(o) != process)) {
+                    if (JobRecord.ledgerOf(o) != job.ledger.name || (job.mark == 0L && JobRecord.holdOf(o) != job.ledger.hold)) {
                         log.info("job {} was accepted elsewhere", job.ref)
                         drop(job)
                         return false
--- a/src/main/kotlin/micatally/job/Owner.kt
+++ b/src/main/kotlin/micatally/job/Owner.kt
@@ -51,13 +51,16 @@
     fun own(): Ledger? = ledgers[settings.host]?.takeIf { it.mine }
 
     fun job(ref: String): Job? {
-        for (l in ledgers.values) if (l.mine) l.jobs[ref]?.let { return it }
-        return null
+        var unstored: Job? = null
+        for (l in ledgers.values) if (l.mine) l.jobs[ref]?.let { if (it.durableState != JobState.NEW) return it else unstored = it }
+        return unstored
     }
 
     fun openJobs(): List<Job> = ledgers.values.filter { it.state == LedgerState.ACTIVE }.flatMap { l -> l.jobs.values.filter { it.wantsTasks } }
 
-    override fun mine(ref: String) = ledgers.values.any { it.state == LedgerState.ACTIVE && ref in it.jobs }
+    /** A job that is not stored yet may turn out to be another owner's, whose tasks are then no strays: it was submitted there
+     * before, and repeated here. */
+    override fun mine(ref: String) = ledgers.values.any { l -> l.state == LedgerState.ACTIVE && l.jobs[ref]?.let { it.durableState != JobState.NEW } == true }
     override fun attempt(ref: String, lap: Int) = job(ref)?.attempts?.get(lap)
 
     /** Whether all jobs of this node's ledgers are known here. */
@@ -120,7 +123,11 @@
                 // Whoever's job it is: a node that has just started must stop its tasks where it hears them.
                 if (JobRecord.state(item.value) == JobState.WITHDRAWN) kills.take(JobRecord.placed(item.value).map { KillNote(it.machine, ref, it.lap, it.number) })
                 if (JobRecord.ledgerOf(item.value) != l.name) continue
-                // Accepted by this process while the list was on its way.
+                l.jobs[ref]?.let {
+                    // Accepted here while the list was on its way; or it was accepted before, and its user has just repeated the
+                    // submission here: then the record counts, or nobody would own the job.
+                    if (it.durableState != JobState.NEW || JobRecord.holdOf(item.value) == l.hold) null else it
+                }?.let { store.drop(it) }
                 if (ref in l.jobs) continue
                 val job = JobRecord.decode(ref, item.value, l, item.mark)
                 if (JobRecord.isSettled(item.value)) { rememberFinal(job.answer()); continue }
@@ -315,6 +322,11 @@
                 }
             }
         }
+        // What was there and is missing proves nothing, since nobody knows who took it away; but the machine is asked.
+        if (!own && m.attempts.any { it.state >= AttemptState.PULLING && it.session == m.session && m.tasks.none { t -> t.ref == it.job.ref && t.lap == it.lap && t.attempt == it.number } }) {
+            m.mustAsk = true
+            poke = true
+        }
         if (poke) orders.poke(m)
     }
 
--- a/src/main/kotlin/micatally/ledger/Ledger.kt
+++ b/src/main/kotlin/micatally/ledger/Ledger.kt
@@ -17,5 +17,8 @@
         state = next
     }
 
+    /** Names this hold on the ledger: the process, and the epoch at which it acquired it. A process may lose it and take it back. */
+    val hold = "${holder.process}:${holder.epoch}"
+
     val mine get() = state != LedgerState.LOST
 }
--- a/src/main/kotlin/micatally/node/Controller.kt
+++ b/src/main/kotlin/micatally/node/Controller.kt
@@ -55,7 +55,7 @@
     private val cloud = CloudClient(http, settings.cloudAddr, RateBudget(scope, settings.cloudRps * 0.9, nowMs), settings.leaseMs / 2)
     val membership = Membership(scope, settings, state, Cluster(), random, nowMs)
     val machines = Machines(nowMs)
-    private val store = JobStore(scope, state, membership.process, settings.reportMs / 4, settings.leaseMs / 10, nowMs)
+    private val store = JobStore(scope, state, settings.reportMs / 4, settings.leaseMs / 10, nowMs)
     val owner = Owner(scope, settings, state, membership, machines, store, nowMs, wallMs)
     private val orders = Orders(scope, http, settings, membership, machines, owner, owner.kills, nowMs)
     private val quota = Quota(scope, state, membership.cluster, settings.teams, { owner.ledgers.values.filter { it.mine } }, settings.controllers) { rounds.wake() }
--- a/src/main/kotlin/micatally/standin/WorkerStandin.kt
+++ b/src/main/kotlin/micatally/standin/WorkerStandin.kt
@@ -68,6 +68,8 @@
     private var reporter: Job? = null
     private var leaser: Job? = null
     private var changed = false
+    /** What is free beside all that has not ended. */
+    val free get() = tasks.values.filter { it.status != "ended" }.fold(total) { a, t -> a - t.amount }
     val onMachine get() = tasks.values.filter { alive && (it.status == "running" || it.status == "saving") }
 
     fun start() {
--- a/src/main/kotlin/micatally/worker/Orders.kt
+++ b/src/main/kotlin/micatally/worker/Orders.kt
@@ -110,6 +110,8 @@
     /** An attempt made by this process needs no reconciling: no earlier holder can have sent it. */
     private fun reconciledOrOwn(a: Attempt, reconciled: Boolean) = reconciled || a.sentAt == null
 
+    private fun attemptOf(c: Command) = book.attempt(c.ref, c.lap)?.takeIf { it.number == c.attempt }
+
     private suspend fun flush(m: Machine) {
         while (m.poked && !m.deleted) {
             m.poked = false
@@ -118,8 +120,8 @@
             val now = nowMs()
             val session = m.session
             for (c in b.commands) when (c.verb) {
-                Verb.RUN -> book.attempt(c.ref, c.lap)?.let { it.sentAt = now; it.become(AttemptState.ORDERED, now) }
-                Verb.KILL -> book.attempt(c.ref, c.lap)?.let { killedAt[it] = now }
+                Verb.RUN -> attemptOf(c)?.let { it.sentAt = now; it.become(AttemptState.ORDERED, now) }
+                Verb.KILL -> attemptOf(c)?.let { killedAt[it] = now }
                 Verb.CLEAR -> {}
             }
             m.mustAsk = false
--- a/src/test/kotlin/micatally/sim/LateWritesTest.kt
+++ b/src/test/kotlin/micatally/sim/LateWritesTest.kt
@@ -4,6 +4,7 @@
 import micatally.http.HttpRequest
 import micatally.ledger.Keys
 import micatally.ledger.Right
+import micatally.wire.bytes
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -115,6 +116,96 @@
         assertEquals(0, f.rules.runsSentAfterCancel)
     }
 
+    /** Found by the meeting of late writes (seed 3): while a repeated submission waited for the state service at another node,
+     * that node took the tasks of the real owner for strays, and ended them. */
+    @Test
+    fun `a repeated submission that waits to be stored ends nobody's tasks`() = meeting(8, big) {
+        val s = spec("daemon", 2)
+        assertEquals(201, f.asked(0, "POST", "/work", s.source.bytes()).first)
+        allRun(listOf(s.ref))
+        // Its tasks are in their second attempt, unlike those that the other node thinks of.
+        for (m in tasks(s.ref).map { it.machine }.distinct()) f.lose(worker(m))
+        runUntil(f.lease, "they are lost") { tasks(s.ref).isEmpty() }
+        allRun(listOf(s.ref))
+        val before = f.rules.running.toSet()
+        f.holdWriteOf = { n, body -> if (n == 1 && "\"put\":\"job/${s.ref}\"" in body) 12_000 else null }
+        f.scope.launch { f.askNode(1, "POST", "/work", s.source.bytes()) }
+        f.runFor(500)
+        // It has orders of its own for the same machine.
+        val own = submit(1, "daemon", 2)
+        allRun(listOf(own))
+        assertTrue(tasks(own).any { t -> before.any { it.machine == t.machine } }, "side by side")
+        f.runFor(f.lease / 2)
+        assertTrue(f.rules.running.containsAll(before))
+    }
+
+    /** A submission that was repeated at its restarted node before that had loaded its jobs hid the record from it: nobody owned
+     * the job any more, it was neither run nor could it be cancelled. */
+    @Test
+    fun `a submission repeated while a ledger is loaded does not hide the job`() = meeting(10, big) {
+        val s = spec("daemon", 2)
+        assertEquals(201, f.asked(0, "POST", "/work", s.source.bytes()).first)
+        allRun(listOf(s.ref))
+        f.crash(0)
+        f.net.slowMs["state"] = 600
+        f.startNode(0)
+        while (f.live[0]!!.owner.own() == null) f.step(1)
+        val ledger = f.live[0]!!.owner.own()!!
+        f.scope.launch { f.askNode(0, "POST", "/work", s.source.bytes()) }
+        runUntil(5000, "it is being looked into") { s.ref in ledger.jobs }
+        assertEquals(micatally.ledger.LedgerState.LOADING, ledger.state)
+        f.runFor(f.lease / 2)
+        f.net.slowMs.clear()
+        f.runFor(f.lease / 2)
+        assertEquals(micatally.job.JobState.OPEN, f.live[0]!!.owner.job(s.ref)?.durableState)
+        cancel(s.ref, listOf(0, 1, 2))
+        runUntil(f.lease, "it can be cancelled") { f.rules.isCancelled(s.ref) }
+    }
+
+    /** The same after a ledger was lost and taken back by one and the same process: what it had written itself before was taken
+     * for the lost answer to the repeat, and the repeat written over it: done tasks and attempts were gone, and ran twice. */
+    @Test
+    fun `a submission repeated while a ledger is taken back does not overwrite the job`() = meeting(11, big) {
+        val s = spec("daemon", 2)
+        assertEquals(201, f.asked(0, "POST", "/work", s.source.bytes()).first)
+        allRun(listOf(s.ref))
+        for (m in tasks(s.ref).map { it.machine }.distinct()) f.lose(worker(m))
+        runUntil(f.lease, "they are lost") { tasks(s.ref).isEmpty() }
+        allRun(listOf(s.ref))
+        val before = f.rules.starts
+        val first = f.live[0]!!.owner.own()
+        f.stateRefuses.add("n0")
+        runUntil(f.lease * 2, "another one takes the ledger") { others.any { holdsOf(it, 0) } }
+        f.stateRefuses.clear()
+        f.net.slowMs["state"] = 600
+        runUntil(f.lease * 2, "it is taken back") { f.live[0]!!.owner.own().let { it != null && it !== first } }
+        val ledger = f.live[0]!!.owner.own()!!
+        f.scope.launch { f.askNode(0, "POST", "/work", s.source.bytes()) }
+        runUntil(2000, "it is being looked into") { s.ref in ledger.jobs }
+        assertEquals(micatally.ledger.LedgerState.LOADING, ledger.state)
+        f.runFor(f.lease / 2)
+        f.net.slowMs.clear()
+        f.runFor(f.lease)
+        assertEquals(before, f.rules.starts)
+        assertEquals(2, f.live[0]!!.owner.job(s.ref)?.attempts?.size)
+    }
+
+    /** A task that went from its machine by nobody's known doing was waited for to the end of the day: reports that lack it
+     * prove nothing, and the machine was not asked. */
+    @Test
+    fun `a machine that lacks a task is asked, and the task starts again`() = meeting(9, big) {
+        val ref = submit(0, "daemon", 1)
+        allRun(listOf(ref))
+        val on = tasks(ref).single()
+        val w = worker(on.machine)
+        for (verb in listOf("kill", "clear")) f.scope.launch {
+            w.handle(HttpRequest("POST", "/orders", "{\"baton\":${w.token},\"stint\":1,\"radio\":[{\"call\":\"$verb\",\"lap\":\"$ref/0\",\"start\":1,\"cooldown_s\":0}]}".toByteArray()))
+        }
+        f.runFor(50)
+        assertTrue(tasks(ref).isEmpty())
+        runUntil(f.lease, "it starts again") { tasks(ref).isNotEmpty() }
+    }
+
     /** A drain that was written late, after it had been called off, kept a machine without work for good. */
     @Test
     fun `a drain that nobody decided is taken off`() = meeting(7) {
--- a/src/test/kotlin/micatally/sim/SimFleet.kt
+++ b/src/test/kotlin/micatally/sim/SimFleet.kt
@@ -26,6 +26,7 @@
 import micatally.http.HttpResponse
 import micatally.http.Outcome
 import micatally.node.Controller
+import micatally.placement.Placement
 import micatally.settings.Settings
 import micatally.standin.CloudStandin
 import micatally.standin.StateLimits
@@ -295,6 +296,24 @@
     override fun started(machine: WorkerStandin, ref: String, lap: Int) { note("start $ref/$lap on ${machine.name}"); rules.started(on(machine, ref, lap), now) }
     override fun left(machine: WorkerStandin, ref: String, lap: Int, done: Boolean) { note("left $ref/$lap on ${machine.name} done=$done"); rules.left(on(machine, ref, lap), done) }
 
+    private val waitingSince = HashMap<String, Long>()
+
+    /** Once the troubles are over no job waits for long while a machine that fits has room and its team is under its limit.
+     * Looked at once a second, for jobs whose tasks may go anywhere that their types and zone allow. */
+    fun checkWaiting(maxMs: Long = 90_000) {
+        val workers = cloud.workers.filter { !it.hung && it.name !in net.deaf && it.name !in net.mute && it.noticeS == null && !it.sick }
+        for (ref in rules.acceptedJobs) {
+            val s = rules.specs.getValue(ref)
+            val there = rules.running.filter { it.ref == ref }
+            val missing = s.laps - there.size - (rules.completed[ref]?.count { l -> there.none { it.lap == l } } ?: 0)
+            fun allowed(zone: String) = (s.zone == null || s.zone == zone) && (!s.together || there.all { it.zone == zone }) && (!s.scatter || there.count { it.zone == zone } < Placement.zoneCap(s))
+            val fits = missing > 0 && !rules.isFinal(ref) && !rules.isAskedToCancel(ref) && rules.underLimit(s) && workers.any { w ->
+                (s.types == null || w.type in s.types!!) && (!w.spot || s.spot) && allowed(w.zone) && s.amount.fitsIn(w.free)
+            }
+            if (!fits) waitingSince.remove(ref) else if (now - waitingSince.getOrPut(ref) { now } > maxMs) throw Broken("waiting", "$ref waits ${now - waitingSince.getValue(ref)} ms beside a machine that has room")
+        }
+    }
+
     fun note(s: String) { log.addLast("$now $s"); if (log.size > 4000) log.removeFirst() }
 
     // Users
