--- a/src/test/kotlin/micatally/sim/LateWritesTest.kt
+++ b/src/test/kotlin/micatally/sim/LateWritesTest.kt
@@ -15,6 +15,15 @@
 class LateWritesTest {
     private val big = Timing.DEPLOYMENTS.getValue("addis at size")
 
+    /** A service of node 0 whose tasks have lost their first machines: a job made anew would number them otherwise. */
+    private fun Meeting.inSecondAttempt() = spec("daemon", 2).also { s ->
+        assertEquals(201, f.asked(0, "POST", "/work", s.source.bytes()).first)
+        allRun(listOf(s.ref))
+        for (m in tasks(s.ref).map { it.machine }.distinct()) f.lose(worker(m))
+        runUntil(f.lease, "they are lost") { tasks(s.ref).isEmpty() }
+        allRun(listOf(s.ref))
+    }
+
     /** The live key was written without a condition: carried out late it was tied to a lease that nobody renewed any more. The
      * key went, peers took the ledger, and its host went on answering from memory. */
     @Test
@@ -120,13 +129,7 @@
      * that node took the tasks of the real owner for strays, and ended them. */
     @Test
     fun `a repeated submission that waits to be stored ends nobody's tasks`() = meeting(8, big) {
-        val s = spec("daemon", 2)
-        assertEquals(201, f.asked(0, "POST", "/work", s.source.bytes()).first)
-        allRun(listOf(s.ref))
-        // Its tasks are in their second attempt, unlike those that the other node thinks of.
-        for (m in tasks(s.ref).map { it.machine }.distinct()) f.lose(worker(m))
-        runUntil(f.lease, "they are lost") { tasks(s.ref).isEmpty() }
-        allRun(listOf(s.ref))
+        val s = inSecondAttempt()
         val before = f.rules.running.toSet()
         f.holdWriteOf = { n, body -> if (n == 1 && "\"put\":\"job/${s.ref}\"" in body) 12_000 else null }
         f.scope.launch { f.askNode(1, "POST", "/work", s.source.bytes()) }
@@ -166,12 +169,7 @@
      * for the lost answer to the repeat, and the repeat written over it: done tasks and attempts were gone, and ran twice. */
     @Test
     fun `a submission repeated while a ledger is taken back does not overwrite the job`() = meeting(11, big) {
-        val s = spec("daemon", 2)
-        assertEquals(201, f.asked(0, "POST", "/work", s.source.bytes()).first)
-        allRun(listOf(s.ref))
-        for (m in tasks(s.ref).map { it.machine }.distinct()) f.lose(worker(m))
-        runUntil(f.lease, "they are lost") { tasks(s.ref).isEmpty() }
-        allRun(listOf(s.ref))
+        val s = inSecondAttempt()
         val before = f.rules.starts
         val first = f.live[0]!!.owner.own()
         f.stateRefuses.add("n0")
