--- a/src/main/kotlin/micatally/api/UserApi.kt
+++ b/src/main/kotlin/micatally/api/UserApi.kt
@@ -79,13 +79,12 @@
     }
 
     private suspend fun waitFor(job: Job, status: Int): HttpResponse {
-        val durable = withTimeoutOrNull(durableMs) { store.durable(job) }
-        if (durable == null) return later("not stored yet")
-        if (durable && !owner.mayTell(job)) return later("a cancellation is under way")
+        val durable = withTimeoutOrNull(durableMs) { store.durable(job) } ?: return later("not stored yet")
+        if (!durable) return knownOr(job.ref) { later("not stored") }
+        if (!owner.mayTell(job)) return later("a cancellation is under way")
         // Its end may have come and be on its way since.
-        if (durable && (job.endUnderWay || !membership.leaseHolds())) return knownOr(job.ref) { later("not stored yet") }
-        if (durable) return if (status == 201 && job.durableState == JobState.OPEN) HttpResponse(201, JobAnswer(job.ref, JobAnswer.PENDING, 0, 0).brief().bytes()) else ok(job.answer())
-        return knownOr(job.ref) { later("not stored") }
+        if (job.endUnderWay || !membership.leaseHolds()) return knownOr(job.ref) { later("not stored yet") }
+        return if (status == 201 && job.durableState == JobState.OPEN) HttpResponse(201, JobAnswer(job.ref, JobAnswer.PENDING, 0, 0).brief().bytes()) else ok(job.answer())
     }
 
     /** 422 exactly where the protocol says so. */
--- a/src/main/kotlin/micatally/fleet/Keeper.kt
+++ b/src/main/kotlin/micatally/fleet/Keeper.kt
@@ -238,10 +238,12 @@
         return m.tasks.all { it.ended } && m.attempts.isEmpty() && u.cores < 1e-6 && u.cards < 1e-6 && u.ram < 1e-6
     }
 
+    private fun drainOf(name: String) = Put(Keys.DRAIN + name, buildJsonObject { put("by", settings.host) })
+
     private fun drain(m: Machine, now: Long, to: DrainState, why: String) {
         drains[m.name] = Drain(now, to, now)
         log.info("machine {} drained: {}", m.name, why)
-        scope.launch { state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Put(Keys.DRAIN + m.name, buildJsonObject { put("by", settings.host) }))) } }
+        scope.launch { state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(drainOf(m.name))) } }
     }
 
     /** A drain or its end may have got no answer, and may be carried out late or never: what the key says is brought to what
@@ -255,7 +257,7 @@
         val missing = drains.filterKeys { it !in names }.keys
         for (i in off) if (i.key in drainsOff) scope.launch { state.txn(1, Urgency.SUMMARY) { Txn(listOf(Condition(i.key, i.mark)), listOf(Delete(i.key))) } }
         for (n in missing) if (Keys.DRAIN + n in drainsOff) scope.launch {
-            state.txn(1, Urgency.SUMMARY) { if (n !in drains) null else Txn(listOf(Condition(Keys.DRAIN + n, 0)), listOf(Put(Keys.DRAIN + n, buildJsonObject { put("by", settings.host) }))) }
+            state.txn(1, Urgency.SUMMARY) { if (n !in drains) null else Txn(listOf(Condition(Keys.DRAIN + n, 0)), listOf(drainOf(n))) }
         }
         // Only what was off at the last look too: the usual write is under way.
         drainsOff = off.mapTo(HashSet()) { it.key }.also { set -> missing.mapTo(set) { Keys.DRAIN + it } }
--- a/src/main/kotlin/micatally/job/Owner.kt
+++ b/src/main/kotlin/micatally/job/Owner.kt
@@ -123,12 +123,10 @@
                 // Whoever's job it is: a node that has just started must stop its tasks where it hears them.
                 if (JobRecord.state(item.value) == JobState.WITHDRAWN) kills.take(JobRecord.placed(item.value).map { KillNote(it.machine, ref, it.lap, it.number) })
                 if (JobRecord.ledgerOf(item.value) != l.name) continue
-                l.jobs[ref]?.let {
-                    // Accepted here while the list was on its way; or it was accepted before, and its user has just repeated the
-                    // submission here: then the record counts, or nobody would own the job.
-                    if (it.durableState != JobState.NEW || JobRecord.holdOf(item.value) == l.hold) null else it
-                }?.let { store.drop(it) }
-                if (ref in l.jobs) continue
+                // Accepted here while the list was on its way; or it was accepted before, and its user has just repeated the
+                // submission here: then the record counts, or nobody would own the job.
+                val there = l.jobs[ref]
+                if (there?.durableState == JobState.NEW && JobRecord.holdOf(item.value) != l.hold) store.drop(there) else if (there != null) continue
                 val job = JobRecord.decode(ref, item.value, l, item.mark)
                 if (JobRecord.isSettled(item.value)) { rememberFinal(job.answer()); continue }
                 l.jobs[ref] = job
--- a/src/test/kotlin/micatally/sim/LateWritesTest.kt
+++ b/src/test/kotlin/micatally/sim/LateWritesTest.kt
@@ -3,7 +3,9 @@
 import kotlinx.coroutines.launch
 import micatally.http.HttpRequest
 import micatally.ledger.Keys
+import micatally.ledger.LedgerState
 import micatally.ledger.Right
+import micatally.wire.JobSpec
 import micatally.wire.bytes
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
@@ -24,6 +26,16 @@
         allRun(listOf(s.ref))
     }
 
+    /** The submission is repeated at node 0, which has its ledger and is still loading it, since the state service is slow. */
+    private fun Meeting.repeatWhileLoading(s: JobSpec) {
+        val ledger = f.live[0]!!.owner.own()!!
+        f.scope.launch { f.askNode(0, "POST", "/work", s.source.bytes()) }
+        runUntil(2000, "it is being looked into") { s.ref in ledger.jobs }
+        assertEquals(LedgerState.LOADING, ledger.state)
+        f.runFor(f.lease / 2)
+        f.net.slowMs.clear()
+    }
+
     /** The live key was written without a condition: carried out late it was tied to a lease that nobody renewed any more. The
      * key went, peers took the ledger, and its host went on answering from memory. */
     @Test
@@ -153,12 +165,7 @@
         f.net.slowMs["state"] = 600
         f.startNode(0)
         while (f.live[0]!!.owner.own() == null) f.step(1)
-        val ledger = f.live[0]!!.owner.own()!!
-        f.scope.launch { f.askNode(0, "POST", "/work", s.source.bytes()) }
-        runUntil(5000, "it is being looked into") { s.ref in ledger.jobs }
-        assertEquals(micatally.ledger.LedgerState.LOADING, ledger.state)
-        f.runFor(f.lease / 2)
-        f.net.slowMs.clear()
+        repeatWhileLoading(s)
         f.runFor(f.lease / 2)
         assertEquals(micatally.job.JobState.OPEN, f.live[0]!!.owner.job(s.ref)?.durableState)
         cancel(s.ref, listOf(0, 1, 2))
@@ -177,12 +184,7 @@
         f.stateRefuses.clear()
         f.net.slowMs["state"] = 600
         runUntil(f.lease * 2, "it is taken back") { f.live[0]!!.owner.own().let { it != null && it !== first } }
-        val ledger = f.live[0]!!.owner.own()!!
-        f.scope.launch { f.askNode(0, "POST", "/work", s.source.bytes()) }
-        runUntil(2000, "it is being looked into") { s.ref in ledger.jobs }
-        assertEquals(micatally.ledger.LedgerState.LOADING, ledger.state)
-        f.runFor(f.lease / 2)
-        f.net.slowMs.clear()
+        repeatWhileLoading(s)
         f.runFor(f.lease)
         assertEquals(before, f.rules.starts)
         assertEquals(2, f.live[0]!!.owner.job(s.ref)?.attempts?.size)
--- a/src/test/kotlin/micatally/sim/SimFleet.kt
+++ b/src/test/kotlin/micatally/sim/SimFleet.kt
@@ -234,8 +234,8 @@
             val late = if (addr == "state:1" && t == "/txn" && host.name !in stateRefuses) holdWriteOf(i, b?.decodeToString() ?: "") else null
             when {
                 addr == "state:1" && host.name in stateRefuses -> { delay(3); Outcome.Answer(503, ByteArray(0)) }
-                late != null -> { writesWithoutAnswer++; scope.launch { delay(late); state.handle(HttpRequest(m, t, b ?: ByteArray(0))) }; delay(ms); Outcome.Silence }
-                addr == "state:1" && t == "/txn" && isLost(i, b) -> withoutAnswer(HttpRequest(m, t, b ?: ByteArray(0)), ms)
+                late != null -> withoutAnswer(HttpRequest(m, t, b ?: ByteArray(0)), ms, late)
+                addr == "state:1" && t == "/txn" && isLost(i, b) -> withoutAnswer(HttpRequest(m, t, b ?: ByteArray(0)), ms, if (luck.nextDouble() * (lateWrites + lostAnswers) < lateWrites) luck.nextLong(2000, 12_000) else 2)
                 else -> plain.call(addr, m, t, b, ms)
             }
         }
@@ -251,9 +251,10 @@
 
     private fun isLost(node: Int, body: ByteArray?) = luck.nextDouble() < lateWrites + lostAnswers || loseAnswerOf(node, body?.decodeToString() ?: "")
 
-    private suspend fun withoutAnswer(r: HttpRequest, timeoutMs: Long): Outcome {
+    /** What was sent is carried out after so long, also when its sender has died; the answer is lost. */
+    private suspend fun withoutAnswer(r: HttpRequest, timeoutMs: Long, afterMs: Long): Outcome {
         writesWithoutAnswer++
-        if (luck.nextDouble() * (lateWrites + lostAnswers) < lateWrites) scope.launch { delay(luck.nextLong(2000, 12_000)); state.handle(r) } else { delay(2); state.handle(r) }
+        scope.launch { delay(afterMs); state.handle(r) }
         delay(timeoutMs)
         return Outcome.Silence
     }
@@ -284,9 +285,9 @@
         return w
     }
 
-    /** A machine stops with all that is on it: connections to it hang from now on. */
     fun hangs(name: String) = cloud.workers.any { it.name == name && it.hung }
 
+    /** A machine stops with all that is on it: connections to it hang from now on. */
     fun lose(w: WorkerStandin) { cloud.take(w.name); net.hosts[w.name]?.dark = true }
 
     override fun spec(ref: String) = rules.specs[ref]
