--- a/src/main/kotlin/micatally/api/UserApi.kt
+++ b/src/main/kotlin/micatally/api/UserApi.kt
@@ -38,7 +38,8 @@
 ) {
     /** Which ledger a job belongs to never changes. */
     private val ledgerOf = CacheBuilder.newBuilder().maximumSize(20_000).build<String, String>()
-    private val durableMs = settings.leaseMs * 3 / 10
+    /** Users wait five seconds for a submission or a cancellation, and what can't be done is answered before that. */
+    private val durableMs = minOf(settings.leaseMs * 3 / 10, 4000L)
     /** Users wait two seconds for a poll, and after a peer's silence there is the state service to be asked. */
     private val askMs = minOf(settings.leaseMs / 20, 1000L)
 
@@ -67,7 +68,10 @@
         val ledger = owner.own()
         if (ledger == null || !stateReachable || !membership.leaseHolds()) return later("no contact with the state service")
         if (state.waitingWrites > settings.stateWriteRps) return later("too many submissions at once")
-        owner.job(ref)?.let { return waitFor(it, 200) }
+        owner.job(ref)?.let {
+            // Of a ledger that it has taken over this node can't tell whether it is still its own.
+            return if (it.ledger === ledger) waitFor(it, 200) else knownOr(ref) { later("not stored yet") }
+        }
         val job = owner.create(spec, ledger)
         rounds.placeJob(job, nowMs())
         store.touch(job, true)
@@ -78,8 +82,9 @@
         val durable = withTimeoutOrNull(durableMs) { store.durable(job) }
         if (durable == null) return later("not stored yet")
         if (durable && !owner.mayTell(job)) return later("a cancellation is under way")
-        if (durable) return if (status == 201) HttpResponse(201, JobAnswer(job.ref, JobAnswer.PENDING, 0, 0).brief().bytes()) else ok(job.answer())
-        owner.forget(job)
+        // Its end may have come and be on its way since.
+        if (durable && (job.endUnderWay || !membership.leaseHolds())) return knownOr(job.ref) { later("not stored yet") }
+        if (durable) return if (status == 201 && job.durableState == JobState.OPEN) HttpResponse(201, JobAnswer(job.ref, JobAnswer.PENDING, 0, 0).brief().bytes()) else ok(job.answer())
         return knownOr(job.ref) { later("not stored") }
     }
 
@@ -115,7 +120,7 @@
     private fun local(ref: String): JobAnswer? {
         owner.final(ref)?.let { return it }
         val job = owner.job(ref) ?: return null
-        if (job.durableState == JobState.NEW || !membership.leaseHolds()) return null
+        if (job.durableState == JobState.NEW || job.endUnderWay || !membership.leaseHolds()) return null
         // This node's lease keeps others from its own ledger only: a ledger that it took over goes back to its host the
         // moment that host starts again, so of its jobs only the state service can tell.
         if (job.ledger.name != settings.host || !owner.mayTell(job)) return null
@@ -187,7 +192,7 @@
         if (!ok || job.durableState != JobState.WITHDRAWN && job.durableState != JobState.DONE) return null
         if (!owner.mayTell(job)) {
             peers.spread(job)
-            if (!owner.mayTell(job)) { owner.publish(job); return null }
+            if (!owner.mayTell(job)) return null
         }
         return job.answer()
     }
--- a/src/main/kotlin/micatally/fleet/Keeper.kt
+++ b/src/main/kotlin/micatally/fleet/Keeper.kt
@@ -35,6 +35,7 @@
 import micatally.wire.long
 import micatally.wire.parseObject
 import micatally.wire.text
+import micatally.wire.textOrNull
 import micatally.worker.Machine
 import micatally.worker.Machines
 import org.slf4j.LoggerFactory
@@ -111,25 +112,33 @@
         while (true) {
             delay(settings.liveMs / 16)
             val lease = membership.lease
-            if (lease == null || keeping || cluster.revision < 0 || cluster.has(Keys.FLEET)) continue
+            if (lease == null || keeping || cluster.revision < 0) continue
+            // The answer that gave it the key was lost: nobody else can take it while this node lives.
+            val mine = cluster.value(Keys.FLEET)?.textOrNull("process") == membership.process
+            if (mine) { begin(cluster.mark(Keys.FLEET)); continue }
+            if (cluster.has(Keys.FLEET)) continue
             val r = state.txn(1, Urgency.SUMMARY) {
                 Txn(listOf(Condition(Keys.FLEET, 0), Condition(Keys.live(settings.host), cluster.mark(Keys.live(settings.host)))),
-                    listOf(Put(Keys.FLEET, buildJsonObject { put("host", settings.host) }, lease)))
+                    listOf(Put(Keys.FLEET, buildJsonObject { put("host", settings.host); put("process", membership.process) }, lease)))
             }
             if (r !is TxnResult.Applied) { delay(settings.liveMs / 16); continue }
             membership.refresh()
-            term = r.revision
-            bookings = 0
-            since = nowMs()
-            rentals.clear()
-            drains.clear()
-            for (i in cluster.under(Keys.DRAIN)) drains[i.key.removePrefix(Keys.DRAIN)] = Drain(nowMs(), DrainState.EMPTYING, nowMs())
-            log.info("fleet key held, term {}", term)
-            // What the former keeper had decided is finished under its names: repeating a booking rents nothing twice.
-            for (i in cluster.under(Keys.RENT)) scope.launch { book(i.key.removePrefix(Keys.RENT), i.value.text("rig"), i.value.text("circuit"), i.value.flag("loaners"), i.value.long("count").toInt()) }
+            begin(r.revision)
         }
     }
 
+    private fun begin(mark: Long) {
+        term = mark
+        bookings = 0
+        since = nowMs()
+        rentals.clear()
+        drains.clear()
+        for (i in cluster.under(Keys.DRAIN)) drains[i.key.removePrefix(Keys.DRAIN)] = Drain(nowMs(), DrainState.EMPTYING, nowMs())
+        log.info("fleet key held, term {}", term)
+        // What the former keeper had decided is finished under its names: repeating a booking rents nothing twice.
+        for (i in cluster.under(Keys.RENT)) scope.launch { book(i.key.removePrefix(Keys.RENT), i.value.text("rig"), i.value.text("circuit"), i.value.flag("loaners"), i.value.long("count").toInt()) }
+    }
+
     private suspend fun listLoop() {
         while (true) {
             delay(maxOf(settings.listLagMs / 2, (3000 / settings.cloudRps).toLong()))
@@ -235,6 +244,23 @@
         scope.launch { state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Put(Keys.DRAIN + m.name, buildJsonObject { put("by", settings.host) }))) } }
     }
 
+    /** A drain or its end may have got no answer, and may be carried out late or never: what the key says is brought to what
+     * was decided last. A machine that is drained by mistake gets no work though jobs wait for it. */
+    private fun reconcileDrains(now: Long) {
+        if (now - drainsLookedAt < settings.leaseMs / 4) return
+        drainsLookedAt = now
+        val listed = cluster.under(Keys.DRAIN)
+        val names = listed.mapTo(HashSet()) { it.key.removePrefix(Keys.DRAIN) }
+        val off = listed.filter { it.key.removePrefix(Keys.DRAIN) !in drains }
+        val missing = drains.filterKeys { it !in names }.keys
+        for (i in off) if (i.key in drainsOff) scope.launch { state.txn(1, Urgency.SUMMARY) { Txn(listOf(Condition(i.key, i.mark)), listOf(Delete(i.key))) } }
+        for (n in missing) if (Keys.DRAIN + n in drainsOff) scope.launch {
+            state.txn(1, Urgency.SUMMARY) { if (n !in drains) null else Txn(listOf(Condition(Keys.DRAIN + n, 0)), listOf(Put(Keys.DRAIN + n, buildJsonObject { put("by", settings.host) }))) }
+        }
+        // Only what was off at the last look too: the usual write is under way.
+        drainsOff = off.mapTo(HashSet()) { it.key }.also { set -> missing.mapTo(set) { Keys.DRAIN + it } }
+    }
+
     private fun keep(name: String, now: Long, why: String) {
         drains.remove(name)
         keptUntil[name] = now + machines.bootMs(machines.of(name)?.type) * 2
@@ -265,6 +291,7 @@
             if (now - maxOf(m.busyAt, since) > idleMs) drain(m, now, DrainState.EMPTY, "idle")
         }
         drains.keys.removeIf { it in machines.deletedNames }
+        reconcileDrains(now)
         if (demands.isEmpty() && now - since > settings.leaseMs * 2 && now - lastEmptying > machines.bootMs(null) / 6) { lastEmptying = now; emptySome(now) }
     }
 
@@ -272,6 +299,8 @@
     private val probeAfterMs = maxOf(settings.reportMs * 2, settings.leaseMs / 4)
     private val probeMs = settings.leaseMs / 16
     private var lastEmptying = 0L
+    private var drainsLookedAt = 0L
+    private var drainsOff: Set<String> = emptySet()
     private var contactLostAt = Long.MIN_VALUE / 2
 
     private fun allowedOn(d: Demand, m: Machine) = (d.types.isEmpty() || m.type in d.types) && (d.zones.isEmpty() || m.zone in d.zones) && (!m.spot || d.spot)
--- a/src/main/kotlin/micatally/job/Job.kt
+++ b/src/main/kotlin/micatally/job/Job.kt
@@ -32,11 +32,11 @@
     val badMachines = HashSet<String>()
     val stoppedOnce = HashSet<Int>()
 
-    // Of a withdrawn job: the controllers that know its tasks, since when they stand in the state service, and whether its
-    // user may be told.
-    val knownTo = HashSet<String>()
+    // Of a withdrawn job: since when its tasks are known to stand in the state service, the controllers that have confirmed
+    // them since, and whether its user may be told.
     var publishedAt: Long? = null
-    var publishing = false
+    val confirmedBy = HashSet<String>()
+    var spreading = false
     var tellable = false
     var tellableRecorded = false
 
@@ -70,6 +70,10 @@
         return true
     }
 
+    /** The end of the job is on its way to the state service. Another node may read it there, and tell, before this one
+     * hears that it is durable: what this node knows is not enough for an answer then. */
+    val endUnderWay get() = (state == JobState.DONE || state == JobState.WITHDRAWN) && durableState != state
+
     val wantsTasks get() = state == JobState.OPEN || state == JobState.NEW
 
     /** The lap numbers that neither are done nor have an attempt, lowest first. */
--- a/src/main/kotlin/micatally/job/JobStore.kt
+++ b/src/main/kotlin/micatally/job/JobStore.kt
@@ -13,6 +13,7 @@
 import micatally.ledger.Keys
 import micatally.ledger.Ledger
 import micatally.state.Condition
+import micatally.state.Delete
 import micatally.state.Put
 import micatally.state.ReadResult
 import micatally.state.StateClient
@@ -37,6 +38,11 @@
     private const val DONE = "d"
     private const val WITHDRAWN = "w"
 
+    /** The tasks of a withdrawn job that are not proven gone, as all nodes watch them. */
+    fun encodeTasks(job: Job): JsonObject = buildJsonObject {
+        put("tasks", buildJsonArray { for (a in job.attempts.values) add(JsonArray(listOf(JsonPrimitive(a.machine.name), JsonPrimitive(a.lap), JsonPrimitive(a.number)))) })
+    }
+
     fun encode(job: Job, process: String): JsonObject = buildJsonObject {
         put("l", job.ledger.name)
         put("e", when (job.state) { JobState.DONE -> DONE; JobState.WITHDRAWN -> WITHDRAWN; else -> OPEN })
@@ -121,10 +127,13 @@
  * that the record is the one last seen: a write whose answer was lost and which comes late then changes nothing. */
 class JobStore(
     private val scope: CoroutineScope, private val state: StateClient, private val process: String, private val pauseMs: Long, private val countsMs: Long,
+    private val nowMs: () -> Long,
 ) {
     private val log = LoggerFactory.getLogger("micatally.job")
     var onDurable: (Job, List<Attempt>) -> Unit = { _, _ -> }
     var onLedgerLost: (Ledger) -> Unit = {}
+    /** A job of a ledger that is still this node's turned out not to be its own, or was never stored. */
+    var onDropped: (Job) -> Unit = {}
 
     /** Asks for a write. Intents, ends and new jobs are [urgent]; counts of finished tasks may wait a little. */
     fun touch(job: Job, urgent: Boolean) {
@@ -160,6 +169,7 @@
     fun drop(job: Job) {
         job.become(JobState.DROPPED)
         settle(job, false)
+        if (job.ledger.mine) onDropped(job)
     }
 
     private fun write(job: Job) {
@@ -175,14 +185,23 @@
             var written = emptyList<Attempt>()
             var as_ = job.state
             val urgency = if (job.mark == 0L || job.durableState != job.state) Urgency.ACCEPTANCE else Urgency.INTENT
-            val r = state.txn(1, urgency) {
+            var tasksListed = false
+            val r = state.txn(if (job.state == JobState.WITHDRAWN) 2 else 1, urgency) {
                 if (job.state == JobState.DROPPED || !job.ledger.mine) return@txn null
                 version = job.version
                 as_ = job.state
                 written = job.attempts.values.filter { it.state == AttemptState.INTENDED }
+                // The tasks of a withdrawn job stand where all nodes watch them for as long as its record has any: a cancellation
+                // that is durable is also known to whoever has contact from then on, a process that starts later included.
+                tasksListed = job.state == JobState.WITHDRAWN && job.attempts.isNotEmpty()
+                val tasks = when {
+                    tasksListed -> Put(Keys.kill(job.ref), JobRecord.encodeTasks(job))
+                    job.publishedAt != null -> Delete(Keys.kill(job.ref))
+                    else -> null
+                }
                 Txn(
                     listOf(Condition(Keys.ledger(job.ledger.name), job.ledger.holder.mark), Condition(Keys.job(job.ref), job.mark)),
-                    listOf(Put(Keys.job(job.ref), JobRecord.encode(job, process))),
+                    listOfNotNull(Put(Keys.job(job.ref), JobRecord.encode(job, process)), tasks),
                 )
             }
             when (r) {
@@ -190,6 +209,7 @@
                     job.mark = r.revision
                     job.durableVersion = version
                     job.durableState = if (as_ == JobState.NEW) JobState.OPEN else as_
+                    if (!tasksListed) job.publishedAt = null else if (job.publishedAt == null) job.publishedAt = nowMs()
                     if (job.state == JobState.NEW) job.become(JobState.OPEN)
                     if (job.state != JobState.DROPPED) onDurable(job, written)
                     settle(job, true)
--- a/src/main/kotlin/micatally/job/Owner.kt
+++ b/src/main/kotlin/micatally/job/Owner.kt
@@ -5,10 +5,6 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.JsonArray
-import kotlinx.serialization.json.JsonPrimitive
-import kotlinx.serialization.json.buildJsonArray
-import kotlinx.serialization.json.buildJsonObject
-import kotlinx.serialization.json.put
 import micatally.ledger.Holder
 import micatally.ledger.Keys
 import micatally.ledger.Ledger
@@ -16,12 +12,7 @@
 import micatally.ledger.Membership
 import micatally.placement.Quota
 import micatally.settings.Settings
-import micatally.state.Condition
-import micatally.state.Delete
-import micatally.state.Put
 import micatally.state.StateClient
-import micatally.state.Txn
-import micatally.state.TxnResult
 import micatally.state.Urgency
 import micatally.wire.Demand
 import micatally.wire.JobAnswer
@@ -132,7 +123,7 @@
                 // Accepted by this process while the list was on its way.
                 if (ref in l.jobs) continue
                 val job = JobRecord.decode(ref, item.value, l, item.mark)
-                if (JobRecord.isSettled(item.value)) { rememberFinal(job.answer()); unpublish(ref); continue }
+                if (JobRecord.isSettled(item.value)) { rememberFinal(job.answer()); continue }
                 l.jobs[ref] = job
                 open++
                 for (p in JobRecord.placed(item.value)) {
@@ -144,10 +135,10 @@
                 }
                 if (job.state == JobState.WITHDRAWN) {
                     withdrawing.add(job)
-                    if (membership.cluster.has(Keys.kill(ref))) job.publishedAt = nowMs()
+                    // Written together with the record; this node's copy of the shared keys is as new as its hold on the ledger.
+                    if (membership.cluster.has(Keys.kill(ref))) job.publishedAt = nowMs() else store.touch(job, true)
                 }
             }
-            membership.knowsWithdrawn = true
             l.become(LedgerState.ACTIVE)
             log.info("ledger {} loaded at epoch {}: {} jobs in {} ms", l.name, l.holder.epoch, open, nowMs() - began)
             for (m in machines.byName.values.toList()) {
@@ -167,37 +158,17 @@
 
     /** Every controller that may answer workers either knows the job's tasks, and stops them where it hears them, or has lost
      * touch: then its right ends early enough after [Settings.untoldMs] have passed since they lie in the state service.
-     * Telling the user before that would leave a zone that is cut off only until its workers' leases end. */
+     * Telling the user before that would leave a zone that is cut off only until its workers' leases end. A confirmation
+     * counts only after the tasks lie there: the process that gave it may end, and the next one reads them at its start. */
     fun mayTell(job: Job): Boolean {
         if (job.durableState != JobState.WITHDRAWN || job.attempts.isEmpty() || job.tellable) return true
-        val published = job.publishedAt
-        job.tellable = job.knownTo.size >= settings.peers.size || published != null && nowMs() - published >= settings.untoldMs
+        val published = job.publishedAt ?: return false
+        job.tellable = job.confirmedBy.size >= settings.peers.size || nowMs() - published >= settings.untoldMs
         return job.tellable
     }
 
     fun notes(job: Job) = job.attempts.values.map { KillNote(it.machine.name, job.ref, it.lap, it.number) }
 
-    /** Puts the tasks of a withdrawn job where every node sees them. */
-    fun publish(job: Job) {
-        if (job.publishing || job.publishedAt != null || job.durableState != JobState.WITHDRAWN) return
-        job.publishing = true
-        scope.launch {
-            try {
-                val r = state.txn(1, Urgency.ACCEPTANCE) {
-                    if (!job.ledger.mine || job.attempts.isEmpty()) return@txn null
-                    val rows = buildJsonArray { for (a in job.attempts.values) add(JsonArray(listOf(JsonPrimitive(a.machine.name), JsonPrimitive(a.lap), JsonPrimitive(a.number)))) }
-                    Txn(listOf(Condition(Keys.ledger(job.ledger.name), job.ledger.holder.mark)), listOf(Put(Keys.kill(job.ref), buildJsonObject { put("tasks", rows) })))
-                }
-                if (r is TxnResult.Applied) { job.publishedAt = nowMs(); log.info("job {} withdrawn: {} tasks told through the state service", job.ref, job.attempts.size) }
-            } finally { job.publishing = false }
-        }
-    }
-
-    private fun unpublish(ref: String) {
-        if (!membership.cluster.has(Keys.kill(ref))) return
-        scope.launch { state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Delete(Keys.kill(ref)))) } }
-    }
-
     /** The shared keys have changed: tasks that some owner has published. */
     fun published(key: String) {
         val ref = key.removePrefix(Keys.KILL)
@@ -205,17 +176,22 @@
         kills.take(rows.map { it as JsonArray }.map { KillNote(it[0].asText(), ref, it[1].asLong().toInt(), it[2].asLong()) })
     }
 
-    /** Withdrawn tasks that their machines do not confirm in time are published; once their user may hear of it, any node may say so. */
+    /** Asks the other controllers to confirm the tasks of a withdrawn job. */
+    var spread: suspend (Job) -> Unit = {}
+
+    /** The tasks of withdrawn jobs that their machines do not confirm in time: once their user may hear of the end, any node
+     * may say so, whoever asks. After a change of owner nobody else asks the other controllers again. */
     fun followWithdrawn(now: Long) {
         for (j in withdrawing.toList()) {
-            if (j.ledger.state != LedgerState.ACTIVE || j.durableState != JobState.WITHDRAWN) continue
-            if (j.attempts.isEmpty()) { if (j.publishedAt != null) unpublish(j.ref); continue }
+            if (j.ledger.state != LedgerState.ACTIVE || j.durableState != JobState.WITHDRAWN || j.tellableRecorded) continue
             if (j.attempts.values.none { it.stop == StopReason.WITHDRAWN && now - it.stopSince > settings.leaseMs / 10 }) continue
-            publish(j)
-            if (mayTell(j) && !j.tellableRecorded) { j.tellableRecorded = true; store.touch(j, true) }
+            if (mayTell(j)) { j.tellableRecorded = true; store.touch(j, true) } else if (!j.spreading) {
+                j.spreading = true
+                scope.launch { try { spread(j) } finally { j.spreading = false } }
+            }
         }
         withdrawing.removeIf { it.attempts.isEmpty() || it.state != JobState.WITHDRAWN }
-        kills.prune()
+        kills.prune { membership.cluster.has(Keys.kill(it)) }
     }
 
     private fun attach(a: Attempt) {
@@ -260,7 +236,8 @@
         a.become(AttemptState.GONE, now)
         a.machine.detach(a, now)
         job.attempts.remove(a.lap, a)
-        quota.release(job)
+        // What a ledger used is forgotten with it; its next holder has counted anew.
+        if (job.ledger.mine) quota.release(job)
         log.info("task {} gone: {} {}", a, proof, why)
         if (job.state == JobState.DROPPED) return
         val word = why.substringBefore(' ')
@@ -363,6 +340,7 @@
         return job
     }
 
+    /** The job is not this node's after all. None of its tasks was ever sent: that takes a record that is durable. */
     fun forget(job: Job) {
         for (a in job.attempts.values.toList()) gone(a, GoneProof.NEVER_SENT, "job not accepted")
         job.ledger.jobs.remove(job.ref, job)
@@ -373,6 +351,8 @@
         job.become(JobState.WITHDRAWN)
         log.info("job {} withdrawn with {} tasks", job.ref, job.attempts.size)
         withdrawing.add(job)
+        // Its machines may report here and still not be reached by an order.
+        kills.take(notes(job))
         val now = nowMs()
         val touched = LinkedHashSet<Machine>()
         for (a in job.attempts.values.toList()) {
--- a/src/main/kotlin/micatally/ledger/Membership.kt
+++ b/src/main/kotlin/micatally/ledger/Membership.kt
@@ -12,6 +12,7 @@
 import micatally.state.Txn
 import micatally.state.TxnResult
 import micatally.state.Urgency
+import micatally.wire.textOrNull
 import org.slf4j.LoggerFactory
 import kotlin.random.Random
 
@@ -30,6 +31,8 @@
     var lease: Long? = null
         private set
     private var leaseProvenAt = Long.MIN_VALUE / 2
+    /** The mark of this node's own live key; it goes with its lease and changes with nothing else. */
+    private var liveMark = 0L
     private var viewProvenAt = Long.MIN_VALUE / 2
     private var started = false
     private val deadSince = HashMap<String, Long>()
@@ -44,8 +47,6 @@
 
     /** Told which shared keys have changed. */
     var onChange: (Set<String>) -> Unit = {}
-    /** Told of a ledger acquired, with the mark and epoch of the acquisition. */
-    var onAcquired: (String, Holder) -> Unit = { _, _ -> }
 
     var right = Right.STARTING
         private set
@@ -57,9 +58,12 @@
         right = next
     }
 
-    /** Set when this process knows what was withdrawn before its start; until then it does not count on having been told. */
-    var knowsWithdrawn = false
-    private val rightNowMs get() = if (knowsWithdrawn) settings.rightMs else settings.rightMs - settings.untoldMs
+    /** Up to when this node is known to have heard of every cancellation that its users may have been told. */
+    private val toldAt get() = maxOf(viewProvenAt, toldAllAt())
+
+    /** Whether a task may be started now. A cancellation that this node has neither seen nor confirmed was published after it
+     * last knew of all, and is told [Settings.untoldMs] after that at the earliest: until then no start comes after it. */
+    val mayStart get() = nowMs() - toldAt < settings.untoldMs * 9 / 10
 
     val viewAgeMs get() = nowMs() - viewProvenAt
 
@@ -67,7 +71,7 @@
     fun checkRight(): Right {
         when {
             !started -> {}
-            nowMs() - maxOf(viewProvenAt, toldAllAt()) > rightNowMs -> become(Right.LAPSED, "no proof of state contact for $rightNowMs ms")
+            nowMs() - toldAt > settings.rightMs -> become(Right.LAPSED, "no proof of state contact for ${settings.rightMs} ms")
             right != Right.ENTITLED -> become(Right.ENTITLED, "state contact")
         }
         return right
@@ -89,12 +93,25 @@
             val sent = nowMs()
             val held = lease
             if (held == null) {
+                if (cluster.revision < 0) { delay(settings.liveMs / 200); continue }
                 val l = state.grant(settings.liveMs)
                 if (l == null) { delay(pause()); continue }
+                // Conditional, or a copy that is carried out late, also one of a former process, would tie the key to a lease that
+                // nobody renews: it would go while this node believes in its newer one. When the outcome is not known the lease
+                // is given up, and what comes late then has none.
                 val r = state.txn(1, Urgency.LEASE) {
-                    Txn(emptyList(), listOf(Put(Keys.live(settings.host), buildJsonObject { put("process", process) }, l)))
+                    Txn(listOf(Condition(Keys.live(settings.host), cluster.mark(Keys.live(settings.host)))), listOf(Put(Keys.live(settings.host), buildJsonObject { put("process", process) }, l)))
+                }
+                if (r is TxnResult.Applied) {
+                    lease = l
+                    leaseProvenAt = sent
+                    liveMark = r.revision
+                    log.info("live with lease {}", l)
+                } else {
+                    state.revoke(l)
+                    if (r is TxnResult.Failed || r is TxnResult.Unknown) refresh()
+                    delay(pause())
                 }
-                if (r is TxnResult.Applied) { lease = l; leaseProvenAt = sent; log.info("live with lease {}", l) } else delay(pause())
                 continue
             }
             when (state.renew(held)) {
@@ -132,6 +149,10 @@
 
     private fun seen(changed: Set<String>, provenAt: Long) {
         viewProvenAt = maxOf(viewProvenAt, provenAt)
+        if (lease != null && cluster.revision >= liveMark && cluster.mark(Keys.live(settings.host)) != liveMark) {
+            log.info("lease {}: the live key is not its own any more", lease)
+            lease = null
+        }
         if (changed.isNotEmpty()) onChange(changed)
         checkRight()
     }
@@ -156,20 +177,32 @@
             } else ownLostAt = null
             for (l in cluster.ledgers()) {
                 val h = cluster.holder(l) ?: continue
-                if (cluster.isLive(h.host)) { deadSince.remove(l); continue }
+                if (!isOrphan(l, h)) { deadSince.remove(l); continue }
                 val since = deadSince.getOrPut(l) { now + random.nextLong(settings.liveMs / 16) }
-                if (now - since > settings.liveMs / 16) { deadSince.remove(l); acquire(l, "its holder ${h.host} is dead") }
+                if (now - since > settings.liveMs / 16) { deadSince.remove(l); acquire(l, "its holder ${h.host} is dead", h) }
             }
         }
     }
 
-    /** One transaction: the ledger's new holder and a raised epoch, on the condition that neither has changed. */
-    suspend fun acquire(ledger: String, why: String): Boolean {
+    /** Whether the holder has ended: its host has no live key, or another process of it has, which does not know that the
+     * former one had taken this ledger over. Its own ledger a new process acquires by itself. */
+    private fun isOrphan(ledger: String, h: Holder): Boolean {
+        val process = cluster.value(Keys.live(h.host))?.textOrNull("process") ?: return true
+        return process != h.process && ledger != h.host
+    }
+
+    /** One transaction: the ledger's new holder and a raised epoch, on the condition that neither has changed, and that the
+     * [former] holder has not come back meanwhile, however late it is carried out: one that did answers from memory again. */
+    suspend fun acquire(ledger: String, why: String, former: Holder? = null): Boolean {
         var epoch = 0L
         val r = state.txn(2, Urgency.LEASE) {
+            if (former != null && !isOrphan(ledger, former)) return@txn null
             epoch = cluster.epoch + 1
             Txn(
-                listOf(Condition(Keys.EPOCH, cluster.mark(Keys.EPOCH)), Condition(Keys.ledger(ledger), cluster.mark(Keys.ledger(ledger)))),
+                listOfNotNull(
+                    Condition(Keys.EPOCH, cluster.mark(Keys.EPOCH)), Condition(Keys.ledger(ledger), cluster.mark(Keys.ledger(ledger))),
+                    former?.let { Condition(Keys.live(it.host), cluster.mark(Keys.live(it.host))) },
+                ),
                 listOf(
                     Put(Keys.EPOCH, buildJsonObject { put("n", epoch) }),
                     Put(Keys.ledger(ledger), buildJsonObject { put("host", settings.host); put("process", process); put("epoch", epoch) }),
--- a/src/main/kotlin/micatally/node/Controller.kt
+++ b/src/main/kotlin/micatally/node/Controller.kt
@@ -55,9 +55,9 @@
     private val cloud = CloudClient(http, settings.cloudAddr, RateBudget(scope, settings.cloudRps * 0.9, nowMs), settings.leaseMs / 2)
     val membership = Membership(scope, settings, state, Cluster(), random, nowMs)
     val machines = Machines(nowMs)
-    private val store = JobStore(scope, state, membership.process, settings.reportMs / 4, settings.leaseMs / 10)
+    private val store = JobStore(scope, state, membership.process, settings.reportMs / 4, settings.leaseMs / 10, nowMs)
     val owner = Owner(scope, settings, state, membership, machines, store, nowMs, wallMs)
-    private val orders = Orders(scope, http, settings, membership, machines, owner, nowMs)
+    private val orders = Orders(scope, http, settings, membership, machines, owner, owner.kills, nowMs)
     private val quota = Quota(scope, state, membership.cluster, settings.teams, { owner.ledgers.values.filter { it.mine } }, settings.controllers) { rounds.wake() }
     val rounds: Rounds = Rounds(scope, settings, owner, machines, store, quota, orders, Queues(operator.queueBounds.map { it * settings.leaseMs / 1000.0 }, operator.queueLift), effort, nowMs)
     private val peers = Peers(scope, http, settings, state, membership, machines, owner, rounds, nowMs)
@@ -74,6 +74,8 @@
         rounds.foreign = { peers.demandOfPeers() }
         owner.onFault = { m, a -> fault(m, a.job.ref) }
         store.onDurable = { job, written -> owner.durable(job, written) }
+        store.onDropped = { owner.forget(it) }
+        owner.spread = { peers.spread(it) }
         store.onLedgerLost = { l -> owner.lose(l); scope.launch { membership.refresh() } }
         machines.onSession = { owner.newSession(it) }
         machines.onBehind = { m -> if (m.attempts.isNotEmpty()) { m.mustAsk = true; orders.poke(m) } }
@@ -100,6 +102,7 @@
                 }
             }
             if (k.startsWith(Keys.KILL)) owner.published(k)
+            if (k.startsWith(Keys.TEAM)) quota.teamChanged(k.removePrefix(Keys.TEAM))
             if (k.startsWith(Keys.DRAIN)) machines.of(k.removePrefix(Keys.DRAIN))?.draining = membership.cluster.has(k)
         }
         peers.sharedChanged()
@@ -141,7 +144,7 @@
                 bumpedAt = now
                 membership.raiseEpoch("a run without an answer must not come late")
             }
-            if (++round % 20 == 0) { quota.handBack(); keeper.prune() }
+            if (++round % 20 == 0) { quota.handBack(); scope.launch { keeper.prune() } }
             if (round % 4 == 0) owner.followWithdrawn(now)
             if (now - effortAt > settings.leaseMs) { effortAt = now; effort.tell(" machines=${machines.byName.size} waiting=${rounds.unplaced.size} writes=${writeBudget.tell()} requests=${requestBudget.tell()}") }
             if (round % 8 == 0) askForEnds(now)
--- a/src/main/kotlin/micatally/peer/Peers.kt
+++ b/src/main/kotlin/micatally/peer/Peers.kt
@@ -353,13 +353,15 @@
 
     private fun packed(bytes: ByteArray) = buildJsonObject { put("b", Base64.getEncoder().encodeToString(bytes)) }
 
-    /** Makes the tasks of a withdrawn job known to the controllers that have not confirmed them yet. */
+    /** Makes the tasks of a withdrawn job known to the controllers that have not confirmed them yet. Only once they are in
+     * the state service: see [Owner.mayTell]. */
     suspend fun spread(job: Job) {
+        if (job.publishedAt == null) return
         val body = ProtoBuf.encodeToByteArray(KillList(owner.notes(job)))
         coroutineScope {
-            for (l in lines) if (l.peer.host !in job.knownTo) launch {
+            for (l in lines) if (l.peer.host !in job.confirmedBy) launch {
                 val out = http.call(l.peer.addr, "POST", KILLS, body, settings.leaseMs / 20)
-                if (out is Outcome.Answer && out.status == 200) job.knownTo.add(l.peer.host)
+                if (out is Outcome.Answer && out.status == 200) job.confirmedBy.add(l.peer.host)
             }
         }
     }
--- a/src/main/kotlin/micatally/placement/Quota.kt
+++ b/src/main/kotlin/micatally/placement/Quota.kt
@@ -1,6 +1,7 @@
 package micatally.placement
 
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonObject
@@ -10,6 +11,7 @@
 import micatally.ledger.Cluster
 import micatally.ledger.Keys
 import micatally.ledger.Ledger
+import micatally.ledger.LedgerState
 import micatally.settings.Team
 import micatally.state.Condition
 import micatally.state.Put
@@ -51,13 +53,17 @@
 
     fun forget(ledger: String) { used.keys.removeIf { it.first == ledger }; lowering.keys.removeIf { it.first == ledger } }
 
-    private fun allotments(team: String): Map<String, Share> = cluster.value(Keys.team(team))?.mapValues { (_, v) ->
+    /** [short]: its holder has tasks that wait for nothing but the team's limit. */
+    private class Allotment(val share: Share, val short: Boolean)
+
+    private fun allotments(team: String): Map<String, Allotment> = cluster.value(Keys.team(team))?.mapValues { (_, v) ->
         val a = v as JsonArray
-        Share((a[0] as JsonPrimitive).doubleOrNull ?: 0.0, (a[1] as JsonPrimitive).doubleOrNull ?: 0.0)
+        fun number(i: Int) = (a.getOrNull(i) as? JsonPrimitive)?.doubleOrNull ?: 0.0
+        Allotment(Share(number(0), number(1)), number(2) > 0)
     } ?: emptyMap()
 
     private fun allotted(ledger: String, team: String): Share {
-        val now = allotments(team)[ledger] ?: Share(0.0, 0.0)
+        val now = allotments(team)[ledger]?.share ?: Share(0.0, 0.0)
         val low = lowering[ledger to team] ?: return now
         return Share(minOf(now.cores, low.cores), minOf(now.cards, low.cards))
     }
@@ -67,6 +73,8 @@
         val spec = job.spec ?: return false
         val team = teams[spec.crew] ?: return false
         if (!limited(team)) return true
+        // Until its jobs are loaded nobody knows what a ledger uses.
+        if (job.ledger.state != LedgerState.ACTIVE) return false
         val u = used(job.ledger.name, team.name)
         val a = allotted(job.ledger.name, team.name)
         val ok = covers(team, a, Share(u.cores + spec.amount.cores, u.cards + spec.amount.cards))
@@ -83,53 +91,42 @@
         if (key in lowering) return
         val all = allotments(team.name)
         val others = all.filterKeys { it != ledger.name }.values
-        val freeCores = team.coresMax - others.sumOf { it.cores }
-        val freeCards = team.cardsMax - others.sumOf { it.cards }
+        val freeCores = team.coresMax - others.sumOf { it.share.cores }
+        val freeCards = team.cardsMax - others.sumOf { it.share.cards }
         val u = used(ledger.name, team.name)
+        // Where another owner waits for the limit, nothing is taken that is not needed now.
+        val contested = others.any { it.short }
+        val slack = if (contested) 0.0 else chunk
+        val atOnce = if (contested) 1 else TASKS_AT_ONCE
         fun wish(used: Double, one: Double, max: Double, free: Double) =
-            if (max <= 0) 0.0 else minOf(free, maxOf(used + one * maxOf(1, minOf(tasks, 64)) + max * chunk, 0.0))
+            if (max <= 0) 0.0 else minOf(free, maxOf(used + one * maxOf(1, minOf(tasks, atOnce)) + max * slack, 0.0))
         val want = Share(wish(u.cores, task.cores, team.coresMax, freeCores), wish(u.cards, task.cards, team.cardsMax, freeCards))
-        val now = all[ledger.name] ?: Share(0.0, 0.0)
-        if (want.cores <= now.cores + EPS && want.cards <= now.cards + EPS) return
-        write(ledger, team, Share(maxOf(want.cores, now.cores), maxOf(want.cards, now.cards)), false)
+        val own = all[ledger.name]
+        val now = own?.share ?: Share(0.0, 0.0)
+        val more = Share(maxOf(want.cores, now.cores), maxOf(want.cards, now.cards))
+        val enough = covers(team, more, Share(u.cores + task.cores, u.cards + task.cards))
+        if (!enough) shortAt[key] = looks
+        // Of what does not suffice for a task nothing is taken: two owners would each hold half of what one of them needs.
+        val to = if (enough) more else now
+        if (to.cores <= now.cores + EPS && to.cards <= now.cards + EPS && isShort(key) == (own?.short ?: false)) return
+        write(ledger, team, to, false, isShort(key))
     }
 
-    private fun write(ledger: Ledger, team: Team, to: Share, lower: Boolean) {
+    private fun write(ledger: Ledger, team: Team, to: Share, lower: Boolean, short: Boolean) {
         if (!busy.add(team.name)) return
         val key = ledger.name to team.name
         if (lower) lowering[key] = to
         scope.launch {
             try {
+                var mark = 0L
                 val r = state.txn(1, if (lower) Urgency.SUMMARY else Urgency.INTENT) {
-                    if (!ledger.mine) return@txn null
-                    val all = allotments(team.name).toMutableMap()
-                    if (lower) {
-                        // What was placed while the write waited stays covered.
-                        if (!covers(team, to, used(ledger.name, team.name))) return@txn null
-                    }
-                    all[ledger.name] = to
-                    if (!lower && (team.coresMax > 0 && all.values.sumOf { it.cores } > team.coresMax + EPS || team.cardsMax > 0 && all.values.sumOf { it.cards } > team.cardsMax + EPS)) return@txn null
-                    Txn(
-                        listOf(Condition(Keys.ledger(ledger.name), ledger.holder.mark), Condition(Keys.team(team.name), cluster.mark(Keys.team(team.name)))),
-                        listOf(Put(Keys.team(team.name), JsonObject(all.mapValues { (_, s) -> JsonArray(listOf(JsonPrimitive(s.cores), JsonPrimitive(s.cards))) }))),
-                    )
+                    mark = cluster.mark(Keys.team(team.name))
+                    // What was placed while the write waited stays covered.
+                    if (lower && !covers(team, to, used(ledger.name, team.name))) null else allotment(ledger, team, to, short, mark)
                 }
                 if (r is TxnResult.Applied) log.debug("team {} ledger {} allotted {}", team.name, ledger.name, to)
-                // After silence a lowering may yet be carried out, so it stays binding here until the key has changed.
-                if (lower && r is TxnResult.Unknown) {
-                    val mark = cluster.mark(Keys.team(team.name))
-                    while (ledger.mine && cluster.mark(Keys.team(team.name)) == mark) {
-                        val again = state.txn(1, Urgency.SUMMARY) {
-                            val all = allotments(team.name).toMutableMap()
-                            all[ledger.name] = to
-                            Txn(listOf(Condition(Keys.ledger(ledger.name), ledger.holder.mark), Condition(Keys.team(team.name), mark)),
-                                listOf(Put(Keys.team(team.name), JsonObject(all.mapValues { (_, s) -> JsonArray(listOf(JsonPrimitive(s.cores), JsonPrimitive(s.cards))) }))))
-                        }
-                        if (again !is TxnResult.Unknown && again !is TxnResult.Refused) break
-                        kotlinx.coroutines.delay(1000)
-                    }
-                }
-                if (lower && r is TxnResult.Applied) while (ledger.mine && cluster.revision < r.revision) kotlinx.coroutines.delay(50)
+                if (lower && r is TxnResult.Unknown) bindUntilSeen(ledger, team, to, short, mark)
+                if (lower && r is TxnResult.Applied) while (ledger.mine && cluster.revision < r.revision) delay(SEEN_EVERY_MS)
             } finally {
                 busy.remove(team.name)
                 lowering.remove(key)
@@ -138,22 +135,72 @@
         }
     }
 
-    /** Hands back what is not in use, beyond one chunk kept for the next job. */
+    /** The write of a ledger's allotment, on the condition that the team's key has this mark; null if it may not be written. */
+    private fun allotment(ledger: Ledger, team: Team, to: Share, short: Boolean, mark: Long): Txn? {
+        if (ledger.state != LedgerState.ACTIVE) return null
+        val all = allotments(team.name) + (ledger.name to Allotment(to, short))
+        if (team.coresMax > 0 && all.values.sumOf { it.share.cores } > team.coresMax + EPS || team.cardsMax > 0 && all.values.sumOf { it.share.cards } > team.cardsMax + EPS) return null
+        fun row(a: Allotment) = JsonArray(listOfNotNull(JsonPrimitive(a.share.cores), JsonPrimitive(a.share.cards), if (a.short) JsonPrimitive(1) else null))
+        return Txn(
+            listOf(Condition(Keys.ledger(ledger.name), ledger.holder.mark), Condition(Keys.team(team.name), mark)),
+            listOf(Put(Keys.team(team.name), JsonObject(all.mapValues { (_, a) -> row(a) }))),
+        )
+    }
+
+    /** After silence a lowering may yet be carried out, so it stays binding until the key is seen to have changed; also when a
+     * repeat shows that it has, since this node's copy may still hold the former allotment. */
+    private suspend fun bindUntilSeen(ledger: Ledger, team: Team, to: Share, short: Boolean, mark: Long) {
+        var settled = false
+        while (ledger.mine && cluster.mark(Keys.team(team.name)) == mark) {
+            if (!settled) {
+                val again = state.txn(1, Urgency.SUMMARY) { allotment(ledger, team, to, short, mark) }
+                settled = again is TxnResult.Applied || again is TxnResult.Failed
+            }
+            delay(if (settled) SEEN_EVERY_MS else REPEAT_MS)
+        }
+    }
+
+    /** The look of [handBack] in which a ledger was last found short of a team's limit. */
+    private val shortAt = HashMap<Pair<String, String>, Int>()
+    private var looks = 0
+    private fun isShort(key: Pair<String, String>) = shortAt[key]?.let { it >= looks - 1 } == true
+
+    /** Hands back what is not in use, beyond one chunk kept for the next job; all of it while another owner is short, or its
+     * job would wait beside room that its team is allowed. */
     fun handBack() {
+        looks++
+        release()
+    }
+
+    private fun release() {
         for (l in held()) for (t in teams.values) {
-            if (!limited(t)) continue
-            val a = allotments(t.name)[l.name] ?: continue
+            if (!limited(t) || l.state != LedgerState.ACTIVE) continue
+            val all = allotments(t.name)
+            val own = all[l.name] ?: continue
+            val a = own.share
             val u = used(l.name, t.name)
-            val keepCores = if (t.coresMax > 0) u.cores + t.coresMax * chunk else 0.0
-            val keepCards = if (t.cardsMax > 0) u.cards + t.cardsMax * chunk else 0.0
-            if (a.cores > keepCores + t.coresMax * chunk || a.cards > keepCards + t.cardsMax * chunk) {
-                write(l, t, Share(minOf(a.cores, keepCores), minOf(a.cards, keepCards)), true)
-            }
+            val slack = if (all.any { (name, x) -> x.short && name != l.name }) 0.0 else chunk
+            val keepCores = if (t.coresMax > 0) u.cores + t.coresMax * slack else 0.0
+            val keepCards = if (t.cardsMax > 0) u.cards + t.cardsMax * slack else 0.0
+            val still = isShort(l.name to t.name)
+            if (a.cores > keepCores + t.coresMax * slack + EPS || a.cards > keepCards + t.cardsMax * slack + EPS) {
+                write(l, t, Share(minOf(a.cores, keepCores), minOf(a.cards, keepCards)), true, still)
+            } else if (own.short && !still) write(l, t, a, false, false)
         }
     }
 
+    /** The team's key has changed: another owner may have become short. */
+    fun teamChanged(team: String) {
+        val mine = held().mapTo(HashSet()) { it.name }
+        if (allotments(team).any { (name, a) -> a.short && name !in mine }) release()
+    }
+
     private companion object {
         const val EPS = 1e-6
+        /** For so many tasks an allotment is asked at the most. */
+        const val TASKS_AT_ONCE = 64
+        const val SEEN_EVERY_MS = 50L
+        const val REPEAT_MS = 1000L
         /** The slack of all allotments together, as a share of the team's limit. */
         const val SLACK = 1.0 / 8
     }
--- a/src/main/kotlin/micatally/standin/WorkerStandin.kt
+++ b/src/main/kotlin/micatally/standin/WorkerStandin.kt
@@ -51,6 +51,7 @@
         var job: Job? = null
     }
 
+    private var alive = true
     val tasks = LinkedHashMap<Triple<String, Int, Long>, Task>()
     private val images = HashSet<String>()
     var session = 1L
@@ -60,9 +61,10 @@
         private set
     private var renewedAt = nowMs()
     var sick = false
+    /** While it hangs nothing on it goes on; a lease that ran out meanwhile has ended when it does. */
     var hung = false
+        set(v) { field = v; if (!v && alive) checkLease() }
     var noticeS: Double? = null
-    private var alive = true
     private var reporter: Job? = null
     private var leaser: Job? = null
     private var changed = false
--- a/src/main/kotlin/micatally/state/StateClient.kt
+++ b/src/main/kotlin/micatally/state/StateClient.kt
@@ -159,6 +159,9 @@
         return when (out.status) { 200 -> true; 404 -> false; else -> null }
     }
 
+    /** Ends a lease that is not wanted; if that fails it ends by itself. */
+    suspend fun revoke(lease: Long) { send("DELETE", "/grants/$lease", null, Urgency.LEASE) }
+
     suspend fun watch(prefix: String, since: Long, holdMs: Long, urgency: Urgency): News? {
         val out = send("GET", "/watch?under=${queryPart(prefix)}&since=$since&hold_ms=$holdMs", null, urgency, holdMs + timeoutMs)
         if (out !is Outcome.Answer) return null
--- a/src/main/kotlin/micatally/worker/KillBook.kt
+++ b/src/main/kotlin/micatally/worker/KillBook.kt
@@ -14,8 +14,9 @@
 
     fun has(machine: String, id: AttemptId) = byMachine[machine]?.containsKey(id) == true
 
-    fun prune() {
+    /** Forgets what is old, unless its job's tasks are still [listed] in the state service. */
+    fun prune(listed: (String) -> Boolean) {
         val now = nowMs()
-        byMachine.values.removeIf { ids -> ids.values.removeIf { it < now }; ids.isEmpty() }
+        byMachine.values.removeIf { ids -> ids.entries.removeIf { (id, until) -> until < now && !listed(id.ref) }; ids.isEmpty() }
     }
 }
--- a/src/main/kotlin/micatally/worker/Machine.kt
+++ b/src/main/kotlin/micatally/worker/Machine.kt
@@ -32,9 +32,8 @@
     /** The tick with which the tasks last changed. */
     var changedTick = 0L
     var tasks: List<ListedTask> = emptyList()
-    /** When any node heard from it last, and when this node got an answer from it last. */
+    /** When any node heard from it last. */
     var heardAt = 0L
-    var answeredAt = 0L
     /** When this node answered a report of its last. */
     var heardHereAt = 0L
     /** When the keeper asked it last because it was silent, how often in a row it took the question and said nothing, and when
--- a/src/main/kotlin/micatally/worker/Machines.kt
+++ b/src/main/kotlin/micatally/worker/Machines.kt
@@ -32,7 +32,6 @@
     /** A report from the worker itself; [ownAnswer] when it is the answer to an order of ours. True if it was news. */
     fun absorb(r: Report, ownAnswer: Boolean): Boolean {
         val m = known(r.machine, r.addr, r.type, r.zone, r.spot)
-        if (ownAnswer) m.answeredAt = nowMs()
         // Copies of old reports come late and show nothing.
         return absorb(m, r.session, r.tick, r.noticeS, r.tasks, ownAnswer, 0).also { if (it) reachedAt[m.zone] = nowMs() }
     }
--- a/src/main/kotlin/micatally/worker/Orders.kt
+++ b/src/main/kotlin/micatally/worker/Orders.kt
@@ -32,7 +32,7 @@
  * one request a machine at a time, so repeating is the normal case and nothing is lost with an answer. */
 class Orders(
     private val scope: CoroutineScope, private val http: HttpCaller, private val settings: Settings,
-    private val membership: Membership, private val machines: Machines, private val book: OrderBook, private val nowMs: () -> Long,
+    private val membership: Membership, private val machines: Machines, private val book: OrderBook, private val kills: KillBook, private val nowMs: () -> Long,
 ) {
     private val log = LoggerFactory.getLogger("micatally.worker")
     private val answerMs = settings.leaseMs * 4 / 10
@@ -60,7 +60,10 @@
         for (a in m.attempts.toList()) {
             if (!a.maySend || a.job.ledger.state != LedgerState.ACTIVE) continue
             if (a.session != m.session) continue
-            val entry = listed[AttemptId(a.job.ref, a.lap, a.number)]
+            val id = AttemptId(a.job.ref, a.lap, a.number)
+            val entry = listed[id]
+            // Another node holds the ledger by now, and this one has confirmed the cancellation to it.
+            if (a.stop == null && kills.has(m.name, id)) a.stop(StopReason.WITHDRAWN, now)
             val reconciled = m.confirmedToken >= a.job.ledger.holder.epoch
             val stop = a.stop
             if (stop != null) {
@@ -71,13 +74,14 @@
                 val last = killedAt[a]
                 if (last == null || now - last >= killEveryMs) commands.add(Command(Verb.KILL, a.job.ref, a.lap, a.number, grace))
             } else if (a.state == AttemptState.RECORDED) {
+                if (!membership.mayStart) continue
                 if (!reconciledOrOwn(a, reconciled)) { ask = true; continue }
                 commands.add(Command(Verb.RUN, a.job.ref, a.lap, a.number))
                 covered.add(a)
             } else if (a.state == AttemptState.ORDERED && entry == null) {
                 covered.add(a)
                 // Taken over: whether it ever left is not known, so the machine is asked before anything else.
-                if (a.sentAt == null) ask = true else commands.add(Command(Verb.RUN, a.job.ref, a.lap, a.number))
+                if (a.sentAt == null) ask = true else if (membership.mayStart) commands.add(Command(Verb.RUN, a.job.ref, a.lap, a.number))
             } else {
                 covered.add(a)
                 if (!reconciled) ask = true
--- /dev/null
+++ b/src/test/kotlin/micatally/sim/LateWritesTest.kt
@@ -0,0 +1,131 @@
+package micatally.sim
+
+import kotlinx.coroutines.launch
+import micatally.http.HttpRequest
+import micatally.ledger.Keys
+import micatally.ledger.Right
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Writes to the state service that come late or whose answer is lost, and confirmations of processes that have ended: one
+ * small test for each suspect that turned out to be one. Each was red before its mend. */
+class LateWritesTest {
+    private val big = Timing.DEPLOYMENTS.getValue("addis at size")
+
+    /** The live key was written without a condition: carried out late it was tied to a lease that nobody renewed any more. The
+     * key went, peers took the ledger, and its host went on answering from memory. */
+    @Test
+    fun `a live key that is written late does not end the life of its host`() = meeting(1, big) {
+        f.crash(0)
+        f.runFor(300)
+        var held = 0
+        f.holdWriteOf = { n, body -> if (n == 0 && "\"put\":\"c/live/" in body && held++ == 0) 8000 else null }
+        f.startNode(0)
+        runUntil(f.lease, "it is live and has its ledger") { holdsOf(0, 0) }
+        assertTrue(held > 0)
+        val until = f.now + f.lease * 3
+        while (f.now < until) { f.step(100); assertEquals(0, holder(0), "at ${f.now}") }
+    }
+
+    /** A takeover was conditional on the ledger alone: carried out late it took the ledger of a host that had come back. */
+    @Test
+    fun `a takeover that is carried out late does not take the ledger of a host that is live again`() = meeting(2, big) {
+        var held = 0
+        f.holdWriteOf = { n, body -> if (n != 0 && "\"put\":\"c/ledger/pitbox-0\"" in body) { held++; 7000L } else null }
+        f.stateRefuses.add("n0")
+        runUntil(f.lease * 2, "a takeover is under way") { held > 0 }
+        f.stateRefuses.clear()
+        runUntil(5000, "its host is live again") { f.live[0]!!.membership.leaseHolds() }
+        f.runFor(12_000)
+        assertEquals(0, holder(0))
+    }
+
+    /** An answer that came after the ledger was lost gave back its task's share once more: with the ledger taken back the team
+     * seemed to use less than it did, and more was placed than its limit. */
+    @Test
+    fun `what an attempt of a lost ledger gives back counts nowhere`() = meeting(3, big) {
+        val ref = submit(0, "sweep", 4, "loaners" to false, runMs = 3_600_000)
+        allRun(listOf(ref))
+        for (m in tasks(ref).map { it.machine }) f.net.heldAnswersMs[m] = 6000
+        cancel(ref, listOf(0))
+        f.runFor(1000)
+        val owner = f.live[0]!!.owner
+        owner.lose(owner.ledgers.getValue("pitbox-0"))
+        owner.checkLedgers()
+        f.runFor(f.lease)
+        assertEquals(0.0, owner.quota.used("pitbox-0", "vision").cores)
+    }
+
+    /** The answer that gave a node the fleet's key was lost: the key stayed its own, and nobody rented or returned machines. */
+    @Test
+    fun `whoever has the fleet's key without having heard of it keeps the fleet`() = meeting(4) {
+        for (i in 0..2) f.crash(i)
+        f.runFor(f.lease)
+        var lost = 0
+        f.loseAnswerOf = { _, body -> "\"put\":\"c/fleet\"" in body && lost++ < 2 }
+        for (i in 0..2) f.startNode(i)
+        f.runFor(f.lease)
+        val ref = submit(1, "daemon", 1)
+        runUntil(f.lease * 4, "a machine is rented for it") { tasks(ref).isNotEmpty() }
+        assertTrue(lost > 0)
+    }
+
+    /** A confirmation counted though the process that gave it had ended before the tasks lay in the state service: the next
+     * process of that host, cut off at once, answered the workers without having heard of the cancellation. */
+    @Test
+    fun `what a process confirmed its successor knows from its start`() = meeting(5, big) {
+        val zone = zoneOf(0)
+        val ref = submit(1, "sweep", 3, "circuit" to zone, runMs = 3_600_000)
+        allRun(listOf(ref))
+        val machines = f.rules.running.map { it.machine }.toSet()
+        cut(CutMode.HOLD) { a, b -> a.name in machines && b.name in listOf("n1", "n2") }
+        f.holdWriteOf = { _, body -> if ("c/kill/" in body && "\"put\":\"job/" !in body) 12_000 else null }
+        cancel(ref, listOf(1, 2))
+        runUntil(f.lease, "it is told") { f.rules.isCancelled(ref) }
+        f.crash(0)
+        f.runFor(f.lease * 9 / 20)
+        f.startNode(0)
+        while (f.live[0]!!.membership.right != Right.ENTITLED) f.step(1)
+        f.state.down = true
+        cut(CutMode.HOLD) { a, b -> a.name == "n0" && b.name.startsWith("n") }
+        f.runFor(f.cancelMs * 5 / 4)
+        assertTrue(tasks(ref).isEmpty())
+    }
+
+    /** A node that had not heard that its ledger was another one's went on sending starts of jobs cancelled there. */
+    @Test
+    fun `a leader that hears of nothing sends no start after a cancellation was told`() = meeting(6, big) {
+        val zone = zoneOf(0)
+        val first = submit(0, "daemon", 1, "circuit" to zone, "cores" to 5.0)
+        allRun(listOf(first))
+        val m = tasks(first).single().machine
+        // Its answers come too late and it reports to nobody, so the run of the next task on it is repeated.
+        f.net.heldAnswersMs[m] = f.lease
+        f.net.mute.add(m)
+        val ref = submit(0, "daemon", 1, "circuit" to zone, "cores" to 1.0)
+        runUntil(f.lease, "it runs there") { tasks(ref).singleOrNull()?.machine == m }
+        cut(CutMode.HOLD) { a, b -> a.name == "n0" && (b.name == "state" || b.name.startsWith("n")) }
+        cut(CutMode.HOLD) { a, b -> a.name == m && b.name in listOf("n1", "n2") }
+        runUntil(f.lease * 2, "another one takes the ledger") { others.any { holdsOf(it, 0) } }
+        cancel(ref, others)
+        runUntil(f.lease * 2, "it is told") { f.rules.isCancelled(ref) }
+        f.runFor(f.cancelMs)
+        assertEquals(0, f.rules.runsSentAfterCancel)
+    }
+
+    /** A drain that was written late, after it had been called off, kept a machine without work for good. */
+    @Test
+    fun `a drain that nobody decided is taken off`() = meeting(7) {
+        val ref = submit(0, "daemon", 2)
+        allRun(listOf(ref))
+        val key = Keys.DRAIN + tasks(ref).first().machine
+        f.scope.launch { f.state.handle(HttpRequest("POST", "/txn", "{\"when\":[],\"then\":[{\"put\":\"$key\",\"value\":{\"by\":\"pitbox-0\"}}]}".toByteArray())) }
+        f.runFor(500)
+        assertTrue(f.state.keysUnder(Keys.DRAIN).contains(key))
+        f.runFor(f.lease)
+        assertFalse(f.state.keysUnder(Keys.DRAIN).contains(key))
+        assertEquals(2, tasks(ref).size)
+    }
+}
