--- a/src/test/kotlin/micatally/sim/Meetings.kt
+++ b/src/test/kotlin/micatally/sim/Meetings.kt
@@ -6,15 +6,19 @@
 import kotlinx.serialization.json.JsonPrimitive
 import micatally.standin.Rehearsal
 import micatally.standin.WorkerStandin
+import micatally.state.StateLimits
 import micatally.wire.JobSpec
 import micatally.wire.bytes
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 
 /** What the tests of meetings share: a fleet that is up, jobs made to measure, and users who insist. */
-internal fun meeting(seed: Int, timing: Timing = Timing.PLAIN, nodes: Int = timing.nodes, test: Meeting.() -> Unit) {
-    val f = SimFleet(seed, nodes, timing)
+internal fun meeting(
+    seed: Int, timing: Timing = Timing.PLAIN, nodes: Int = timing.nodes, nextLimits: StateLimits? = null, before: SimFleet.() -> Unit = {}, test: Meeting.() -> Unit,
+) {
+    val f = SimFleet(seed, nodes, timing, nextLimits)
     try {
+        f.before()
         for (i in 0 until nodes) f.startNode(i)
         f.runFor(f.lease / 3)
         Meeting(f).test()
--- a/src/test/kotlin/micatally/sim/MeetingsTest.kt
+++ b/src/test/kotlin/micatally/sim/MeetingsTest.kt
@@ -13,7 +13,7 @@
  * with that switched off the test is red. */
 class MeetingsTest {
     private val seeds = (System.getProperty("meeting.seeds") ?: "1-2").split('-').map { it.toInt() }.let { (a, b) -> a..b }
-    private fun each(timing: Timing = Timing.PLAIN, nodes: Int = timing.nodes, test: Meeting.() -> Unit) { for (s in seeds) meeting(s, timing, nodes, test) }
+    private fun each(timing: Timing = Timing.PLAIN, nodes: Int = timing.nodes, test: Meeting.() -> Unit) { for (s in seeds) meeting(s, timing, nodes, test = test) }
     private val big = Timing.DEPLOYMENTS.getValue("addis at size")
 
     private fun Meeting.longArray(node: Int, laps: Int, vararg more: Pair<String, Any>) = submit(node, "sweep", laps, *more, runMs = 3_600_000)
--- /dev/null
+++ b/src/test/kotlin/micatally/sim/RolloutTest.kt
@@ -0,0 +1,161 @@
+package micatally.sim
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import micatally.ledger.Keys
+import micatally.state.StateLimits
+import micatally.wire.bytes
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/**
+ * Upgrades while the fleet serves. A node in [SimFleet.former] announces no format, as the previous program; what that one
+ * stores and reads is checked by `FormatTest`. Lower limits of the state service come at any moment after the upgrade.
+ */
+class RolloutTest {
+    private val later = StateLimits(250.0, 60.0, 2 * 1024, 6)
+
+    private fun rollout(seed: Int, nodes: Int = 3, test: Meeting.() -> Unit) =
+        meeting(seed, nodes = nodes, nextLimits = later, before = { former.addAll(0 until nodes) }, test = test)
+
+    private fun Meeting.upgrade(node: Int) {
+        f.crash(node)
+        f.former.remove(node)
+        f.runFor(4000)
+        f.startNode(node)
+        f.runFor(f.lease)
+    }
+
+    private val Meeting.format get() = f.state.value(Keys.FORMAT)
+
+    /** Guard: [micatally.upgrade.UpgradePlan.next] raises only when no host is missing. */
+    @Test
+    fun `the format is raised when the last host has come up new, also if a process came back old before`() = rollout(1) {
+        upgrade(0)
+        f.crash(1)
+        f.runFor(500)
+        f.startNode(1)
+        upgrade(2)
+        assertNull(format, "pitbox-1 came back old")
+        f.crash(0)
+        upgrade(1)
+        assertTrue(format != null, "a host that was seen new and is merely away holds nothing up")
+    }
+
+    @Test
+    fun `with all controllers new from the start the format is raised within two seconds`() = meeting(2) {
+        f.runFor(2000)
+        assertTrue(format != null)
+    }
+
+    /** Guard: the phase is asked in [micatally.api.UserApi.submit]; without it the gang is accepted. */
+    @Test
+    fun `a gang is refused at once before the upgrade is finished, and accepted after it`() = rollout(3) {
+        upgrade(0)
+        val s = spec("gang", 3)
+        assertEquals(503, f.asked(0, "POST", "/work", s.source.bytes()).first)
+        upgrade(1)
+        upgrade(2)
+        assertEquals(201, f.asked(0, "POST", "/work", s.source.bytes()).first)
+        f.rules.answeredSubmit(s.ref, 201)
+        runUntil(60_000, "it is done") { f.rules.completed[s.ref]?.size == 3 }
+    }
+
+    /** Ledgers go from old to new and back while jobs are cancelled, the state service is out and a process ends midway. */
+    @Test
+    fun `jobs live through an upgrade with takeovers, an outage and a process that comes back old`() = rollout(4) {
+        val services = (0..2).map { submit(it, "daemon", 2) }
+        val doomed = (0..2).map { submit(it, "sweep", 4, runMs = 3_600_000) }
+        allRun(services + doomed)
+        f.crash(0)
+        f.former.remove(0)
+        runUntil(f.lease * 3, "an old node takes the ledger") { others.any { holdsOf(it, 0) } }
+        f.startNode(0)
+        runUntil(f.lease * 3, "the new one has it back") { holdsOf(0, 0) }
+        cancel(doomed[0], listOf(0, 1, 2))
+        f.state.down = true
+        f.runFor(f.lease / 2)
+        f.crash(1)
+        f.state.down = false
+        f.runFor(300)
+        f.startNode(1)
+        cancel(doomed[1], listOf(0, 2))
+        f.runFor(1000)
+        upgrade(1)
+        cancel(doomed[2], listOf(0, 1, 2))
+        f.runFor(50)
+        upgrade(2)
+        f.lowerLimits()
+        f.runFor(f.lease * 2)
+        afterwards(services + doomed)
+        assertTrue(doomed.all { f.rules.isCancelled(it) })
+        assertTrue(format != null)
+    }
+
+    /** A record that the previous program has made as large as it could. Without settings for it, nodes know no lower limits. */
+    private fun Meeting.largeJob(): String {
+        f.nextLimits = null
+        for (i in 0 until f.nodes) f.crash(i)
+        f.runFor(500)
+        for (i in 0 until f.nodes) f.startNode(i)
+        f.runFor(f.lease)
+        val ref = submit(0, "sweep", 390, "cores" to 0.1, "ram_gb" to 0.1, runMs = 3_600_000)
+        allRun(listOf(ref))
+        assertTrue(f.state.value(Keys.job(ref)).toString().length > later.valueBytes * 3 / 2, "it is larger than the limit to come")
+        f.nextLimits = later
+        return ref
+    }
+
+    /** Guard: [micatally.job.RecordPacking]; without it the record can't be written, and the cancellation is never told. */
+    @Test
+    fun `a record at the old bound is cancelled just after the limits have dropped`() = rollout(5) {
+        val ref = largeJob()
+        for (i in 0..2) upgrade(i)
+        f.lowerLimits()
+        cancel(ref, listOf(0, 1, 2))
+        runUntil(f.lease * 2, "it is cancelled") { f.rules.isCancelled(ref) }
+        f.runFor(f.cancelMs)
+        assertEquals(0, tasks(ref).size)
+        afterwards(listOf(ref))
+    }
+
+    /** Guard: the further values are read with the record ([micatally.job.Owner]); without that its tasks are started again. */
+    @Test
+    fun `a record at the old bound is taken over after the limits have dropped, and finishes`() = rollout(6) {
+        val ref = largeJob()
+        for (i in 0..2) upgrade(i)
+        f.lowerLimits()
+        val lost = tasks(ref).first().machine
+        f.lose(worker(lost))
+        f.runFor(f.lease * 2)
+        allRun(listOf(ref))
+        assertTrue(f.state.keysUnder(Keys.JOB_PART).isNotEmpty() || "z" in f.state.value(Keys.job(ref))!!, "it is compressed")
+        val before = f.rules.starts
+        f.crash(0)
+        runUntil(f.lease * 3, "another node takes the ledger") { others.any { holdsOf(it, 0) } }
+        f.runFor(f.lease)
+        assertEquals(before, f.rules.starts, "nothing is started anew")
+        f.startNode(0)
+        f.runFor(f.lease)
+        cancel(ref, listOf(0, 1, 2))
+        runUntil(f.lease * 2, "it is cancelled") { f.rules.isCancelled(ref) }
+        afterwards(listOf(ref))
+    }
+
+    /** Guard: the write rate to come is kept to from the start, and a refusal empties the budget ([micatally.state.RateBudget]). */
+    @Test
+    fun `leases and withdrawals come through while the limits drop under load`() = rollout(7) {
+        for (i in 0..2) upgrade(i)
+        val refs = (0..2).flatMap { n -> (1..8).map { submit(n, "sweep", 6, "cores" to 0.2, runMs = 4000) } }
+        f.lowerLimits()
+        val doomed = submit(1, "daemon", 2)
+        allRun(listOf(doomed))
+        f.scope.launch { delay(500) }
+        cancel(doomed, listOf(0, 2))
+        runUntil(f.lease, "it is cancelled") { f.rules.isCancelled(doomed) }
+        runUntil(120_000, "all are done") { refs.all { f.rules.completed[it]?.size == 6 } }
+        assertTrue((0..2).all { holdsOf(it, it) }, "no node lost its ledger")
+    }
+}
--- a/src/test/kotlin/micatally/sim/SimFleet.kt
+++ b/src/test/kotlin/micatally/sim/SimFleet.kt
@@ -22,6 +22,9 @@
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import micatally.http.HttpCaller
+import micatally.ledger.Keys
+import micatally.upgrade.FormatVersion
+import micatally.upgrade.UpgradePlan
 import micatally.http.HttpRequest
 import micatally.http.HttpResponse
 import micatally.http.Outcome
@@ -154,7 +157,11 @@
 
 /** Several controllers, a state service, a cloud, workers and users on simulated time. */
 @OptIn(ExperimentalCoroutinesApi::class)
-class SimFleet(seed: Int, val nodes: Int = 3, private val timing: Timing = Timing.PLAIN) : WorkerWorld {
+class SimFleet(
+    seed: Int, val nodes: Int = 3, private val timing: Timing = Timing.PLAIN,
+    /** The limits to come that the settings of nodes started from now on name. */
+    var nextLimits: StateLimits? = null,
+) : WorkerWorld {
     val random = Random(seed)
     override val gangs by lazy { GangTable(scope, GangTimes(settings[0].gangWaitMs, settings[0].gangPeerMs), Random(seed + 3)) { now } }
     private val scheduler = TestCoroutineScheduler()
@@ -208,7 +215,10 @@
                 add(buildJsonObject { put("name", "cards"); put("cpus", 0.0); put("cpus_max", 0.0); put("gpus", 0.0); put("gpus_max", 8.0) })
             })
             put("workers", buildJsonObject { put("report_s", timing.reportS); put("lease_s", timing.leaseS); put("cancel_s", timing.cancelS) })
-            put("state", buildJsonObject { put("rps", 250); put("write_rps", 100); put("value_kb", 16); put("txn_ops", 48) })
+            put("state", buildJsonObject {
+                put("rps", 250); put("write_rps", 100); put("value_kb", 16); put("txn_ops", 48)
+                nextLimits?.let { n -> put("next", buildJsonObject { put("write_rps", n.writeRps); put("value_kb", n.valueBytes / 1024.0); put("txn_ops", n.txnOps) }) }
+            })
             put("cloud", buildJsonObject { put("rps", 4); put("list_lag_s", 3) })
             put("machine_limits", buildJsonObject { put("core_share", 0.2); put("memory_mb", 150); put("max_sockets", 500) })
             put("time_bound_ms", 100)
@@ -232,8 +242,10 @@
         threads[i] = thread
         val s = CoroutineScope(SupervisorJob() + thread + handler)
         val plain = net.callerOf(host)
-        val http = HttpCaller { addr, m, t, b, ms ->
-            if (t == "/orders") noteRuns(b)
+        val http = HttpCaller { addr, m, t, body, ms ->
+            if (t == "/orders") noteRuns(body)
+            val b = if (addr == "state:1" && t == "/txn") playsFormer(i, body) else body
+            if (b == null && body != null) return@HttpCaller Outcome.Answer(503, ByteArray(0))
             val late = if (addr == "state:1" && t == "/txn" && host.name !in stateRefuses) holdWriteOf(i, b?.decodeToString() ?: "") else null
             when {
                 addr == "state:1" && host.name in stateRefuses -> { delay(3); Outcome.Answer(503, ByteArray(0)) }
@@ -244,7 +256,7 @@
         }
         val skew = 1.0 + random.nextDouble(0.0005)
         val base = random.nextLong(1_000_000)
-        val c = Controller(s, settings[i], http, Random(random.nextLong()), { base + (now * skew).toLong() }, { now })
+        val c = Controller(s, Settings.parse(settingsOf(i).bytes()), http, Random(random.nextLong()), { base + (now * skew).toLong() }, { now })
         host.scope = s
         host.handler = { addr, r -> if (addr.endsWith(":81")) c.handlePeer(r) else c.handle(r) }
         nodeScopes[i] = s
@@ -252,6 +264,19 @@
         c.start()
     }
 
+    /** Hosts that play the previous version: they announce no format, so that none is raised. */
+    val former = HashSet<Int>()
+
+    private fun playsFormer(node: Int, body: ByteArray?): ByteArray? {
+        val text = body?.decodeToString() ?: return body
+        if (node !in former) return body
+        if (Keys.version("pitbox-$node") in text) return null
+        return text.replace(",\"${UpgradePlan.FORMAT_FIELD}\":${FormatVersion.CURRENT}", "").encodeToByteArray()
+    }
+
+    /** The state service takes only what is within the limits to come, from now on. */
+    fun lowerLimits() { state.limits = nextLimits!! }
+
     private fun isLost(node: Int, body: ByteArray?) = luck.nextDouble() < lateWrites + lostAnswers || loseAnswerOf(node, body?.decodeToString() ?: "")
 
     /** What was sent is carried out after so long, also when its sender has died; the answer is lost. */
@@ -387,12 +412,13 @@
     }
 
     fun job(n: Int): JobSpec {
-        val service = random.nextInt(3) == 0
+        val gang = n >= GANGS_FROM
+        val service = !gang && random.nextInt(3) == 0
         val cards = if (random.nextInt(3) == 0) random.nextInt(1, 4).toDouble() else 0.0
-        val laps = if (service) random.nextInt(1, 4) else random.nextInt(1, 12)
+        val laps = if (service) random.nextInt(1, 4) else if (gang) random.nextInt(2, 7) else random.nextInt(1, 12)
         return JobSpec.parse(buildJsonObject {
             put("ref", "j-%06d".format(n)); put("lane", "l"); put("crew", if (random.nextBoolean()) "vision" else "text")
-            put("format", if (service) "daemon" else "sweep"); put("grid", listOf("production", "high", "standard", "low").random(random)); put("laps", laps)
+            put("format", if (service) "daemon" else if (gang) "gang" else "sweep"); put("grid", listOf("production", "high", "standard", "low").random(random)); put("laps", laps)
             put("cores", random.nextInt(1, 5).toDouble()); put("cards", cards); put("ram_gb", 4.0); put("livery", "img-${random.nextInt(3)}"); put("size_gb", 3.0)
             if (random.nextInt(4) == 0) put("chassis", JsonArray(listOf(JsonPrimitive("g8"))))
             if (random.nextInt(6) == 0) put("circuit", zones.random(random))
@@ -402,6 +428,11 @@
         })
     }
 
+    private companion object {
+        /** Jobs of these numbers are gangs. */
+        const val GANGS_FROM = 100
+    }
+
     /** Runs the fleet until a question is answered. */
     fun asked(node: Int, method: String, target: String, body: ByteArray? = null): Pair<Int, String?> {
         var answer: Pair<Int, String?>? = null
--- a/src/test/kotlin/micatally/sim/SimTest.kt
+++ b/src/test/kotlin/micatally/sim/SimTest.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import micatally.state.StateLimits
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.params.ParameterizedTest
@@ -67,11 +68,13 @@
     @ParameterizedTest
     @MethodSource("seeds")
     fun `no rule breaks, and every accepted job ends or stays known`(seed: Int) {
-        val f = SimFleet(seed, if (seed % 3 == 0) 5 else 3)
+        val next = if (seed % 2 == 0) StateLimits(250.0, 60.0, 2 * 1024, 6) else null
+        val f = SimFleet(seed, if (seed % 3 == 0) 5 else 3, nextLimits = next)
         try {
             for (i in 0 until f.nodes) f.startNode(i)
             f.net.lateCopies = 0.05
-            val specs = (1..30).map { f.job(it) }
+            if (next != null) f.scope.launch { delay(f.random.nextLong(150_000)); f.note("limits drop"); f.lowerLimits() }
+            val specs = (1..30).map { f.job(it) } + (100..107).map { f.job(it) }
             val cancelled = HashSet<String>()
             for (s in specs) f.scope.launch {
                 delay(f.random.nextLong(120_000))
