--- a/src/main/kotlin/micatally/placement/Rounds.kt
+++ b/src/main/kotlin/micatally/placement/Rounds.kt
@@ -457,7 +457,7 @@
         /** Rates differ by a third, and images fetched at the same time share them. */
         const val FETCH_MARGIN = 2
         /** So many boots long machines for a gang that must be in one zone are looked for in the same one. */
-        const val BOOTS_A_ZONE = 2
+        const val BOOTS_A_ZONE = 4
         const val STOPS_A_ROUND = 8
         const val FEW_FAULTS = 6
         /** For so many machines that are being emptied one replica may be on its way. */
--- a/src/main/kotlin/micatally/standin/WorkerStandin.kt
+++ b/src/main/kotlin/micatally/standin/WorkerStandin.kt
@@ -87,6 +87,9 @@
     private var alive = true
     val tasks = LinkedHashMap<Triple<String, Int, Long>, Task>()
     private val images = HashSet<String>()
+
+    /** Machines of a type differ in how fast they fetch images, by up to a third. */
+    private val fetchGbPerS = pullGbPerS * Random(name.hashCode()).nextDouble(2.0 / 3, 4.0 / 3)
     var session = 1L
         private set
     private var tick = 0L
@@ -226,7 +229,7 @@
             live.any { it.ref == t.ref && it.lap == t.lap } -> end(t, "in_use")
             !t.amount.fitsIn(live.fold(total) { a, b -> a - b.amount }) -> end(t, "full")
             else -> t.job = scope.launch {
-                if (spec.image !in images) { delay((spec.imageGb / pullGbPerS * 1000).toLong()); images.add(spec.image) }
+                if (spec.image !in images) { delay((spec.imageGb / fetchGbPerS * 1000).toLong()); images.add(spec.image) }
                 while (hung) delay(50)
                 t.status = "running"
                 changed = true
--- a/src/test/kotlin/micatally/sim/SimFleet.kt
+++ b/src/test/kotlin/micatally/sim/SimFleet.kt
@@ -214,7 +214,7 @@
                 for ((t, max) in listOf("vision" to 60.0, "text" to 24.0)) add(buildJsonObject { put("name", t); put("cpus", 16.0); put("cpus_max", max); put("gpus", 0.0); put("gpus_max", 20.0) })
                 add(buildJsonObject { put("name", "cards"); put("cpus", 0.0); put("cpus_max", 0.0); put("gpus", 0.0); put("gpus_max", 8.0) })
             })
-            put("workers", buildJsonObject { put("report_s", timing.reportS); put("lease_s", timing.leaseS); put("cancel_s", timing.cancelS) })
+            put("workers", buildJsonObject { put("report_s", timing.reportS); put("lease_s", timing.leaseS); put("cancel_s", timing.cancelS); put("gang_wait_s", timing.leaseS * 3.5); put("gang_peer_s", timing.leaseS * 0.4) })
             put("state", buildJsonObject {
                 put("rps", 250); put("write_rps", 100); put("value_kb", 16); put("txn_ops", 48)
                 nextLimits?.let { n -> put("next", buildJsonObject { put("write_rps", n.writeRps); put("value_kb", n.valueBytes / 1024.0); put("txn_ops", n.txnOps) }) }
