--- a/src/main/kotlin/micatally/api/UserApi.kt
+++ b/src/main/kotlin/micatally/api/UserApi.kt
@@ -99,6 +99,7 @@
         if (team.coresMax > 0 && spec.amount.cores * n > team.coresMax + 1e-6 || team.cardsMax > 0 && spec.amount.cards * n > team.cardsMax + 1e-6) {
             return "the job needs more than the limit of team ${spec.crew}"
         }
+        if (spec.isGang && !Placement.fitsZones(spec, settings.zones.size)) return "the gang's tasks may not all be in the allowed zones at once"
         return null
     }
 
--- a/src/main/kotlin/micatally/placement/Placement.kt
+++ b/src/main/kotlin/micatally/placement/Placement.kt
@@ -18,6 +18,12 @@
     /** At most half of the tasks, rounded up, in one zone. */
     fun zoneCap(spec: JobSpec) = if (spec.scatter) (spec.laps + 1) / 2 else spec.laps
 
+    /** Whether as many tasks as the job has may be in the zones that are allowed to it at the same time. */
+    fun fitsZones(spec: JobSpec, zones: Int): Boolean {
+        val allowed = if (spec.together || spec.zone != null) 1 else zones
+        return zoneCap(spec).toLong() * allowed >= spec.laps
+    }
+
     /** The zones in which a further task of the job may start, given its live attempts; null: any. */
     fun zones(job: Job, spec: JobSpec, without: Attempt? = null): ZoneRule {
         val used = HashMap<String, Int>()
--- a/src/test/kotlin/micatally/sim/GangTest.kt
+++ b/src/test/kotlin/micatally/sim/GangTest.kt
@@ -61,6 +61,8 @@
         assertEquals(200, f.asked(1, "POST", "/work", f.rules.specs.getValue(ref).source.bytes()).first)
         val large = spec("gang", 13, "cores" to 5.0)
         assertEquals(422, f.asked(0, "POST", "/work", large.source.bytes()).first)
+        val apart = spec("gang", 2, "together" to true, "scatter" to true)
+        assertEquals(422, f.asked(0, "POST", "/work", apart.source.bytes()).first)
     }
 
     /** Guard: [micatally.gang.GangPolicy.afterLoss]; if every loss ends the run, the number is another one. */
