--- a/src/main/kotlin/micatally/api/UserApi.kt
+++ b/src/main/kotlin/micatally/api/UserApi.kt
@@ -85,7 +85,7 @@
     private suspend fun waitFor(job: Job, status: Int): HttpResponse {
         val durable = withTimeoutOrNull(durableMs) { store.durable(job) } ?: return later("not stored yet")
         if (!durable) return knownOr(job.ref) { later("not stored") }
-        if (!owner.mayConfirmWithdrawal(job)) return later("a cancellation is under way")
+        if (!owner.withdrawals.mayConfirm(job)) return later("a cancellation is under way")
         // Its end may have come and be on its way since.
         if (job.endUnderWay || !membership.leaseHolds()) return knownOr(job.ref) { later("not stored yet") }
         return if (status == 201 && job.durableState == JobState.OPEN) HttpResponse(201, JobAnswer(job.ref, JobAnswer.PENDING, 0, 0).brief().bytes()) else ok(job.answer())
@@ -127,7 +127,7 @@
         if (job.durableState == JobState.NEW || job.endUnderWay || !membership.leaseHolds()) return null
         // This node's lease keeps others from its own ledger only: a ledger that it took over goes back to its host the
         // moment that host starts again, so of its jobs only the state service can tell.
-        if (job.ledger.name != settings.host || !owner.mayConfirmWithdrawal(job)) return null
+        if (job.ledger.name != settings.host || !owner.withdrawals.mayConfirm(job)) return null
         return job.answer()
     }
 
@@ -194,9 +194,9 @@
         owner.withdraw(job)
         val ok = withTimeoutOrNull(durableMs) { store.durable(job) } ?: false
         if (!ok || job.durableState != JobState.WITHDRAWN && job.durableState != JobState.DONE) return null
-        if (!owner.mayConfirmWithdrawal(job)) {
+        if (!owner.withdrawals.mayConfirm(job)) {
             peers.spread(job)
-            if (!owner.mayConfirmWithdrawal(job)) return null
+            if (!owner.withdrawals.mayConfirm(job)) return null
         }
         return job.answer()
     }
--- a/src/main/kotlin/micatally/job/JobRecord.kt
+++ b/src/main/kotlin/micatally/job/JobRecord.kt
@@ -59,8 +59,7 @@
     }
 
     /** The fields of a compressed record that are read without the rest, with the counts that users are told. */
-    fun summary(job: Job): JsonObject = buildJsonObject {
-        val plain = encode(job)
+    fun summary(job: Job, plain: JsonObject): JsonObject = buildJsonObject {
         for (name in SUMMARY_FIELDS) plain[name]?.let { put(name, it) }
         put(COUNTS, JsonArray(listOf(JsonPrimitive(job.doneCount), JsonPrimitive(job.attempts.size))))
     }
--- a/src/main/kotlin/micatally/job/Owner.kt
+++ b/src/main/kotlin/micatally/job/Owner.kt
@@ -23,9 +23,6 @@
 import micatally.wire.JobSpec
 import micatally.wire.WithdrawnTask
 import micatally.wire.ListedTask
-import micatally.wire.asLong
-import micatally.wire.asText
-import micatally.worker.WithdrawnTasks
 import micatally.worker.Machine
 import micatally.worker.Machines
 import micatally.worker.OrderBook
@@ -73,11 +70,8 @@
     /** Whether all jobs of this node's ledgers are known here. */
     val settled get() = own() != null && ledgers.values.all { it.state == LedgerState.ACTIVE }
 
-    /** Withdrawn jobs with tasks that are not proven gone. Kept, not looked for: each message from a peer asks for them. */
-    private val withdrawing = LinkedHashSet<Job>()
-
-    /** Tasks of withdrawn jobs that may still be on their machines. */
-    fun withdrawnTasks(): List<WithdrawnTask> = withdrawing.filter { it.durableState == JobState.WITHDRAWN }.flatMap { notes(it) }
+    /** Jobs that were cancelled, until their tasks are gone. */
+    val withdrawals = Withdrawals(scope, settings, membership.cluster, store, nowMs)
 
     // Ledgers
 
@@ -162,7 +156,7 @@
         val ref = record.ref
         // Whoever's job it is: a node that has just started must stop its tasks where it hears them.
         if (record.plain != null && JobRecord.state(record.stored) == JobState.WITHDRAWN) {
-            kills.take(JobRecord.placed(record.plain).map { WithdrawnTask(it.machine, ref, it.taskIndex, it.number) })
+            withdrawals.stopList.take(JobRecord.placed(record.plain).map { WithdrawnTask(it.machine, ref, it.taskIndex, it.number) })
         }
         if (JobRecord.ledgerOf(record.stored) != l.name) return
         // Accepted here while the list was on its way; or it was accepted before, and its user has just repeated the
@@ -180,11 +174,7 @@
         for (placed in JobRecord.placed(plain)) adoptAttempt(job, placed)
         gangs.adopted(job)
         if (job.state == JobState.WITHDRAWN) {
-            withdrawing.add(job)
-            val killList = membership.cluster.value(Keys.kill(ref))
-            job.storedKillOverflow = killList?.let { RecordPacking.overflowCount(it) } ?: 0
-            // Written together with the record; this node's copy of the shared keys is as new as its hold on the ledger.
-            if (killList != null) job.publishedAt = nowMs() else store.touch(job, true)
+            if (!withdrawals.adopted(job)) store.touch(job, true)
         }
     }
 
@@ -208,51 +198,6 @@
         }
     }
 
-    // Withdrawn jobs, and when their users may be told
-
-    /** What other owners have withdrawn. */
-    val kills = WithdrawnTasks(settings.cancelMs * 2, nowMs)
-
-    /** Every controller that may answer workers either knows the job's tasks, and stops them where it hears them, or has lost
-     * touch: then its right ends early enough after [Settings.withdrawalDelayMs] have passed since they lie in the state service.
-     * Telling the user before that would leave a zone that is cut off only until its workers' leases end. A confirmation
-     * counts only after the tasks lie there: the process that gave it may end, and the next one reads them at its start. */
-    fun mayConfirmWithdrawal(job: Job): Boolean {
-        if (job.durableState != JobState.WITHDRAWN || job.attempts.isEmpty() || job.withdrawalConfirmable) return true
-        val published = job.publishedAt ?: return false
-        job.withdrawalConfirmable = job.confirmedBy.size >= settings.peers.size || nowMs() - published >= settings.withdrawalDelayMs
-        return job.withdrawalConfirmable
-    }
-
-    fun notes(job: Job) = job.attempts.values.map { WithdrawnTask(it.machine.name, job.ref, it.taskIndex, it.number) }
-
-    /** The shared keys have changed: tasks that some owner has published. */
-    fun published(key: String) {
-        val ref = key.removePrefix(Keys.KILL).substringBefore('/')
-        val main = membership.cluster.value(Keys.kill(ref)) ?: return
-        val overflow = (0 until RecordPacking.overflowCount(main)).map { membership.cluster.value(Keys.killPart(ref, it)) ?: return }
-        val rows = KillListValue.rows(RecordPacking.unpack(main, overflow))
-        kills.take(rows.map { WithdrawnTask(it[0].asText(), ref, it[1].asLong().toInt(), it[2].asLong()) })
-    }
-
-    /** Asks the other controllers to confirm the tasks of a withdrawn job. */
-    var spread: suspend (Job) -> Unit = {}
-
-    /** The tasks of withdrawn jobs that their machines do not confirm in time: once their user may hear of the end, any node
-     * may say so, whoever asks. After a change of owner nobody else asks the other controllers again. */
-    fun followWithdrawn(now: Long) {
-        for (j in withdrawing.toList()) {
-            if (j.ledger.state != LedgerState.ACTIVE || j.durableState != JobState.WITHDRAWN || j.confirmableRecorded) continue
-            if (j.attempts.values.none { it.stop == StopReason.WITHDRAWN && now - it.stopSinceMs > settings.leaseMs / 10 }) continue
-            if (mayConfirmWithdrawal(j)) { j.confirmableRecorded = true; store.touch(j, true) } else if (!j.spreading) {
-                j.spreading = true
-                scope.launch { try { spread(j) } finally { j.spreading = false } }
-            }
-        }
-        withdrawing.removeIf { it.attempts.isEmpty() || it.state != JobState.WITHDRAWN }
-        kills.prune { membership.cluster.has(Keys.kill(it)) }
-    }
-
     private fun attach(a: Attempt) {
         a.machine.attach(a)
         quota.take(a.job)
@@ -278,7 +223,7 @@
         }
         for (m in touched) orders.poke(m)
         if (job.durableState == JobState.DONE || job.durableState == JobState.WITHDRAWN) {
-            if (mayConfirmWithdrawal(job)) rememberFinal(job.answer())
+            if (withdrawals.mayConfirm(job)) rememberFinal(job.answer())
             if (job.attempts.isEmpty() && job.durableVersion == job.version) {
                 // Kept in memory for a while so that its ended entries are still cleared from the machines.
                 val l = job.ledger
@@ -479,9 +424,7 @@
         if (job.state != JobState.OPEN && job.state != JobState.NEW) return
         job.become(JobState.WITHDRAWN)
         log.info("job {} withdrawn with {} tasks", job.ref, job.attempts.size)
-        withdrawing.add(job)
-        // Its machines may report here and still not be reached by an order.
-        kills.take(notes(job))
+        withdrawals.begin(job)
         val now = nowMs()
         val touched = LinkedHashSet<Machine>()
         for (a in job.attempts.values.toList()) {
@@ -496,7 +439,7 @@
     /** Adopted after a takeover: a withdrawn job's tasks must still go. */
     fun sweep() {
         val now = nowMs()
-        for (j in withdrawing) if (j.ledger.state == LedgerState.ACTIVE) for (a in j.attempts.values) a.stop(StopReason.WITHDRAWN, now)
+        for (j in withdrawals.unfinished) if (j.ledger.state == LedgerState.ACTIVE) for (a in j.attempts.values) a.stop(StopReason.WITHDRAWN, now)
         for (m in machines.byName.values) {
             if (m.deleted || m.attempts.isEmpty() && m.tasks.none { it.ended && mine(it.ref) }) continue
             if (m.flushing) continue
--- a/src/main/kotlin/micatally/job/RecordWrite.kt
+++ b/src/main/kotlin/micatally/job/RecordWrite.kt
@@ -33,9 +33,9 @@
     fun fit(job: Job): RecordFit {
         val record = JobRecord.encode(job)
         val listsTasks = job.state == JobState.WITHDRAWN && job.attempts.isNotEmpty()
-        val main = form(record, JobRecord.summary(job)) ?: return RecordFit.TooLarge
+        val main = form(record) { JobRecord.summary(job, record) } ?: return RecordFit.TooLarge
         val kills = if (listsTasks) {
-            form(JobRecord.encodeTasks(job), EMPTY) ?: return RecordFit.TooLarge
+            form(JobRecord.encodeTasks(job)) { EMPTY } ?: return RecordFit.TooLarge
         } else {
             null
         }
@@ -45,9 +45,9 @@
     /** Whether new attempts have to wait: the plain form is kept within the limits to come, also while it need not be. */
     fun isFull(job: Job): Boolean = !mayPack() && RecordPacking.size(JobRecord.encode(job)) > limits.valueBytes
 
-    private fun form(value: JsonObject, plainFields: JsonObject): PackedValue? = when {
+    private fun form(value: JsonObject, plainFields: () -> JsonObject): PackedValue? = when {
         RecordPacking.size(value) <= limits.valueBytes || !mayPack() -> PackedValue(value, emptyList())
-        else -> RecordPacking.pack(value, plainFields, limits.valueBytes, limits.overflowValues)
+        else -> RecordPacking.pack(value, plainFields(), limits.valueBytes, limits.overflowValues)
     }
 
     private fun write(job: Job, main: PackedValue, kills: PackedValue?): RecordWrite {
--- /dev/null
+++ b/src/main/kotlin/micatally/job/Withdrawals.kt
@@ -0,0 +1,112 @@
+package micatally.job
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import micatally.ledger.Cluster
+import micatally.ledger.Keys
+import micatally.ledger.LedgerState
+import micatally.settings.Settings
+import micatally.wire.WithdrawnTask
+import micatally.wire.asLong
+import micatally.wire.asText
+import micatally.worker.WithdrawnTasks
+
+/** Cancelled jobs of this node's ledgers, and when their users may hear that they are cancelled. */
+class Withdrawals(
+    private val scope: CoroutineScope,
+    private val settings: Settings,
+    private val cluster: Cluster,
+    private val store: JobStore,
+    private val nowMs: () -> Long,
+) {
+    /** Tasks of cancelled jobs of all owners, as far as this node has heard of them. */
+    val stopList = WithdrawnTasks(settings.cancelMs * CANCELS_KEPT, nowMs)
+
+    /** Asks the other controllers to confirm the tasks of a job. */
+    var askPeers: suspend (Job) -> Unit = {}
+
+    /** Jobs with tasks that are not proven gone. Kept, not looked for: each message from a peer asks for them. */
+    private val pending = LinkedHashSet<Job>()
+    val unfinished: Collection<Job> get() = pending
+
+    /** Tasks that may still be on their machines. */
+    fun unfinishedTasks(): List<WithdrawnTask> = pending.filter { it.durableState == JobState.WITHDRAWN }.flatMap { tasksOf(it) }
+
+    fun tasksOf(job: Job): List<WithdrawnTask> =
+        job.attempts.values.map { WithdrawnTask(it.machine.name, job.ref, it.taskIndex, it.number) }
+
+    fun begin(job: Job) {
+        pending.add(job)
+        // Its machines may report here and still not be reached by an order.
+        stopList.take(tasksOf(job))
+    }
+
+    /** After a takeover; false if the job's tasks have yet to be published. */
+    fun adopted(job: Job): Boolean {
+        pending.add(job)
+        val published = cluster.value(Keys.kill(job.ref)) ?: return false
+        job.storedKillOverflow = RecordPacking.overflowCount(published)
+        // Written together with the record; this node's copy of the shared keys is as new as its hold on the ledger.
+        job.publishedAt = nowMs()
+        return true
+    }
+
+    /**
+     * Every controller that may answer workers either knows the job's tasks, and stops them where it hears them, or has lost
+     * touch: then its authority ends early enough after [Settings.withdrawalDelayMs] have passed since they lie in the state
+     * service. Telling the user before that would leave a zone that is cut off only until its workers' leases end. A
+     * confirmation counts only after the tasks lie there: the process that gave it may end, and the next one reads them at
+     * its start.
+     */
+    fun mayConfirm(job: Job): Boolean {
+        if (job.durableState != JobState.WITHDRAWN || job.attempts.isEmpty() || job.withdrawalConfirmable) return true
+        val published = job.publishedAt ?: return false
+        val isConfirmedByAll = job.confirmedBy.size >= settings.peers.size
+        job.withdrawalConfirmable = isConfirmedByAll || nowMs() - published >= settings.withdrawalDelayMs
+        return job.withdrawalConfirmable
+    }
+
+    /** The shared keys have changed: tasks that some owner has published. */
+    fun published(key: String) {
+        val ref = key.removePrefix(Keys.KILL).substringBefore('/')
+        val main = cluster.value(Keys.kill(ref)) ?: return
+        val parts = (0 until RecordPacking.overflowCount(main)).map { cluster.value(Keys.killPart(ref, it)) ?: return }
+        val rows = KillListValue.rows(RecordPacking.unpack(main, parts))
+        stopList.take(rows.map { WithdrawnTask(it[0].asText(), ref, it[1].asLong().toInt(), it[2].asLong()) })
+    }
+
+    /**
+     * The tasks of withdrawn jobs that their machines do not confirm in time: once their user may hear of the end, any node
+     * may say so, whoever asks. After a change of owner nobody else asks the other controllers again.
+     */
+    fun follow(now: Long) {
+        for (job in pending.toList()) if (isOverdue(job, now)) confirm(job)
+        pending.removeIf { it.attempts.isEmpty() || it.state != JobState.WITHDRAWN }
+        stopList.prune { cluster.has(Keys.kill(it)) }
+    }
+
+    private fun isOverdue(job: Job, now: Long): Boolean {
+        val isOwn = job.ledger.state == LedgerState.ACTIVE && job.durableState == JobState.WITHDRAWN
+        val since = now - settings.leaseMs / OVERDUE_SHARE
+        return isOwn && !job.confirmableRecorded && job.attempts.values.any { it.stop == StopReason.WITHDRAWN && it.stopSinceMs < since }
+    }
+
+    private fun confirm(job: Job) {
+        if (mayConfirm(job)) {
+            job.confirmableRecorded = true
+            store.touch(job, true)
+            return
+        }
+        if (job.spreading) return
+        job.spreading = true
+        scope.launch { try { askPeers(job) } finally { job.spreading = false } }
+    }
+
+    private companion object {
+        /** An owner may end before it can say that a task is gone, so tasks are kept well beyond the time to cancel. */
+        const val CANCELS_KEPT = 2
+
+        /** After this share of a lease a machine that is reached has confirmed the end of its task. */
+        const val OVERDUE_SHARE = 10
+    }
+}
--- a/src/main/kotlin/micatally/node/Controller.kt
+++ b/src/main/kotlin/micatally/node/Controller.kt
@@ -61,13 +61,13 @@
     private val forms = RecordForms(settings.stateLimits) { upgrade.isUniform }
     private val store = JobStore(scope, state, forms, settings.reportMs / 4, settings.leaseMs / 10, nowMs)
     val owner = Owner(scope, settings, state, membership, machines, store, nowMs, wallMs)
-    private val orders = Orders(scope, http, settings, membership, machines, owner, owner.kills, nowMs)
+    private val orders = Orders(scope, http, settings, membership, machines, owner, owner.withdrawals.stopList, nowMs)
     private val quota = Quota(scope, state, membership.cluster, settings.teams, { owner.ledgers.values.filter { it.mine } }, settings.controllers) { rounds.wake() }
     val rounds: Rounds = Rounds(scope, settings, owner, machines, store, quota, orders, Queues(operator.queueBounds.map { it * settings.leaseMs / 1000.0 }, operator.queueLift), effort, nowMs)
     private val peers = Peers(scope, http, settings, state, membership, machines, owner, rounds, nowMs)
     private val fleetManager = FleetManager(scope, http, settings, state, cloud, membership, machines, { rounds.unplaced.values.toList() + peers.demandOfPeers() }, { peers.recentServices() }, { peers.silentZones() }, operator, nowMs)
     private val users = UserApi(settings, state, membership, owner, store, machines, peers, rounds, upgrade, nowMs)
-    private val workers = WorkerApi(settings, membership, machines, peers, owner.kills, nowMs)
+    private val workers = WorkerApi(settings, membership, machines, peers, owner.withdrawals.stopList, nowMs)
 
     fun start() {
         owner.orders = orders
@@ -80,7 +80,7 @@
         store.onDurable = { job, written -> owner.durable(job, written) }
         store.onDropped = { owner.forget(it) }
         store.onRecordFull = { job, attempts -> owner.giveUp(job, attempts) }
-        owner.spread = { peers.spread(it) }
+        owner.withdrawals.askPeers = { peers.spread(it) }
         store.onLedgerLost = { l -> owner.lose(l); scope.launch { membership.refresh() } }
         machines.onSession = { owner.newSession(it) }
         machines.onBehind = { m -> if (m.attempts.isNotEmpty()) { m.mustAsk = true; orders.poke(m) } }
@@ -113,7 +113,7 @@
                     machines.of(name)?.let { owner.deleted(it) }
                 }
             }
-            if (k.startsWith(Keys.KILL)) owner.published(k)
+            if (k.startsWith(Keys.KILL)) owner.withdrawals.published(k)
             if (k.startsWith(Keys.TEAM)) quota.teamChanged(k.removePrefix(Keys.TEAM))
             if (k.startsWith(Keys.DRAIN)) machines.of(k.removePrefix(Keys.DRAIN))?.draining = membership.cluster.has(k)
         }
@@ -165,7 +165,7 @@
                 membership.raiseEpoch("a run without an answer must not come late")
             }
             if (++round % 20 == 0) { quota.handBack(); scope.launch { fleetManager.prune() } }
-            if (round % 4 == 0) owner.followWithdrawn(now)
+            if (round % 4 == 0) owner.withdrawals.follow(now)
             if (now - effortAt > settings.leaseMs) { effortAt = now; effort.tell(" machines=${machines.byName.size} waiting=${rounds.unplaced.size} writes=${writeBudget.tell()} requests=${requestBudget.tell()}") }
             if (round % 8 == 0) askForEnds(now)
             if (round % 100 == 0) machines.byName.values.removeIf { it.deleted && it.attempts.isEmpty() && now - it.heardAt > settings.leaseMs * 6 }
--- a/src/main/kotlin/micatally/peer/Peers.kt
+++ b/src/main/kotlin/micatally/peer/Peers.kt
@@ -193,7 +193,7 @@
             l.failures = 0
             val answer = ProtoBuf.decodeFromByteArray<NewsAnswer>(out.body)
             l.toldSummary = if (answer.needsWhole) 0 else sentNumber
-            owner.kills.take(answer.kills)
+            owner.withdrawals.stopList.take(answer.kills)
             l.peersConfirmedEpoch = answer.epoch
             l.peersConfirmedAt = at
             if (heard.isNotEmpty()) l.toldHeardAt = at
@@ -219,7 +219,7 @@
         val joined = news.summary?.let { take(it) } ?: true
         if (news.retire.isNotEmpty()) onRetire(news.retire)
         if (new) onNews()
-        val kills = owner.withdrawnTasks()
+        val kills = owner.withdrawals.unfinishedTasks()
         val all = owner.settled && kills.size <= MOST_KILLS
         return ProtoBuf.encodeToByteArray(NewsAnswer(!joined, if (all) membership.cluster.epoch else 0, kills.take(MOST_KILLS)))
     }
@@ -379,10 +379,10 @@
     private fun packed(bytes: ByteArray) = buildJsonObject { put("b", Base64.getEncoder().encodeToString(bytes)) }
 
     /** Makes the tasks of a withdrawn job known to the controllers that have not confirmed them yet. Only once they are in
-     * the state service: see [Owner.mayConfirmWithdrawal]. */
+     * the state service: see [micatally.job.Withdrawals.mayConfirm]. */
     suspend fun spread(job: Job) {
         if (job.publishedAt == null) return
-        val body = ProtoBuf.encodeToByteArray(WithdrawnTaskList(owner.notes(job)))
+        val body = ProtoBuf.encodeToByteArray(WithdrawnTaskList(owner.withdrawals.tasksOf(job)))
         coroutineScope {
             for (l in lines) if (l.peer.host !in job.confirmedBy) launch {
                 val out = http.call(l.peer.addr, "POST", KILLS, body, settings.leaseMs / 20)
@@ -392,7 +392,7 @@
     }
 
     fun takeKills(body: ByteArray): ByteArray {
-        owner.kills.take(ProtoBuf.decodeFromByteArray<WithdrawnTaskList>(body).kills)
+        owner.withdrawals.stopList.take(ProtoBuf.decodeFromByteArray<WithdrawnTaskList>(body).kills)
         return ByteArray(0)
     }
 
--- a/src/main/kotlin/micatally/settings/Settings.kt
+++ b/src/main/kotlin/micatally/settings/Settings.kt
@@ -99,7 +99,8 @@
             val next = state.child("next") ?: return now
             fun later(name: String, present: Double): Double {
                 val limit = next.numberOrNull(name) ?: return present
-                if (limit <= 0) throw SettingsError("state.next.$name must be above 0")
+                val least = if (name == "txn_ops") LEAST_TXN_OPS else 0.0
+                if (limit <= 0 || limit < least) throw SettingsError("state.next.$name must be ${if (least > 0) "at least ${least.toInt()}" else "above 0"}")
                 return limit
             }
             return now.smallerOf(
@@ -128,6 +129,9 @@
             return (workers.number("lease_s") * 1000 * leases).toLong()
         }
 
+        /** A takeover changes two keys at once. */
+        private const val LEAST_TXN_OPS = 2.0
+
         private const val GANG_WAIT_LEASES = 2.0
         private const val GANG_PEER_LEASES = 0.2
 
--- a/src/test/kotlin/micatally/settings/SettingsTest.kt
+++ b/src/test/kotlin/micatally/settings/SettingsTest.kt
@@ -1,6 +1,7 @@
 package micatally.settings
 
 import micatally.sim.SimFleet
+import micatally.state.StateLimits
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertThrows
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -30,6 +31,32 @@
         assertTrue("host_name" in refusal("\"host_name\":\"pitbox-0\",", ""))
     }
 
+    /** Guard: [Settings.stateLimits] is the smaller of both limits, each by itself. */
+    @Test
+    fun `limits to come are optional, kept to from the start, and checked`() {
+        fun limits(next: String) = Settings.parse(good.replace("\"txn_ops\":48}", "\"txn_ops\":48$next}").toByteArray()).stateLimits
+        assertEquals(StateLimits(250.0, 100.0, 16 * 1024, 48), limits(""))
+        assertEquals(StateLimits(250.0, 70.0, 2 * 1024, 16), limits(",\"next\":{\"write_rps\":70,\"value_kb\":2,\"txn_ops\":16}"))
+        assertEquals(StateLimits(200.0, 100.0, 16 * 1024, 48), limits(",\"next\":{\"rps\":200,\"write_rps\":900}"))
+        for (field in listOf("value_kb", "txn_ops", "rps", "write_rps")) {
+            val message = assertThrows(SettingsError::class.java) { limits(",\"next\":{\"$field\":-1}") }.message!!
+            assertTrue("state.next.$field" in message, message)
+        }
+        assertThrows(SettingsError::class.java) { limits(",\"next\":[]") }
+    }
+
+    @Test
+    fun `the gangs' times are read, checked, and have cautious defaults`() {
+        val named = Settings.parse(good.toByteArray())
+        assertEquals(35_000L to 4000L, named.gangWaitMs to named.gangPeerMs)
+        val older = Settings.parse(good.replace(Regex(",\"gang_\\w+\":[0-9.]+"), "").toByteArray())
+        assertEquals(20_000L to 2000L, older.gangWaitMs to older.gangPeerMs)
+        val message = assertThrows(SettingsError::class.java) { Settings.parse(good.replace("\"gang_wait_s\":35.0", "\"gang_wait_s\":0").toByteArray()) }.message!!
+        assertTrue("gang_wait_s" in message, message)
+    }
+
+    private val good = SimFleet(1).settingsOf(0).toString()
+
     /** A node's right to answer reports, a worker's lease and some slack fit in the time that a cancellation has. */
     @Test
     fun `the right to answer fits in a cancellation's time`() {
--- a/src/test/kotlin/micatally/sim/GangTest.kt
+++ b/src/test/kotlin/micatally/sim/GangTest.kt
@@ -168,7 +168,7 @@
         return ref
     }
 
-    /** Guard: the same withdrawal as for every job ([micatally.job.Owner.mayConfirmWithdrawal]). */
+    /** Guard: the same withdrawal as for every job ([micatally.job.Withdrawals.mayConfirm]). */
     @Test
     fun `a gang is cancelled in each of its phases`() {
         for ((seed, phase) in GangPhase.entries.withIndex()) meeting(30 + seed) {
