--- a/src/test/kotlin/micatally/sim/GangTest.kt
+++ b/src/test/kotlin/micatally/sim/GangTest.kt
@@ -92,7 +92,7 @@
         untilDone(ref)
     }
 
-    /** Guard: [micatally.gang.GangPolicy.afterLoss] ends the run, and the next one waits until all are gone. */
+    /** Guards: [micatally.gang.GangPolicy.afterLoss] and [micatally.gang.GangPolicy.hasLostTask] end the run (red with both off), and the next one waits until all are gone. */
     @Test
     fun `a running gang that loses a machine ends, and starts again from its checkpoint`() = meeting(5) {
         val ref = gang(0, 3, "sector_s" to 2.0, "pit_stop_s" to 1.0, runMs = 12_000)
@@ -187,8 +187,11 @@
     fun `the leader changes in each phase of a gang`() {
         for ((seed, phase) in GangPhase.entries.withIndex()) meeting(20 + seed) {
             val ref = gangIn(phase)
+            val number = gangOf(ref).gang!!.number
             f.crash(0)
-            runUntil(f.lease * 3, "another node takes the ledger") { others.any { holdsOf(it, 0) } }
+            runUntil(f.lease * 3, "another node takes the ledger and knows the run") {
+                f.live.any { it?.owner?.job(ref)?.gang?.number?.let { n -> n >= number } == true }
+            }
             for (w in f.cloud.workers) w.hung = false
             f.startNode(0)
             untilDone(ref)
