--- /dev/null
+++ b/src/test/kotlin/micatally/job/RecordPackingTest.kt
@@ -0,0 +1,107 @@
+package micatally.job
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import micatally.http.HttpCaller
+import micatally.http.Outcome
+import micatally.ledger.Cluster
+import micatally.ledger.Holder
+import micatally.ledger.Keys
+import micatally.ledger.Ledger
+import micatally.ledger.LedgerState
+import micatally.sim.SimFleet
+import micatally.standin.Rehearsal
+import micatally.state.Item
+import micatally.state.Listing
+import micatally.state.Put
+import micatally.state.RateBudget
+import micatally.state.StateClient
+import micatally.state.StateLimits
+import micatally.wire.JobSpec
+import micatally.worker.AttemptId
+import micatally.worker.Machine
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+/** Records and kill lists that are larger than a value of the state service. */
+class RecordPackingTest {
+    private val limits = StateLimits(100.0, 20.0, 1024, 6)
+    private val ledger = Ledger("pitbox-0", Holder("pitbox-0", "p", 1, 1)).also { it.become(LedgerState.ACTIVE) }
+
+    private fun job(attempts: Int, state: JobState): Job {
+        val random = Random(attempts)
+        val spec = JobSpec.parse(JsonObject(Rehearsal.job(7, "sweep", attempts * 2)))
+        val job = Job(spec.ref, spec, ledger, spec.taskCount, 1000, state)
+        repeat(attempts) { i ->
+            val machine = Machine("m-%06d".format(random.nextInt(500)), "10.0.0.$i:9000", "g8", "a", false)
+            job.attempts[i] = Attempt(job, i, i + 1L, machine, 1, 0.0, AttemptState.ORDERED)
+        }
+        job.durableState = state
+        return job
+    }
+
+    private fun write(job: Job) = (RecordForms(limits) { true }.fit(job) as RecordFit.Fits).write
+    private fun values(write: RecordWrite) = write.changes.filterIsInstance<Put>().associate { it.key to it.value }
+
+    /** Guard: all values of a write keep to the limits, and together they are the record. */
+    @Test
+    fun `a record in several values is read as it was`() {
+        val job = job(150, JobState.OPEN)
+        val values = values(write(job))
+        assertTrue(values.size in 2..limits.txnOps, "${values.size} values")
+        assertTrue(values.values.all { RecordPacking.size(it) <= limits.valueBytes })
+        val main = values.getValue(Keys.job(job.ref))
+        val parts = (0 until RecordPacking.overflowCount(main)).map { values.getValue(Keys.jobPart(job.ref, it)) }
+        assertEquals(JobRecord.encode(job), RecordPacking.unpack(main, parts))
+        assertEquals(listOf("pitbox-0", 0, 150), listOf(JobRecord.ledgerOf(main), JobRecord.doneCount(main), JobRecord.attemptCount(main)))
+        assertEquals(false, JobRecord.isSettled(main))
+    }
+
+    /** Guard: [Withdrawals.published] puts the values together; with the first alone no task is known. */
+    @Test
+    fun `a kill list in several values is known whole`() {
+        val job = job(180, JobState.WITHDRAWN)
+        val write = write(job)
+        assertTrue(write.killOverflow > 0 && write.changes.size <= limits.txnOps)
+        val cluster = Cluster()
+        cluster.load(Listing(values(write).filterKeys { it.startsWith(Keys.KILL) }.map { (k, v) -> Item(k, v, 5) }, 5))
+        val scope = CoroutineScope(SupervisorJob())
+        val nothing = HttpCaller { _, _, _, _, _ -> Outcome.NotSent }
+        val state = StateClient(nothing, "state", RateBudget(scope, 1.0, { 0 }), RateBudget(scope, 1.0, { 0 }), 10)
+        val store = JobStore(scope, state, RecordForms(limits) { true }, 1, 1) { 0 }
+        val withdrawals = Withdrawals(scope, SimFleet(1).settings[0], cluster, store) { 0 }
+        withdrawals.published(Keys.killPart(job.ref, 0))
+        assertTrue(job.attempts.values.all { withdrawals.stopList.has(it.machine.name, AttemptId(job.ref, it.taskIndex, it.number)) })
+    }
+
+    /** Guard: values that a smaller record does not need are deleted with it. */
+    @Test
+    fun `what a record no longer needs is deleted`() {
+        val job = job(150, JobState.OPEN)
+        job.storedOverflow = write(job).overflow
+        assertTrue(job.storedOverflow > 0)
+        job.attempts.keys.toList().drop(2).forEach { job.attempts.remove(it) }
+        val deleted = write(job).changes.filter { it !is Put }.map { it.key }
+        assertEquals((0 until job.storedOverflow).map { Keys.jobPart(job.ref, it) }, deleted)
+    }
+
+    /** Guard: [JobStore] gives attempts up that are not stored; a record that is too large stays as it is. */
+    @Test
+    fun `a job whose record can't hold its attempts does not fit`() {
+        assertEquals(RecordFit.TooLarge, RecordForms(StateLimits(100.0, 20.0, 512, 3)) { true }.fit(job(200, JobState.OPEN)))
+    }
+
+    /** The format of both programs: plain, whatever its size, while an old one may run. */
+    @Test
+    fun `nothing is compressed before the upgrade is finished`() {
+        val job = job(150, JobState.OPEN)
+        val forms = RecordForms(limits) { false }
+        val write = (forms.fit(job) as RecordFit.Fits).write
+        assertEquals(listOf(Keys.job(job.ref) to JobRecord.encode(job)), write.changes.map { it.key to (it as Put).value })
+        assertTrue(forms.isFull(job))
+    }
+}
