--- a/src/main/kotlin/micatally/upgrade/UpgradePlan.kt
+++ b/src/main/kotlin/micatally/upgrade/UpgradePlan.kt
@@ -40,11 +40,14 @@
         if (version(cluster, Keys.FORMAT) >= FormatVersion.CURRENT) UpgradePhase.UNIFORM else UpgradePhase.MIXED
 
     /**
-     * An announcement is written by a process of the current version and stays. A host that has once come up new does not
-     * return old, so a host that is merely away does not hold up the others.
+     * An announcement is written by a process of the current version once it is live itself, and stays. A host that has once
+     * come up new does not return old, so a host that is merely away does not hold up the others.
      */
     fun next(cluster: Cluster, self: String, hosts: Collection<String>): UpgradeStep {
-        if (announced(cluster, self) < FormatVersion.CURRENT) return UpgradeStep.Announce
+        if (announced(cluster, self) < FormatVersion.CURRENT) {
+            // The live key may still be that of the former process.
+            return if (running(cluster, self) >= FormatVersion.CURRENT) UpgradeStep.Announce else UpgradeStep.WaitFor(listOf(self))
+        }
         if (phase(cluster) == UpgradePhase.UNIFORM) return UpgradeStep.Finished
         val missing = hosts.filter { announced(cluster, it) < FormatVersion.CURRENT }.sorted()
         return if (missing.isEmpty()) UpgradeStep.Raise else UpgradeStep.WaitFor(missing)
@@ -52,10 +55,13 @@
 
     /** Hosts that run an older version although they had announced the current one: an operator has gone back too late. */
     fun downgraded(cluster: Cluster, hosts: Collection<String>): List<String> = hosts.filter { host ->
-        val running = cluster.value(Keys.live(host)) ?: return@filter false
-        (running.longOrNull(FORMAT_FIELD) ?: FormatVersion.FIRST) < announced(cluster, host)
+        cluster.has(Keys.live(host)) && running(cluster, host) < announced(cluster, host)
     }.sorted()
 
+    /** The version of the process that the host's live key names. */
+    private fun running(cluster: Cluster, host: String): Long =
+        cluster.value(Keys.live(host))?.longOrNull(FORMAT_FIELD) ?: FormatVersion.FIRST
+
     private fun version(cluster: Cluster, key: String): Long =
         cluster.value(key)?.longOrNull(VERSION_FIELD) ?: FormatVersion.FIRST
 
