Only a gang's tasks are stopped by a former attempt's result; found on rereading

It now calls the supervisor's stopAll, which it had written again. AfterLoss had two values that meant the same: a yes or no now. A takeover unpacks only records of its ledger and withdrawn ones.

--- a/src/main/kotlin/micatally/gang/GangPolicy.kt
+++ b/src/main/kotlin/micatally/gang/GangPolicy.kt
@@ -6,9 +6,6 @@
 import micatally.job.Job
 import micatally.wire.ExitReason
 
-/** What a gang does after one of its tasks is gone. */
-enum class AfterLoss { NOTHING, REPLACE, END_RUN }
-
 /** The times within which the workers of a gang act, from the settings. */
 class GangTiming(val waitMs: Long, val peerMs: Long, private val reportMs: Long) {
     /**
@@ -25,14 +22,14 @@
 /** Decisions about gangs; no I/O and no clock. */
 object GangPolicy {
     /**
-     * A task that was refused, or lost before the run is known to have started, may be replaced under the same number.
+     * Whether a gang gives its run up after one of its tasks is gone. A task that was refused, or lost before the run is known to have started, may be replaced under the same number.
      * Should the run have started meanwhile, the replacement waits alone and is stopped with the rest. Exits that only a
      * started or an incomplete run causes end the run.
      */
-    fun afterLoss(phase: GangPhase, end: AttemptEnd): AfterLoss = when (phase) {
-        GangPhase.RUNNING -> AfterLoss.END_RUN
-        GangPhase.WAITING -> if (end.reason == null || end.reason in REFUSALS) AfterLoss.REPLACE else AfterLoss.END_RUN
-        else -> AfterLoss.NOTHING
+    fun endsRun(phase: GangPhase, end: AttemptEnd): Boolean = when (phase) {
+        GangPhase.RUNNING -> true
+        GangPhase.WAITING -> end.reason != null && end.reason !in REFUSALS
+        else -> false
     }
 
     /** A missing task may be placed only when each other task is known to wait, or has been sent by this process. */
--- a/src/main/kotlin/micatally/gang/GangSupervisor.kt
+++ b/src/main/kotlin/micatally/gang/GangSupervisor.kt
@@ -44,7 +44,7 @@
     fun taskGone(attempt: Attempt, end: AttemptEnd) {
         val job = attempt.job
         val gang = job.gang ?: return
-        if (job.wantsTasks && GangPolicy.afterLoss(gang.phase, end) == AfterLoss.END_RUN) {
+        if (job.wantsTasks && GangPolicy.endsRun(gang.phase, end)) {
             endRun(job, gang, "task ${attempt.taskIndex} is gone: ${end.reason?.word ?: end.detail}")
         }
         if (job.attempts.isEmpty()) gang.allGone()
@@ -82,7 +82,8 @@
         if (job.attempts.isEmpty()) gang.allGone()
     }
 
-    private fun stopAll(job: Job, reason: StopReason) {
+    /** Stops every task of the present run; those of which nothing was sent end at once. */
+    fun stopAll(job: Job, reason: StopReason) {
         val now = nowMs()
         val machines = LinkedHashSet<Machine>()
         for (attempt in job.attempts.values.toList()) {
--- a/src/main/kotlin/micatally/job/Owner.kt
+++ b/src/main/kotlin/micatally/job/Owner.kt
@@ -130,7 +130,7 @@
         }
     }
 
-    /** A job's record as it was read; [plain] is null for a compressed record of another ledger. */
+    /** A job's record as it was read; [plain] is null for open and done jobs of other ledgers, which nobody asks for here. */
     private class ReadRecord(val ref: String, val stored: JsonObject, val plain: JsonObject?, val mark: Long)
 
     /**
@@ -144,10 +144,12 @@
         val partOf = parts?.items?.associateBy { it.key } ?: emptyMap()
         return listing.items.map { item ->
             val ref = item.key.removePrefix(Keys.JOB)
+            val isOwn = JobRecord.ledgerOf(item.value) == l.name
             val overflow = (0 until RecordPacking.overflowCount(item.value)).map { partOf[Keys.jobPart(ref, it)] }
             val isWhole = overflow.all { it != null && it.mark == item.mark }
-            if (!isWhole && JobRecord.ledgerOf(item.value) == l.name && ref !in l.jobs) return null
-            val plain = if (isWhole) RecordPacking.unpack(item.value, overflow.map { it!!.value }) else null
+            if (!isWhole && isOwn && ref !in l.jobs) return null
+            val isNeeded = isOwn || JobRecord.state(item.value) == JobState.WITHDRAWN
+            val plain = if (isWhole && isNeeded) RecordPacking.unpack(item.value, overflow.map { it!!.value }) else null
             ReadRecord(ref, item.value, plain, item.mark)
         }
     }
@@ -342,8 +344,8 @@
         if (job.state != JobState.OPEN) return
         val isRestarted = task in job.attempts
         if (isRestarted && job.gang == null || !markDone(job, task)) return
-        // The next run of a gang has nothing left to do.
-        for (a in job.attempts.values.toList()) if (a.state == AttemptState.INTENDED) gone(a, AttemptEnd(GoneProof.NEVER_SENT, "done before")) else a.stop(StopReason.GANG_ENDED, nowMs())
+        // The next run of a gang has nothing left to do; the other tasks of an array go on.
+        if (job.gang != null) gangs.stopAll(job, StopReason.GANG_ENDED)
         store.touch(job, job.state == JobState.DONE)
     }
 
--- a/src/test/kotlin/micatally/sim/GangTest.kt
+++ b/src/test/kotlin/micatally/sim/GangTest.kt
@@ -3,6 +3,10 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import micatally.gang.GangPhase
+import micatally.job.AttemptState
+import micatally.wire.ExitReason
+import micatally.wire.ListedTask
+import micatally.wire.Report
 import micatally.wire.bytes
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
@@ -65,7 +69,7 @@
         assertEquals(422, f.asked(0, "POST", "/work", apart.source.bytes()).first)
     }
 
-    /** Guard: [micatally.gang.GangPolicy.afterLoss]; if every loss ends the run, the number is another one. */
+    /** Guard: [micatally.gang.GangPolicy.endsRun]; if every loss ends the run, the number is another one. */
     @Test
     fun `a task that is lost while the gang waits is replaced under the same number`() = meeting(3) {
         val ref = gang(0, 3, "size_gb" to 6.0)
@@ -92,7 +96,7 @@
         untilDone(ref)
     }
 
-    /** Guards: [micatally.gang.GangPolicy.afterLoss] and [micatally.gang.GangPolicy.hasLostTask] end the run (red with both off), and the next one waits until all are gone. */
+    /** Guards: [micatally.gang.GangPolicy.endsRun] and [micatally.gang.GangPolicy.hasLostTask] end the run (red with both off), and the next one waits until all are gone. */
     @Test
     fun `a running gang that loses a machine ends, and starts again from its checkpoint`() = meeting(5) {
         val ref = gang(0, 3, "sector_s" to 2.0, "pit_stop_s" to 1.0, runMs = 12_000)
@@ -251,6 +255,22 @@
         assertEquals(starts, f.rules.starts)
     }
 
+    /** Found on rereading: a task of an array that was done under a former attempt stopped all its others, as in a gang. */
+    @Test
+    fun `a task of an array that is done under a former attempt stops no other task`() = meeting(16) {
+        val ref = submit(0, "sweep", 12, "crew" to "text", "cores" to 5.0, runMs = 3_600_000)
+        runUntil(f.lease * 6, "the team is at its limit") { tasks(ref).size == 4 }
+        runUntil(f.lease, "its owner knows") { gangOf(ref).attempts.values.count { it.state == AttemptState.RUNNING } == 4 }
+        val job = gangOf(ref)
+        val pending = (0 until 12).last { it !in job.attempts }
+        val machines = f.live[0]!!.machines
+        val m = job.attempts.values.first().machine
+        val listed = m.tasks + ListedTask(ref, pending, 500, ListedTask.ENDED, ExitReason.DONE.word, false)
+        machines.absorb(Report(m.name, m.addr, m.type, m.zone, m.spot, m.session, m.tick + 1, 0, null, listed), false)
+        assertTrue(job.done[pending])
+        assertTrue(job.attempts.values.all { it.stop == null }, "${job.attempts.values.map { it.stop }}")
+    }
+
     /** Guard: a finished task lifts to the longest path, not to the sum ([micatally.job.Owner.gone]). */
     @Test
     fun `a run lifts the number of its job once`() = meeting(12) {
