--- a/src/main/kotlin/micatally/api/UserApi.kt
+++ b/src/main/kotlin/micatally/api/UserApi.kt
@@ -21,6 +21,7 @@
 import micatally.state.ReadResult
 import micatally.state.StateClient
 import micatally.state.Urgency
+import micatally.upgrade.Upgrade
 import micatally.wire.Format
 import micatally.wire.JobAnswer
 import micatally.wire.JobSpec
@@ -34,7 +35,8 @@
 /** What users ask. Nothing is held back: what can't be decided now is answered 503 with the time to come back. */
 class UserApi(
     private val settings: Settings, private val state: StateClient, private val membership: Membership, private val owner: Owner,
-    private val store: JobStore, private val machines: Machines, private val peers: Peers, private val rounds: Rounds, private val nowMs: () -> Long,
+    private val store: JobStore, private val machines: Machines, private val peers: Peers, private val rounds: Rounds,
+    private val upgrade: Upgrade, private val nowMs: () -> Long,
 ) {
     /** Which ledger a job belongs to never changes. */
     private val ledgerOf = CacheBuilder.newBuilder().maximumSize(20_000).build<String, String>()
@@ -65,6 +67,8 @@
         val spec = try { JobSpec.parse(o) } catch (e: WireError) { return knownOr(ref) { errorResponse(400, e.message ?: "") } }
         if (machines.flavors.isEmpty()) return knownOr(ref) { later("the machine types are not known yet") }
         impossible(spec)?.let { why -> return knownOr(ref) { errorResponse(422, why) } }
+        // The previous version would run a gang's tasks as if they were independent.
+        if (spec.isGang && !upgrade.isUniform) return knownOr(ref) { later("gangs are served once all controllers are upgraded") }
         val ledger = owner.own()
         if (ledger == null || !stateReachable || !membership.leaseHolds()) return later("no contact with the state service")
         if (state.waitingWrites > settings.stateWriteRps) return later("too many submissions at once")
@@ -148,7 +152,7 @@
     }
 
     private fun fromRecord(ref: String, o: JsonObject): JobAnswer {
-        val tasks = JobRecord.placed(o).size
+        val tasks = JobRecord.attemptCount(o)
         val status = when (JobRecord.state(o)) {
             JobState.DONE -> JobAnswer.DONE
             JobState.WITHDRAWN -> JobAnswer.WITHDRAWN
--- a/src/main/kotlin/micatally/fleet/Keeper.kt
+++ b/src/main/kotlin/micatally/fleet/Keeper.kt
@@ -9,6 +9,7 @@
 import kotlinx.serialization.json.put
 import micatally.http.HttpCaller
 import micatally.http.Outcome
+import micatally.job.RecordPacking
 import micatally.ledger.Cluster
 import micatally.ledger.Keys
 import micatally.ledger.Membership
@@ -94,7 +95,7 @@
                     take(fresh)
                     val text = fresh.toString()
                     // Kept for nodes that start while the cloud can't be asked.
-                    if (text != known) if (state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Put(Keys.FLAVORS, fresh))) } is TxnResult.Applied) known = text
+                    if (text != known && RecordPacking.size(fresh) <= settings.valueBytes) if (state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Put(Keys.FLAVORS, fresh))) } is TxnResult.Applied) known = text
                 }
             }
             delay(if (machines.flavors.isEmpty()) settings.leaseMs / 20 else settings.leaseMs * 3)
--- a/src/main/kotlin/micatally/fleet/RentPlan.kt
+++ b/src/main/kotlin/micatally/fleet/RentPlan.kt
@@ -20,9 +20,7 @@
 
     /** How many such tasks an empty machine takes. */
     fun perMachine(task: Amount, machine: Amount): Int {
-        fun n(one: Double, all: Double) = if (one <= 0) Int.MAX_VALUE else ((all + Amount.SLACK) / one).toInt()
-        val room = open(task, machine, machine)
-        return minOf(n(task.cores, room.cores), n(task.cards, room.cards), n(task.ram, room.ram))
+        return task.countIn(open(task, machine, machine))
     }
 
     /** Tasks of one shape, of whichever job: together they may fill a machine that would be too large for one job's. */
--- /dev/null
+++ b/src/main/kotlin/micatally/gang/GangSupervisor.kt
@@ -0,0 +1,98 @@
+package micatally.gang
+
+import micatally.job.Attempt
+import micatally.job.AttemptEnd
+import micatally.job.AttemptState
+import micatally.job.GoneProof
+import micatally.job.Job
+import micatally.job.JobState
+import micatally.job.StopReason
+import micatally.worker.Machine
+import org.slf4j.LoggerFactory
+
+/** What the supervisor needs of the owner of the jobs. */
+interface GangOwner {
+    /** Ends an attempt of which nothing was sent. */
+    fun gone(attempt: Attempt, end: AttemptEnd)
+    fun poke(machine: Machine)
+}
+
+/** Carries out what [GangPolicy] decides for the gangs of this node. Attempts end as everywhere, through their owner. */
+class GangSupervisor(private val owner: GangOwner, private val timing: GangTiming, private val nowMs: () -> Long) {
+    private val log = LoggerFactory.getLogger("micatally.gang")
+
+    /** After a takeover: the record shows the run, and reports will show whether it has started. */
+    fun adopted(job: Job) {
+        val gang = job.gang ?: return
+        if (job.attempts.isNotEmpty()) gang.beginRun(job.attempts.values.maxOf { it.number })
+    }
+
+    /** A task of the job has been reported in a new state. */
+    fun taskSeen(attempt: Attempt) {
+        val job = attempt.job
+        val gang = job.gang ?: return
+        if (attempt.number != gang.number) return
+        if (attempt.state == AttemptState.WAITING) gang.taskWaits(nowMs())
+        if (attempt.state >= AttemptState.RUNNING && gang.phase == GangPhase.WAITING) {
+            gang.taskRuns()
+            log.info("gang {}#{} runs", job.ref, gang.number)
+            review(job, nowMs())
+        }
+    }
+
+    /** An attempt of the job has just ended. */
+    fun taskGone(attempt: Attempt, end: AttemptEnd) {
+        val job = attempt.job
+        val gang = job.gang ?: return
+        if (job.wantsTasks && GangPolicy.afterLoss(gang.phase, end) == AfterLoss.END_RUN) {
+            endRun(job, gang, "task ${attempt.lap} is gone: ${end.reason?.word ?: end.detail}")
+        }
+        if (job.attempts.isEmpty()) gang.allGone()
+    }
+
+    /** Looks at what time alone changes. */
+    fun review(job: Job, nowMs: Long) {
+        val gang = job.gang ?: return
+        if (!job.wantsTasks) return
+        if (GangPolicy.hasLostTask(job, gang)) endRun(job, gang, "it runs without all of its tasks")
+        if (GangPolicy.isOverdue(job, gang, timing, nowMs)) endRun(job, gang, "it can't be whole in time")
+    }
+
+    fun mayReplace(job: Job, gang: Gang, nowMs: Long) = GangPolicy.mayReplace(job, gang, timing, nowMs)
+
+    /** Gives a run up that waits for a task which would come too late. */
+    fun giveUp(job: Job, why: String) {
+        val gang = job.gang ?: return
+        if (gang.phase == GangPhase.WAITING) endRun(job, gang, why)
+    }
+
+    /** One of the machines will be taken back: all tasks save, if each of them can be told. */
+    fun stopOrderly(job: Job, why: String, isReachable: (Machine) -> Boolean) {
+        val gang = job.gang ?: return
+        if (job.state != JobState.OPEN || !GangPolicy.mayStopOrderly(job, gang) { isReachable(it.machine) }) return
+        gang.beginStop()
+        log.info("gang {}#{} is stopped: {}", job.ref, gang.number, why)
+        stopAll(job, StopReason.DRAIN)
+    }
+
+    private fun endRun(job: Job, gang: Gang, why: String) {
+        gang.beginEnd()
+        log.info("gang {}#{} ends: {}", job.ref, gang.number, why)
+        stopAll(job, StopReason.GANG_ENDED)
+        if (job.attempts.isEmpty()) gang.allGone()
+    }
+
+    private fun stopAll(job: Job, reason: StopReason) {
+        val now = nowMs()
+        val machines = LinkedHashSet<Machine>()
+        for (attempt in job.attempts.values.toList()) {
+            if (attempt.state == AttemptState.INTENDED) {
+                owner.gone(attempt, AttemptEnd(GoneProof.NEVER_SENT, "the gang's run has ended"))
+                continue
+            }
+            attempt.stop(reason, now)
+            machines.add(attempt.machine)
+        }
+        for (machine in machines) owner.poke(machine)
+    }
+}
--- a/src/main/kotlin/micatally/job/Attempt.kt
+++ b/src/main/kotlin/micatally/job/Attempt.kt
@@ -1,5 +1,6 @@
 package micatally.job
 
+import micatally.wire.ExitReason
 import micatally.worker.Machine
 
 /** Where one start of one task stands.
@@ -7,15 +8,24 @@
  * INTENDED: decided, not yet in the state service, so nothing may be sent.
  * RECORDED: the intent is durable; no run has left.
  * ORDERED: a run may have left. From here on only a proof ends the attempt.
- * PULLING, RUNNING, SAVING: as the worker said last.
+ * PULLING, WAITING, RUNNING, SAVING: as the worker said last; a gang's task waits for the others.
  * GONE: proven not to be on its machine and not to come there any more. */
-enum class AttemptState { INTENDED, RECORDED, ORDERED, PULLING, RUNNING, SAVING, GONE }
+enum class AttemptState { INTENDED, RECORDED, ORDERED, PULLING, WAITING, RUNNING, SAVING, GONE }
 
 /** The proofs that an attempt is gone. Nothing else counts; above all no report that merely lacks it. */
 enum class GoneProof { NEVER_SENT, OWN_ANSWER, NEWER_SESSION, MACHINE_DELETED, COMPLETED }
 
-/** Why an attempt is to be stopped. */
-enum class StopReason { WITHDRAWN, DRAIN, PREEMPTED, STRAY }
+/**
+ * How an attempt ended.
+ *
+ * @property reason what the worker said, if it said anything
+ */
+class AttemptEnd(val proof: GoneProof, val detail: String, val reason: ExitReason? = null, val isSaved: Boolean = false) {
+    override fun toString() = "$proof $detail" + if (isSaved) " saved" else ""
+}
+
+/** Why an attempt is to be stopped; an earlier reason replaces a later one. */
+enum class StopReason { WITHDRAWN, DRAIN, PREEMPTED, GANG_ENDED, STRAY }
 
 class Attempt(val job: Job, val lap: Int, val number: Long, val machine: Machine, val session: Long, val inherited: Double, startState: AttemptState) {
     var state = startState
--- a/src/main/kotlin/micatally/job/Job.kt
+++ b/src/main/kotlin/micatally/job/Job.kt
@@ -1,6 +1,7 @@
 package micatally.job
 
 import kotlinx.coroutines.CompletableDeferred
+import micatally.gang.Gang
 import micatally.ledger.Ledger
 import micatally.wire.JobAnswer
 import micatally.wire.JobSpec
@@ -20,6 +21,9 @@
     var doneCount = 0
         private set
     val attempts = TreeMap<Int, Attempt>()
+
+    /** Only for jobs whose tasks run all together. */
+    val gang: Gang? = if (spec?.isGang == true) Gang() else null
     var nextAttempt = 1L
 
     /** The longest service path seen, in run seconds; the queue that it puts the job in; whether waiting lifted it. */
@@ -42,6 +46,11 @@
 
     // What the store keeps about writing the record.
     var mark = 0L
+    /** Further values that the stored record and its kill list take. */
+    var storedOverflow = 0
+    var storedKillOverflow = 0
+    /** How many attempts the record is known to have room for. */
+    var attemptLimit = Int.MAX_VALUE
     var version = 0L
     var durableVersion = 0L
     var writing = false
--- a/src/main/kotlin/micatally/job/Owner.kt
+++ b/src/main/kotlin/micatally/job/Owner.kt
@@ -4,7 +4,10 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import micatally.gang.GangOwner
+import micatally.gang.GangSupervisor
+import micatally.gang.GangTiming
 import micatally.ledger.Holder
 import micatally.ledger.Keys
 import micatally.ledger.Ledger
@@ -15,13 +18,13 @@
 import micatally.state.StateClient
 import micatally.state.Urgency
 import micatally.wire.Demand
+import micatally.wire.ExitReason
 import micatally.wire.JobAnswer
 import micatally.wire.JobSpec
 import micatally.wire.KillNote
 import micatally.wire.ListedTask
 import micatally.wire.asLong
 import micatally.wire.asText
-import micatally.wire.listOrNull
 import micatally.worker.KillBook
 import micatally.worker.Machine
 import micatally.worker.Machines
@@ -33,7 +36,7 @@
 class Owner(
     private val scope: CoroutineScope, private val settings: Settings, private val state: StateClient, private val membership: Membership,
     private val machines: Machines, private val store: JobStore, private val nowMs: () -> Long, private val wallMs: () -> Long,
-) : OrderBook {
+) : OrderBook, GangOwner {
     private val log = LoggerFactory.getLogger("micatally.job")
     val ledgers = HashMap<String, Ledger>()
     lateinit var orders: Orders
@@ -42,6 +45,10 @@
     /** A machine failed what it started. */
     var onFault: (Machine, Attempt) -> Unit = { _, _ -> }
 
+    val gangs = GangSupervisor(this, GangTiming(settings.gangWaitMs, settings.gangPeerMs, settings.reportMs), nowMs)
+
+    override fun poke(machine: Machine) = orders.poke(machine)
+
     /** Final answers, which never change. */
     private val finals = CacheBuilder.newBuilder().maximumSize(FINALS).build<String, JobAnswer>()
 
@@ -114,48 +121,93 @@
     private suspend fun load(l: Ledger) {
         val began = nowMs()
         while (l.mine) {
-            val listing = state.list(Keys.JOB, Urgency.LEASE)
-            if (listing == null) { delay(settings.reportMs / 8); continue }
-            if (!l.mine) return
-            var open = 0
-            for (item in listing.items) {
-                val ref = item.key.removePrefix(Keys.JOB)
-                // Whoever's job it is: a node that has just started must stop its tasks where it hears them.
-                if (JobRecord.state(item.value) == JobState.WITHDRAWN) kills.take(JobRecord.placed(item.value).map { KillNote(it.machine, ref, it.lap, it.number) })
-                if (JobRecord.ledgerOf(item.value) != l.name) continue
-                // Accepted here while the list was on its way; or it was accepted before, and its user has just repeated the
-                // submission here: then the record counts, or nobody would own the job.
-                val there = l.jobs[ref]
-                if (there?.durableState == JobState.NEW && JobRecord.holdOf(item.value) != l.hold) store.drop(there) else if (there != null) continue
-                val job = JobRecord.decode(ref, item.value, l, item.mark)
-                if (JobRecord.isSettled(item.value)) { rememberFinal(job.answer()); continue }
-                l.jobs[ref] = job
-                open++
-                for (p in JobRecord.placed(item.value)) {
-                    val m = machines.known(p.machine, p.addr, p.type, p.zone, p.spot)
-                    if (m.session == 0L) m.session = p.session
-                    val a = Attempt(job, p.lap, p.number, m, p.session, job.service, AttemptState.ORDERED)
-                    job.attempts[p.lap] = a
-                    attach(a)
-                }
-                if (job.state == JobState.WITHDRAWN) {
-                    withdrawing.add(job)
-                    // Written together with the record; this node's copy of the shared keys is as new as its hold on the ledger.
-                    if (membership.cluster.has(Keys.kill(ref))) job.publishedAt = nowMs() else store.touch(job, true)
-                }
+            val records = readRecords(l)
+            if (records == null) {
+                delay(settings.reportMs / 8)
+                continue
             }
+            if (!l.mine) return
+            for (record in records) adopt(l, record)
             l.become(LedgerState.ACTIVE)
-            log.info("ledger {} loaded at epoch {}: {} jobs in {} ms", l.name, l.holder.epoch, open, nowMs() - began)
-            for (m in machines.byName.values.toList()) {
-                if (m.session > 0) newSession(m)
-                if (m.deleted) deleted(m)
-                if (m.attempts.isNotEmpty()) { listed(m, false); orders.poke(m) }
-            }
+            log.info("ledger {} loaded at epoch {}: {} jobs in {} ms", l.name, l.holder.epoch, l.jobs.size, nowMs() - began)
+            reconcileMachines()
             wake()
             return
         }
     }
 
+    /** A job's record as it was read; [plain] is null for a compressed record of another ledger. */
+    private class ReadRecord(val ref: String, val stored: JsonObject, val plain: JsonObject?, val mark: Long)
+
+    /**
+     * All records, whoever owns them; null if they could not be read. A record's further values have its revision, since one
+     * transaction writes them. Nobody else writes records of a ledger that is held, so for those the two listings agree.
+     */
+    private suspend fun readRecords(l: Ledger): List<ReadRecord>? {
+        val listing = state.list(Keys.JOB, Urgency.LEASE) ?: return null
+        val isSplit = listing.items.any { RecordPacking.overflowCount(it.value) > 0 }
+        val parts = if (isSplit) state.list(Keys.JOB_PART, Urgency.LEASE) ?: return null else null
+        val partOf = parts?.items?.associateBy { it.key } ?: emptyMap()
+        return listing.items.map { item ->
+            val ref = item.key.removePrefix(Keys.JOB)
+            val overflow = (0 until RecordPacking.overflowCount(item.value)).map { partOf[Keys.jobPart(ref, it)] }
+            val isWhole = overflow.all { it != null && it.mark == item.mark }
+            if (!isWhole && JobRecord.ledgerOf(item.value) == l.name && ref !in l.jobs) return null
+            val plain = if (isWhole) RecordPacking.unpack(item.value, overflow.map { it!!.value }) else null
+            ReadRecord(ref, item.value, plain, item.mark)
+        }
+    }
+
+    private fun adopt(l: Ledger, record: ReadRecord) {
+        val ref = record.ref
+        // Whoever's job it is: a node that has just started must stop its tasks where it hears them.
+        if (record.plain != null && JobRecord.state(record.stored) == JobState.WITHDRAWN) {
+            kills.take(JobRecord.placed(record.plain).map { KillNote(it.machine, ref, it.lap, it.number) })
+        }
+        if (JobRecord.ledgerOf(record.stored) != l.name) return
+        // Accepted here while the list was on its way; or it was accepted before, and its user has just repeated the
+        // submission here: then the record counts, or nobody would own the job.
+        val present = l.jobs[ref]
+        if (present?.durableState == JobState.NEW && JobRecord.holdOf(record.stored) != l.hold) store.drop(present) else if (present != null) return
+        val plain = record.plain ?: return
+        val job = JobRecord.decode(ref, plain, l, record.mark)
+        if (JobRecord.isSettled(plain)) {
+            rememberFinal(job.answer())
+            return
+        }
+        job.storedOverflow = RecordPacking.overflowCount(record.stored)
+        l.jobs[ref] = job
+        for (placed in JobRecord.placed(plain)) adoptAttempt(job, placed)
+        gangs.adopted(job)
+        if (job.state == JobState.WITHDRAWN) {
+            withdrawing.add(job)
+            val killList = membership.cluster.value(Keys.kill(ref))
+            job.storedKillOverflow = killList?.let { RecordPacking.overflowCount(it) } ?: 0
+            // Written together with the record; this node's copy of the shared keys is as new as its hold on the ledger.
+            if (killList != null) job.publishedAt = nowMs() else store.touch(job, true)
+        }
+    }
+
+    private fun adoptAttempt(job: Job, placed: JobRecord.Placed) {
+        val machine = machines.known(placed.machine, placed.addr, placed.type, placed.zone, placed.spot)
+        if (machine.session == 0L) machine.session = placed.session
+        val attempt = Attempt(job, placed.lap, placed.number, machine, placed.session, job.service, AttemptState.ORDERED)
+        job.attempts[placed.lap] = attempt
+        attach(attempt)
+    }
+
+    /** What is known of the machines already is applied to the attempts that have just been loaded. */
+    private fun reconcileMachines() {
+        for (m in machines.byName.values.toList()) {
+            if (m.session > 0) newSession(m)
+            if (m.deleted) deleted(m)
+            if (m.attempts.isNotEmpty()) {
+                listed(m, false)
+                orders.poke(m)
+            }
+        }
+    }
+
     // Withdrawn jobs, and when their users may be told
 
     /** What other owners have withdrawn. */
@@ -176,9 +228,11 @@
 
     /** The shared keys have changed: tasks that some owner has published. */
     fun published(key: String) {
-        val ref = key.removePrefix(Keys.KILL)
-        val rows = membership.cluster.value(key)?.listOrNull("tasks") ?: return
-        kills.take(rows.map { it as JsonArray }.map { KillNote(it[0].asText(), ref, it[1].asLong().toInt(), it[2].asLong()) })
+        val ref = key.removePrefix(Keys.KILL).substringBefore('/')
+        val main = membership.cluster.value(Keys.kill(ref)) ?: return
+        val overflow = (0 until RecordPacking.overflowCount(main)).map { membership.cluster.value(Keys.killPart(ref, it)) ?: return }
+        val rows = KillListValue.rows(RecordPacking.unpack(main, overflow))
+        kills.take(rows.map { KillNote(it[0].asText(), ref, it[1].asLong().toInt(), it[2].asLong()) })
     }
 
     /** Asks the other controllers to confirm the tasks of a withdrawn job. */
@@ -209,6 +263,7 @@
     /** Numbers are the job's, each used once for a task; the members of a gang, which find each other by it, share one. */
     fun place(job: Job, lap: Int, m: Machine, number: Long = job.nextAttempt++): Attempt {
         val a = Attempt(job, lap, number, m, m.session, job.service, AttemptState.INTENDED)
+        job.gang?.tried(lap, m.name)
         job.attempts[lap] = a
         attach(a)
         log.info("task {}/{} attempt {} intended for {}", job.ref, lap, a.number, m.name)
@@ -232,92 +287,101 @@
         }
     }
 
+    /** Attempts that are not stored yet and for which their job's record has no room. */
+    fun giveUp(job: Job, attempts: List<Attempt>) {
+        val all = if (job.gang == null) attempts else job.attempts.values.filter { it.state == AttemptState.INTENDED }
+        for (a in all) gone(a, AttemptEnd(GoneProof.NEVER_SENT, "no room in the job's record"))
+        job.attemptLimit = job.attempts.size
+    }
+
     /** The one place where an attempt ends. A task may start elsewhere only after it. */
-    override fun gone(a: Attempt, proof: GoneProof, why: String) {
-        if (!a.live) return
-        val job = a.job
+    override fun gone(attempt: Attempt, end: AttemptEnd) {
+        if (!attempt.live) return
+        val job = attempt.job
         val now = nowMs()
-        val ran = a.runningSince?.let { now - it } ?: 0L
-        a.become(AttemptState.GONE, now)
-        a.machine.detach(a, now)
-        job.attempts.remove(a.lap, a)
+        val ranMs = attempt.runningSince?.let { now - it } ?: 0L
+        attempt.become(AttemptState.GONE, now)
+        attempt.machine.detach(attempt, now)
+        job.attempts.remove(attempt.lap, attempt)
         // What a ledger used is forgotten with it; its next holder has counted anew.
         if (job.ledger.mine) quota.release(job)
-        log.info("task {} gone: {} {}", a, proof, why)
+        log.info("task {} gone: {}", attempt, end)
         if (job.state == JobState.DROPPED) return
-        val word = why.substringBefore(' ')
-        if (proof == GoneProof.COMPLETED) finished(a, ran) else if (ran > 0 && job.spec?.isService == false) {
+        if (end.proof == GoneProof.COMPLETED) {
+            finished(attempt, ranMs)
+        } else if (ranMs > 0 && job.spec?.isService == false) {
             // Stopped or lost: its run time counts as service that the job has had.
-            lift(job, a.inherited + ran / 1000.0)
+            lift(job, attempt.inherited + ranMs / 1000.0)
         }
-        when (word) {
-            ListedTask.ERROR -> {
+        learn(attempt, end, now)
+        gangs.taskGone(attempt, end)
+        // The end of a job that is done is known already: that its last attempts are gone may wait a little.
+        val isUrgent = job.state == JobState.WITHDRAWN || job.state == JobState.OPEN && attempt.stop != null || job.endUnderWay
+        store.touch(job, isUrgent)
+        wake()
+    }
+
+    /** What an exit tells of the machine and of when to try again. */
+    private fun learn(attempt: Attempt, end: AttemptEnd, now: Long) {
+        val job = attempt.job
+        when (end.reason) {
+            ExitReason.ERROR -> {
                 job.failures++
-                job.badMachines.add(a.machine.name)
+                job.badMachines.add(attempt.machine.name)
                 if (job.badMachines.size > FAULTS_TO_PAUSE) {
-                    job.retryAt = now + minOf(settings.leaseMs * 6, settings.reportMs shl minOf(job.badMachines.size - FAULTS_TO_PAUSE, 5))
+                    val pauseMs = settings.reportMs shl minOf(job.badMachines.size - FAULTS_TO_PAUSE, 5)
+                    job.retryAt = now + minOf(settings.leaseMs * 6, pauseMs)
                 }
-                onFault(a.machine, a)
+                onFault(attempt.machine, attempt)
             }
-            ListedTask.FULL -> a.machine.fullUntil = now + settings.reportMs
-            ListedTask.UNKNOWN, ListedTask.IN_USE -> job.retryAt = now + settings.reportMs
+            ExitReason.FULL -> attempt.machine.fullUntil = now + settings.reportMs
+            ExitReason.UNKNOWN, ExitReason.IN_USE -> job.retryAt = now + settings.reportMs
+            else -> {}
         }
-        store.touch(job, job.state != JobState.OPEN || a.stop != null)
-        wake()
     }
 
     private fun finished(a: Attempt, ranMs: Long) {
         val job = a.job
-        if (!job.markDone(a.lap)) return
+        if (!markDone(job, a.lap)) return
         a.machine.successes++
         lift(job, a.inherited + ranMs / 1000.0)
+        if (job.state == JobState.DONE) store.touch(job, true)
+    }
+
+    /** False if that was known. The tasks of a gang complete together: if one is done, all are. */
+    private fun markDone(job: Job, task: Int): Boolean {
+        if (!job.markDone(task)) return false
+        if (job.gang != null) for (other in 0 until job.laps) job.markDone(other)
         if (job.doneCount == job.laps && job.state == JobState.OPEN) {
             job.become(JobState.DONE)
             log.info("job {} done", job.ref)
-            store.touch(job, true)
         }
+        return true
     }
 
     private fun lift(job: Job, to: Double) { if (to > job.service) job.service = to }
 
     fun newSession(m: Machine) {
-        for (a in m.attempts.toList()) if (a.session < m.session) gone(a, GoneProof.NEWER_SESSION, "session ${m.session}")
+        for (a in m.attempts.toList()) if (a.session < m.session) gone(a, AttemptEnd(GoneProof.NEWER_SESSION, "session ${m.session}"))
     }
 
     fun deleted(m: Machine) {
         m.deleted = true
         m.loose.clear()
-        for (a in m.attempts.toList()) gone(a, GoneProof.MACHINE_DELETED, "machine gone")
+        for (a in m.attempts.toList()) gone(a, AttemptEnd(GoneProof.MACHINE_DELETED, "machine gone"))
     }
 
     /** A newer task list of a machine. Without an answer to our own request it proves only what can't change any more. */
     fun listed(m: Machine, own: Boolean) {
-        val now = nowMs()
         var poke = false
         for (t in m.tasks) {
             val job = job(t.ref) ?: continue
             val a = job.attempts[t.lap]
-            if (a == null || a.number != t.attempt || a.machine !== m || a.session != m.session) {
+            if (a != null && a.number == t.attempt && a.machine === m && a.session == m.session) {
+                poke = listedAttempt(a, t, own) || poke
+            } else {
                 poke = true
-                // Completed under an attempt that was given up for good reasons: the result counts all the same.
-                if (t.done && job.state == JobState.OPEN && a == null && job.markDone(t.lap)) {
-                    if (job.doneCount == job.laps) { job.become(JobState.DONE); log.info("job {} done", job.ref) }
-                    store.touch(job, job.state == JobState.DONE)
-                }
-                continue
-            }
-            when (t.status) {
-                ListedTask.PULLING, ListedTask.WAITING -> if (a.state < AttemptState.PULLING && a.state >= AttemptState.ORDERED) a.become(AttemptState.PULLING, now)
-                ListedTask.RUNNING -> if (a.state < AttemptState.RUNNING && a.state >= AttemptState.ORDERED) {
-                    a.become(AttemptState.RUNNING, now)
-                    job.spec?.let { m.sawImage(it.image, it.imageGb, machines.flavors[m.type]?.cacheGb ?: 0.0); m.ownImages.add(it.image) }
-                    log.info("task {} runs", a)
-                }
-                ListedTask.SAVING -> if (a.state < AttemptState.SAVING && a.state >= AttemptState.ORDERED) a.become(AttemptState.SAVING, now)
-                ListedTask.ENDED -> when {
-                    t.done -> { gone(a, GoneProof.COMPLETED, "done"); poke = true }
-                    !own -> { m.mustAsk = true; poke = true }
-                }
+                if (t.done) doneUnderFormerAttempt(job, t.lap)
             }
         }
         // What was there and is missing proves nothing, since nobody knows who took it away; but the machine is asked.
@@ -328,6 +392,61 @@
         if (poke) orders.poke(m)
     }
 
+    /** Completed under an attempt that was given up for good reasons: the result counts all the same. */
+    private fun doneUnderFormerAttempt(job: Job, task: Int) {
+        if (job.state != JobState.OPEN) return
+        val isRestarted = task in job.attempts
+        if (isRestarted && job.gang == null || !markDone(job, task)) return
+        // The next run of a gang has nothing left to do.
+        for (a in job.attempts.values.toList()) if (a.state == AttemptState.INTENDED) gone(a, AttemptEnd(GoneProof.NEVER_SENT, "done before")) else a.stop(StopReason.GANG_ENDED, nowMs())
+        store.touch(job, job.state == JobState.DONE)
+    }
+
+    /** True if the machine has to hear of something. */
+    private fun listedAttempt(a: Attempt, t: ListedTask, own: Boolean): Boolean {
+        when (t.status) {
+            ListedTask.PULLING -> reached(a, AttemptState.PULLING)
+            ListedTask.WAITING -> reached(a, AttemptState.WAITING)
+            ListedTask.RUNNING -> if (reached(a, AttemptState.RUNNING)) started(a)
+            ListedTask.SAVING -> reached(a, AttemptState.SAVING)
+            ListedTask.ENDED -> {
+                if (t.reason == null) logOnce("task $a ended for an unknown reason: ${t.why}")
+                if (t.done) {
+                    gone(a, AttemptEnd(GoneProof.COMPLETED, "done", ExitReason.DONE))
+                } else if (!own) {
+                    a.machine.mustAsk = true
+                }
+                return t.done || !own
+            }
+            // Neither gone nor running.
+            else -> logOnce("task $a is in an unknown state: ${t.status}")
+        }
+        return false
+    }
+
+    /** What is listed takes an attempt forward only. */
+    private fun reached(a: Attempt, state: AttemptState): Boolean {
+        if (a.state < AttemptState.ORDERED || a.state >= state) return false
+        a.become(state, nowMs())
+        gangs.taskSeen(a)
+        return true
+    }
+
+    private fun started(a: Attempt) {
+        val m = a.machine
+        a.job.spec?.let {
+            m.sawImage(it.image, it.imageGb, machines.flavors[m.type]?.cacheGb ?: 0.0)
+            m.ownImages.add(it.image)
+        }
+        log.info("task {} runs", a)
+    }
+
+    private val loggedOnce = HashSet<String>()
+
+    private fun logOnce(message: String) {
+        if (loggedOnce.size < MOST_LOGGED_ONCE && loggedOnce.add(message.substringAfterLast(' '))) log.warn(message)
+    }
+
     private val recent = ArrayDeque<Pair<Long, JobSpec>>()
 
     /** The services submitted here while a machine boots, by shape. */
@@ -352,7 +471,7 @@
 
     /** The job is not this node's after all. None of its tasks was ever sent: that takes a record that is durable. */
     fun forget(job: Job) {
-        for (a in job.attempts.values.toList()) gone(a, GoneProof.NEVER_SENT, "job not accepted")
+        for (a in job.attempts.values.toList()) gone(a, AttemptEnd(GoneProof.NEVER_SENT, "job not accepted"))
         job.ledger.jobs.remove(job.ref, job)
     }
 
@@ -366,7 +485,7 @@
         val now = nowMs()
         val touched = LinkedHashSet<Machine>()
         for (a in job.attempts.values.toList()) {
-            if (a.state == AttemptState.INTENDED) { gone(a, GoneProof.NEVER_SENT, "withdrawn"); continue }
+            if (a.state == AttemptState.INTENDED) { gone(a, AttemptEnd(GoneProof.NEVER_SENT, "withdrawn")); continue }
             a.stop(StopReason.WITHDRAWN, now)
             touched.add(a.machine)
         }
@@ -388,6 +507,7 @@
     private companion object {
         const val FINALS = 20_000L
         const val FAULTS_TO_PAUSE = 3
+        const val MOST_LOGGED_ONCE = 100
         /** Services of so many thirds of a boot may come while a machine boots. */
         const val RECENT_BOOTS = 4
     }
--- /dev/null
+++ b/src/main/kotlin/micatally/job/RecordPacking.kt
@@ -0,0 +1,79 @@
+package micatally.job
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonObject
+import micatally.wire.listOrNull
+import micatally.wire.longOrNull
+import micatally.wire.textOrNull
+import java.io.ByteArrayInputStream
+import java.io.ByteArrayOutputStream
+import java.util.Base64
+import java.util.zip.DeflaterOutputStream
+import java.util.zip.InflaterInputStream
+
+/** A value that was too large for the state service, compressed into one value and, if need be, some more. */
+class PackedValue(val main: JsonObject, val overflow: List<JsonObject>)
+
+/**
+ * Compresses values beyond the limit of the state service. The main value keeps the fields that are read without the
+ * rest; the overflow values are written in the same transaction, so they have the same revision as the main one.
+ * Only read by programs of the current format.
+ */
+object RecordPacking {
+    private const val DATA = "z"
+    private const val OVERFLOW_COUNT = "p"
+    private const val CHUNK = "b"
+
+    /** Room that the names of the fields take in a value. */
+    private const val FIELD_BYTES = 32
+
+    fun size(value: JsonObject): Int = value.toString().encodeToByteArray().size
+
+    fun isPacked(value: JsonObject): Boolean = DATA in value
+
+    fun overflowCount(value: JsonObject): Int = value.longOrNull(OVERFLOW_COUNT)?.toInt() ?: 0
+
+    /** Null if the value does not fit in one value and [most] further ones. */
+    fun pack(value: JsonObject, plainFields: JsonObject, valueBytes: Int, most: Int): PackedValue? {
+        val text = Base64.getEncoder().encodeToString(deflate(value.toString()))
+        val firstLength = valueBytes - FIELD_BYTES - size(plainFields)
+        val chunkLength = valueBytes - FIELD_BYTES
+        if (firstLength <= 0) return null
+        val rest = text.drop(firstLength).chunked(chunkLength)
+        if (rest.size > most) return null
+        val main = buildJsonObject {
+            for ((name, field) in plainFields) put(name, field)
+            put(DATA, JsonPrimitive(text.take(firstLength)))
+            if (rest.isNotEmpty()) put(OVERFLOW_COUNT, JsonPrimitive(rest.size))
+        }
+        return PackedValue(main, rest.map { chunk -> buildJsonObject { put(CHUNK, JsonPrimitive(chunk)) } })
+    }
+
+    /** The value that was packed; [main] itself if it was not. */
+    fun unpack(main: JsonObject, overflow: List<JsonObject>): JsonObject {
+        val first = main.textOrNull(DATA) ?: return main
+        val text = overflow.fold(StringBuilder(first)) { all, part -> all.append(part.textOrNull(CHUNK) ?: "") }
+        return Json.parseToJsonElement(inflate(Base64.getDecoder().decode(text.toString()))) as JsonObject
+    }
+
+    private fun deflate(text: String): ByteArray {
+        val bytes = ByteArrayOutputStream()
+        DeflaterOutputStream(bytes).use { it.write(text.encodeToByteArray()) }
+        return bytes.toByteArray()
+    }
+
+    private fun inflate(bytes: ByteArray): String =
+        InflaterInputStream(ByteArrayInputStream(bytes)).use { it.readBytes() }.decodeToString()
+}
+
+/** The rows of a kill list: the tasks of a withdrawn job that are not proven gone. */
+object KillListValue {
+    private const val ROWS = "tasks"
+
+    fun of(rows: JsonArray) = JsonObject(mapOf(ROWS to rows))
+
+    fun rows(value: JsonObject): List<JsonArray> = (value.listOrNull(ROWS) ?: emptyList()).map { it as JsonArray }
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/job/RecordWrite.kt
@@ -0,0 +1,76 @@
+package micatally.job
+
+import kotlinx.serialization.json.JsonObject
+import micatally.ledger.Keys
+import micatally.state.Change
+import micatally.state.Delete
+import micatally.state.Put
+import micatally.state.StateLimits
+
+/**
+ * The changes that bring a job's record, and the kill list beside it, to the state service in one transaction.
+ *
+ * @property overflow how many further values the record takes
+ * @property killOverflow how many further values the kill list takes
+ * @property listsTasks whether the transaction holds a kill list
+ */
+class RecordWrite(val changes: List<Change>, val overflow: Int, val killOverflow: Int, val listsTasks: Boolean)
+
+/** Whether a job fits in the state service as it is. */
+sealed interface RecordFit {
+    class Fits(val write: RecordWrite) : RecordFit
+
+    /** Too large even so; fewer attempts have to be on machines. */
+    data object TooLarge : RecordFit
+}
+
+/**
+ * Chooses the form in which a job is stored: plain while it fits in one value, as every version reads it; compressed and
+ * split beyond that, once all controllers understand it. Until then a record that an older program has made larger
+ * keeps its form, which the service still takes.
+ */
+class RecordForms(val limits: StateLimits, private val mayPack: () -> Boolean) {
+    fun fit(job: Job): RecordFit {
+        val record = JobRecord.encode(job)
+        val listsTasks = job.state == JobState.WITHDRAWN && job.attempts.isNotEmpty()
+        val main = form(record, JobRecord.summary(job)) ?: return RecordFit.TooLarge
+        val kills = if (listsTasks) {
+            form(JobRecord.encodeTasks(job), EMPTY) ?: return RecordFit.TooLarge
+        } else {
+            null
+        }
+        return RecordFit.Fits(write(job, main, kills))
+    }
+
+    /** Whether new attempts have to wait: the plain form is kept within the limits to come, also while it need not be. */
+    fun isFull(job: Job): Boolean = !mayPack() && RecordPacking.size(JobRecord.encode(job)) > limits.valueBytes
+
+    private fun form(value: JsonObject, plainFields: JsonObject): PackedValue? = when {
+        RecordPacking.size(value) <= limits.valueBytes || !mayPack() -> PackedValue(value, emptyList())
+        else -> RecordPacking.pack(value, plainFields, limits.valueBytes, limits.overflowValues)
+    }
+
+    private fun write(job: Job, main: PackedValue, kills: PackedValue?): RecordWrite {
+        val changes = ArrayList<Change>()
+        changes += Put(Keys.job(job.ref), main.main)
+        changes += overflowChanges(main, job.storedOverflow) { Keys.jobPart(job.ref, it) }
+        if (kills != null) {
+            changes += Put(Keys.kill(job.ref), kills.main)
+            changes += overflowChanges(kills, job.storedKillOverflow) { Keys.killPart(job.ref, it) }
+        } else if (job.publishedAt != null) {
+            changes += Delete(Keys.kill(job.ref))
+            changes += (0 until job.storedKillOverflow).map { Delete(Keys.killPart(job.ref, it)) }
+        }
+        return RecordWrite(changes, main.overflow.size, kills?.overflow?.size ?: 0, kills != null)
+    }
+
+    private fun overflowChanges(value: PackedValue, stored: Int, key: (Int) -> String): List<Change> {
+        val puts = value.overflow.mapIndexed { index, part -> Put(key(index), part) }
+        val deletes = (value.overflow.size until stored).map { Delete(key(it)) }
+        return puts + deletes
+    }
+
+    private companion object {
+        val EMPTY = JsonObject(emptyMap())
+    }
+}
--- a/src/main/kotlin/micatally/ledger/Cluster.kt
+++ b/src/main/kotlin/micatally/ledger/Cluster.kt
@@ -12,6 +12,9 @@
     const val PREFIX = "c/"
     const val EPOCH = "c/epoch"
     const val FLEET = "c/fleet"
+    /** The version of the stored forms that may be written, and the version that each host has come up with. */
+    const val FORMAT = "c/format"
+    const val VERSION = "c/version/"
     const val LEDGER = "c/ledger/"
     const val LIVE = "c/live/"
     const val TEAM = "c/team/"
@@ -26,11 +29,16 @@
     const val DRAIN = "c/drain/"
     const val JOB = "job/"
     const val FLAVORS = "flavors"
+    /** What does not fit in the value of a job's record. Not under [JOB], or the previous program would read it as a record. */
+    const val JOB_PART = "part/"
     fun job(ref: String) = JOB + ref
+    fun jobPart(ref: String, index: Int) = "$JOB_PART$ref/$index"
+    fun killPart(ref: String, index: Int) = "$KILL$ref/$index"
     fun ledger(name: String) = LEDGER + name
     fun live(host: String) = LIVE + host
     fun kill(ref: String) = KILL + ref
     fun team(name: String) = TEAM + name
+    fun version(host: String) = VERSION + host
 }
 
 class Holder(val host: String, val process: String, val epoch: Long, val mark: Long)
--- a/src/main/kotlin/micatally/ledger/Membership.kt
+++ b/src/main/kotlin/micatally/ledger/Membership.kt
@@ -12,6 +12,8 @@
 import micatally.state.Txn
 import micatally.state.TxnResult
 import micatally.state.Urgency
+import micatally.upgrade.FormatVersion
+import micatally.upgrade.UpgradePlan
 import micatally.wire.textOrNull
 import org.slf4j.LoggerFactory
 import kotlin.random.Random
@@ -100,7 +102,7 @@
                 // nobody renews: it would go while this node believes in its newer one. When the outcome is not known the lease
                 // is given up, and what comes late then has none.
                 val r = state.txn(1, Urgency.LEASE) {
-                    Txn(listOf(Condition(Keys.live(settings.host), cluster.mark(Keys.live(settings.host)))), listOf(Put(Keys.live(settings.host), buildJsonObject { put("process", process) }, l)))
+                    Txn(listOf(Condition(Keys.live(settings.host), cluster.mark(Keys.live(settings.host)))), listOf(Put(Keys.live(settings.host), buildJsonObject { put("process", process); put(UpgradePlan.FORMAT_FIELD, FormatVersion.CURRENT) }, l)))
                 }
                 if (r is TxnResult.Applied) {
                     lease = l
--- a/src/main/kotlin/micatally/node/Controller.kt
+++ b/src/main/kotlin/micatally/node/Controller.kt
@@ -17,6 +17,7 @@
 import micatally.job.AttemptState
 import micatally.job.JobStore
 import micatally.job.Owner
+import micatally.job.RecordForms
 import micatally.job.StopReason
 import micatally.ledger.Cluster
 import micatally.ledger.Keys
@@ -31,6 +32,7 @@
 import micatally.state.ReadResult
 import micatally.state.StateClient
 import micatally.state.Urgency
+import micatally.upgrade.Upgrade
 import micatally.wire.PeerAsk
 import micatally.worker.Machine
 import micatally.worker.Machines
@@ -47,7 +49,7 @@
     private val effort = Effort(nowNs)
     private val log = LoggerFactory.getLogger("micatally.node")
     private val share = 0.95 / settings.controllers
-    private val requestBudget = RateBudget(scope, settings.stateRps * share, nowMs)
+    private val requestBudget = RateBudget(scope, settings.stateLimits.rps * share, nowMs)
     private val writeBudget = RateBudget(scope, settings.stateWriteRps * share, nowMs, settings.stateWriteRps * (0.95 - share))
     private val state = StateClient(
         http, settings.stateAddr, requestBudget, writeBudget, settings.leaseMs / 8,
@@ -55,14 +57,16 @@
     private val cloud = CloudClient(http, settings.cloudAddr, RateBudget(scope, settings.cloudRps * 0.9, nowMs), settings.leaseMs / 2)
     val membership = Membership(scope, settings, state, Cluster(), random, nowMs)
     val machines = Machines(nowMs)
-    private val store = JobStore(scope, state, settings.reportMs / 4, settings.leaseMs / 10, nowMs)
+    private val upgrade = Upgrade(scope, settings, state, membership.cluster) { uniform() }
+    private val forms = RecordForms(settings.stateLimits) { upgrade.isUniform }
+    private val store = JobStore(scope, state, forms, settings.reportMs / 4, settings.leaseMs / 10, nowMs)
     val owner = Owner(scope, settings, state, membership, machines, store, nowMs, wallMs)
     private val orders = Orders(scope, http, settings, membership, machines, owner, owner.kills, nowMs)
     private val quota = Quota(scope, state, membership.cluster, settings.teams, { owner.ledgers.values.filter { it.mine } }, settings.controllers) { rounds.wake() }
     val rounds: Rounds = Rounds(scope, settings, owner, machines, store, quota, orders, Queues(operator.queueBounds.map { it * settings.leaseMs / 1000.0 }, operator.queueLift), effort, nowMs)
     private val peers = Peers(scope, http, settings, state, membership, machines, owner, rounds, nowMs)
     private val keeper = Keeper(scope, http, settings, state, cloud, membership, machines, { rounds.unplaced.values.toList() + peers.demandOfPeers() }, { peers.recentServices() }, { peers.silentZones() }, operator, nowMs)
-    private val users = UserApi(settings, state, membership, owner, store, machines, peers, rounds, nowMs)
+    private val users = UserApi(settings, state, membership, owner, store, machines, peers, rounds, upgrade, nowMs)
     private val workers = WorkerApi(settings, membership, machines, peers, owner.kills, nowMs)
 
     fun start() {
@@ -75,6 +79,7 @@
         owner.onFault = { m, a -> fault(m, a.job.ref) }
         store.onDurable = { job, written -> owner.durable(job, written) }
         store.onDropped = { owner.forget(it) }
+        store.onRecordFull = { job, attempts -> owner.giveUp(job, attempts) }
         owner.spread = { peers.spread(it) }
         store.onLedgerLost = { l -> owner.lose(l); scope.launch { membership.refresh() } }
         machines.onSession = { owner.newSession(it) }
@@ -91,7 +96,14 @@
         scope.launch { housekeeping() }
     }
 
+    /** The form of the records changes, and with it how many attempts they have room for. */
+    private fun uniform() {
+        for (job in owner.openJobs()) job.attemptLimit = Int.MAX_VALUE
+        rounds.wake()
+    }
+
     private fun sharedChanged(keys: Set<String>) {
+        upgrade.sharedChanged()
         owner.checkLedgers()
         for (k in keys) {
             if (k.startsWith(Keys.GONE)) {
@@ -120,6 +132,9 @@
         log.info("machine {} fails what it starts", m.name)
     }
 
+    private fun isReachable(m: Machine, now: Long) =
+        !m.deleted && m.failuresInRow == 0 && now >= m.unreachableUntil && now - m.heardAt < settings.reportMs * 2
+
     private suspend fun housekeeping() {
         var round = 0
         var bumpedAt = nowMs()
@@ -130,13 +145,18 @@
             effort.of(Effort.Kind.HOUSE) {
                 membership.checkRight()
                 owner.sweep()
+                for (job in owner.openJobs()) if (job.gang != null) owner.gangs.review(job, now)
                 rounds.wake()
                 rounds.moveOff(now)
                 for (m in machines.byName.values) m.releaseOld(now)
             }
             for (m in machines.byName.values) if (m.recalled && !m.deleted) {
                 var touched = false
-                for (a in m.attempts) if (a.stop == null && a.state >= AttemptState.ORDERED && a.stop(StopReason.DRAIN, now)) touched = true
+                for (a in m.attempts.toList()) {
+                    if (a.stop != null || a.state < AttemptState.ORDERED) continue
+                    if (a.job.gang != null) owner.gangs.stopOrderly(a.job, "${m.name} is taken back") { isReachable(it, now) }
+                    else if (a.stop(StopReason.DRAIN, now)) touched = true
+                }
                 if (touched) orders.poke(m)
             }
             if (orders.wantsHigherToken && now - bumpedAt > settings.leaseMs / 2) {
--- a/src/main/kotlin/micatally/peer/Peers.kt
+++ b/src/main/kotlin/micatally/peer/Peers.kt
@@ -311,25 +311,50 @@
      * ([encode] gets the names of a piece); only pieces that have changed are written. */
     private inner class Pieces(val key: String) {
         var buckets = 1
+        private var nextPiece = 0
         val written = HashMap<Int, Any>()
 
         suspend fun write(names: Collection<String>, seen: (Int, List<String>) -> Any, encode: (Int, List<String>) -> ByteArray) {
             var parts: List<List<String>>
+            var left = mostPieces()
             while (true) {
                 parts = List(buckets) { i -> names.filter { bucketOf(it, buckets) == i } }
                 if (parts.withIndex().all { (i, p) -> p.size < 2 || encode(i, p).size * 4 / 3 + 64 <= settings.valueBytes }) break
                 buckets *= 2
                 written.clear()
             }
-            for ((i, p) in parts.withIndex()) {
+            // Goes round, so that each piece has its turn when only some may be written.
+            val order = parts.indices.sortedBy { Math.floorMod(it - nextPiece, parts.size) }
+            for (i in order) {
+                val p = parts[i]
                 val now = seen(i, p)
                 if (written[i] == now) continue
+                if (left-- <= 0) return
                 val r = state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Put("$key/$i", packed(encode(i, p))))) }
                 if (r is micatally.state.TxnResult.Applied) written[i] = now
+                nextPiece = i + 1
             }
         }
     }
 
+    /** Pieces that may be written in half a lease. Peers that are reached hear all of it directly, so the pieces take a small
+     * share of the writes that this node has; a larger one while a peer is not reached. */
+    private fun mostPieces(): Int {
+        val writes = settings.stateWriteRps / settings.controllers * settings.leaseMs / 2000
+        val share = if (lines.any { it.failures > 1 }) PIECES_SHARE_UNREACHED else PIECES_SHARE
+        return maxOf(1, (writes * share).toInt())
+    }
+
+    /** As many demands as half a value holds. */
+    private fun demandsInPiece(): List<Demand> {
+        val most = settings.valueBytes * 3 / 4 / 2
+        var bytes = 0
+        return myDemand.takeWhile {
+            bytes += ProtoBuf.encodeToByteArray(it).size + PROTO_FIELD_BYTES
+            bytes <= most
+        }
+    }
+
     private val roomPieces = Pieces(Keys.ROOM + settings.host)
     private val heardPieces = Pieces(Keys.HEARD + settings.host)
 
@@ -341,7 +366,7 @@
                 publishedNumber = number
                 val held = mine.filterValues { it.room.isHeld }
                 roomPieces.write(held.keys, { i, p -> p.mapNotNull { mine[it]?.room } to if (i == 0) myDemand else null }) { i, p ->
-                    ProtoBuf.encodeToByteArray(RoomSummary(settings.host, membership.process, number, p.mapNotNull { mine[it]?.room }, if (i == 0) myDemand.take(MOST_DEMANDS) else emptyList(), 0, i, roomPieces.buckets))
+                    ProtoBuf.encodeToByteArray(RoomSummary(settings.host, membership.process, number, p.mapNotNull { mine[it]?.room }, if (i == 0) demandsInPiece() else emptyList(), 0, i, roomPieces.buckets))
                 }
             }
             // Only needed while a peer can't be told directly.
@@ -386,7 +411,10 @@
         const val CANCEL = "/peer/cancel"
         private const val NOTES = 100
         private const val MOST_KILLS = 500
-        /** Demands in one value of the state service; directly all of them are told. */
-        private const val MOST_DEMANDS = 40
+        /** Shares of this node's writes that go to summaries. */
+        private const val PIECES_SHARE = 0.125
+        private const val PIECES_SHARE_UNREACHED = 0.5
+        /** Tag and length of a nested message. */
+        private const val PROTO_FIELD_BYTES = 4
     }
 }
--- a/src/main/kotlin/micatally/placement/Quota.kt
+++ b/src/main/kotlin/micatally/placement/Quota.kt
@@ -68,8 +68,8 @@
         return Share(minOf(now.cores, low.cores), minOf(now.cards, low.cards))
     }
 
-    /** Whether the ledger's allotment has room for one more task of this job. If not, more is asked for. */
-    fun allows(job: Job): Boolean {
+    /** Whether the ledger's allotment has room for so many more tasks of this job at once. If not, more is asked for. */
+    fun allows(job: Job, tasks: Int = 1): Boolean {
         val spec = job.spec ?: return false
         val team = teams[spec.crew] ?: return false
         if (!limited(team)) return true
@@ -77,8 +77,9 @@
         if (job.ledger.state != LedgerState.ACTIVE) return false
         val u = used(job.ledger.name, team.name)
         val a = allotted(job.ledger.name, team.name)
-        val ok = covers(team, a, Share(u.cores + spec.amount.cores, u.cards + spec.amount.cards))
-        if (!ok) raise(job.ledger, team, Share(spec.amount.cores, spec.amount.cards), job.pendingCount)
+        val need = Share(spec.amount.cores * tasks, spec.amount.cards * tasks)
+        val ok = covers(team, a, Share(u.cores + need.cores, u.cards + need.cards))
+        if (!ok) raise(job.ledger, team, need, job.pendingCount / tasks)
         return ok
     }
 
--- a/src/main/kotlin/micatally/placement/Rounds.kt
+++ b/src/main/kotlin/micatally/placement/Rounds.kt
@@ -4,6 +4,11 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import micatally.gang.Gang
+import micatally.gang.GangAssignment
+import micatally.gang.GangCandidate
+import micatally.gang.GangPhase
+import micatally.gang.GangPlacement
 import micatally.job.Attempt
 import micatally.job.AttemptState
 import micatally.job.Job
@@ -116,7 +121,7 @@
         if (to - from < 2) return
         for (i in from until to) {
             val spec = jobs[i].spec ?: continue
-            if (spec.isService || spec.isGang || shape(spec, Placement.zones(jobs[i], spec)) in noRoom) continue
+            if (spec.isService || spec.isPlacedWhole || shape(spec, Placement.zones(jobs[i], spec)) in noRoom) continue
             placeJob(jobs[i], now, true)
             if (nowMs() - now > budgetMs) return
         }
@@ -132,13 +137,14 @@
     fun placeJob(job: Job, now: Long, withImage: Boolean = false): Boolean {
         val spec = job.spec ?: return true
         if (!job.wantsTasks || now < job.retryAt) return true
-        val room = MAX_ATTEMPTS - job.attempts.size
+        val room = minOf(MAX_ATTEMPTS, job.attemptLimit) - job.attempts.size
         if (room <= 0) return true
+        job.gang?.let { return placeGang(job, spec, it, room, now) }
         if (spec.isService && moved.isNotEmpty()) placeMoved(job, spec, now)
-        if (!spec.isGang && shape(spec, Placement.zones(job, spec)) in noRoom && quota.allows(job)) { unplaceable(job, spec, 1, now); return false }
-        val laps = job.pending(if (spec.isService || spec.isGang) spec.laps.coerceAtMost(room) else minOf(room, ROUND_TASKS))
+        if (!spec.isPlacedWhole && shape(spec, Placement.zones(job, spec)) in noRoom && quota.allows(job)) { unplaceable(job, spec, 1, now); return false }
+        val laps = job.pending(if (spec.isService) spec.laps.coerceAtMost(room) else minOf(room, ROUND_TASKS))
         if (laps.isEmpty()) return true
-        if (spec.isGang) return gang(job, spec, laps, now)
+        if (spec.isPlacedWhole) return placeWhole(job, spec, laps, now) { job.nextAttempt++ } != null
         var placed = 0
         var blocked = false
         val choice = Choice(job, spec, now, null, withImage)
@@ -198,23 +204,49 @@
         )
     }
 
-    /** All or nothing: every pending task of a gang finds room, in one zone where it has to, or none is placed. */
-    private fun gang(job: Job, spec: JobSpec, laps: List<Int>, now: Long): Boolean {
+    /** A whole run of a gang, or tasks that a run which waits has lost. */
+    private fun placeGang(job: Job, spec: JobSpec, gang: Gang, room: Int, now: Long): Boolean {
+        val missing = job.pending(spec.laps)
+        val isReplacing = gang.phase == GangPhase.WAITING
+        val mayPlace = if (isReplacing) owner.gangs.mayReplace(job, gang, now) else gang.phase == GangPhase.PLACING
+        if (missing.isEmpty() || !mayPlace || missing.size > room) return true
+        if (!isReplacing) return placeWhole(job, spec, missing, now) { job.nextAttempt++.also { gang.beginRun(it) } } != null
+        val placed = placeWhole(job, spec, missing, now) { gang.number } ?: return false
+        val waitedMs = gang.waitingSinceMs?.let { now - it } ?: 0L
+        if (waitedMs + placed.fetchS * 1000 * FETCH_MARGIN > settings.gangWaitMs) owner.gangs.giveUp(job, "a replacement needs ${placed.fetchS} s")
+        return true
+    }
+
+    /** All or nothing: every one of these tasks finds room, in one zone where it has to, or none is placed; null: none. */
+    private fun placeWhole(job: Job, spec: JobSpec, tasks: List<Int>, now: Long, number: () -> Long): GangAssignment<Machine>? {
+        if (!quota.allows(job, tasks.size)) return null
         val rule = Placement.zones(job, spec)
-        for (zone in if (spec.together) settings.zones.filter { rule.allows(it) } else listOf(null)) {
-            val placed = ArrayList<Attempt>()
-            val number = job.nextAttempt++
-            val choice = Choice(job, spec, now, zone)
-            for (lap in laps) {
-                if (!quota.allows(job)) break
-                val m = choice.next() ?: break
-                placed.add(owner.place(job, lap, m, number))
-            }
-            if (placed.size == laps.size) { store.touch(job, true); return true }
-            for (a in placed) owner.gone(a, micatally.job.GoneProof.NEVER_SENT, "gang incomplete")
+        val gang = job.gang
+        val candidates = Choice(job, spec, now, null).forGang()
+            .filter { c -> rule.allows(c.zone) && (gang == null || tasks.none { gang.phase == GangPhase.WAITING && gang.wasTried(it, c.machine.name) }) }
+        val zoneRoom = { zone: String -> if (spec.scatter) Placement.zoneCap(spec) - (rule.used[zone] ?: 0) else spec.laps }
+        val assignment = GangPlacement.choose(candidates, tasks.size, spec.together, zoneRoom)
+        if (assignment == null) {
+            noteWhole(job, spec, rule, tasks.size, candidates, now)
+            return null
         }
-        note(job, spec, laps.size)
-        return false
+        val attempt = number()
+        for ((index, task) in tasks.withIndex()) owner.place(job, task, assignment.machines[index].machine, attempt)
+        store.touch(job, true)
+        return assignment
+    }
+
+    /** What is to be rented for tasks of one zone: there where most of them fit already, or in turn where none do. */
+    private fun noteWhole(job: Job, spec: JobSpec, rule: Placement.ZoneRule, count: Int, candidates: List<GangCandidate<Machine>>, now: Long) {
+        note(job, spec, count)
+        if (!spec.together) return
+        val zones = settings.zones.filter { rule.allows(it) }
+        if (zones.isEmpty()) return
+        val fitting = candidates.groupBy { it.zone }.mapValues { (_, list) -> list.sumOf { minOf(it.capacity, count) } }
+        val turn = (now / (machines.bootMs(null) * BOOTS_A_ZONE) % zones.size).toInt()
+        val zone = zones.maxByOrNull { fitting[it] ?: 0 }?.takeIf { (fitting[it] ?: 0) > 0 } ?: zones[turn]
+        val missing = maxOf(1, count - (fitting[zone] ?: 0))
+        finding[job.ref] = finding.getValue(job.ref).copy(zones = listOf(zone), count = missing, zoneRoom = emptyList())
     }
 
     fun usable(m: Machine, now: Long) = !m.deleted && !m.draining && !m.recalled && m.session > 0 && m.addr.isNotEmpty() &&
@@ -225,16 +257,25 @@
     private inner class Choice(private val job: Job, private val spec: JobSpec, now: Long, zone: String?, withImage: Boolean = false, moving: Attempt? = null) {
         private inner class Candidate(val m: Machine, val f: micatally.wire.Flavor) {
             var score = 0.0
+            fun forGang(): GangCandidate<Machine> {
+                val fetchS = Placement.fetchS(spec, m, f)
+                return GangCandidate(m, m.zone, spec.amount.countIn(f.amount - m.used), fetchS, score + fetchS * (GANG_FETCH_WEIGHT - 1))
+            }
+
             fun look(): Boolean {
                 val free = f.amount - m.used
                 if (!spec.amount.fitsIn(free)) return false
                 // Room that a more important service of another owner waits for is not filled again by arrays.
                 for (d in ahead) if (wants(d, m) && Amount(d.cores, d.cards, d.ram).fitsIn(free)) return false
-                score = Placement.score(spec, m, f, free) + if (spec.isService) turn(m) * TURN_WEIGHT else 0.0
+                score = Placement.score(spec, m, f, free) + if (!takesTurns) turn(m) * TURN_WEIGHT else 0.0
                 return true
             }
         }
 
+        fun forGang(): List<GangCandidate<Machine>> = candidates.map { it.forGang() }
+
+        /** Services and gangs are to start at once; that another owner may choose the same room only counts against it. */
+        private val takesTurns = !spec.isService && !spec.isGang
         private val ahead = if (spec.isService) emptyList() else foreignServices.filter { it.priority < spec.priority.ordinal }
         var rule = Placement.zones(job, spec, moving)
             private set
@@ -251,7 +292,7 @@
                 if (m.name in job.badMachines && job.badMachines.size <= FEW_FAULTS) continue
                 val c = Candidate(m, machines.flavors[m.type] ?: continue)
                 if (!c.look()) continue
-                if (!spec.isService && now < m.freedAt + turn(m) * turnMs) deferred = true else candidates.add(c)
+                if (takesTurns && now < m.freedAt + turn(m) * turnMs) deferred = true else candidates.add(c)
             }
         }
 
@@ -374,7 +415,7 @@
         for (m in draining) for (a in m.attempts) {
             if (under >= most) return
             val spec = a.job.spec ?: continue
-            if (!spec.isService || spec.isGang || a.stop != null || a.state != AttemptState.RUNNING || a.job.pendingCount > 0) continue
+            if (!spec.isService || spec.isPlacedWhole || a.stop != null || a.state != AttemptState.RUNNING || a.job.pendingCount > 0) continue
             // One replica of a job at a time: its zones are counted with the others where they are.
             if (moving.any { it.a.job === a.job } || due.any { it.a.job === a.job } || a.job.attempts.values.any { it.stop != null }) continue
             // It is gone before it starts elsewhere, so its own place does not count against its zone.
@@ -411,6 +452,12 @@
         /** How many tasks of a job may be on machines at once: keeps its record within the state service's value limit. */
         const val MAX_ATTEMPTS = 400
         const val ROUND_TASKS = 100
+        /** A second of fetching counts so much more for a gang, which starts with its slowest machine. */
+        const val GANG_FETCH_WEIGHT = 10
+        /** Rates differ by a third, and images fetched at the same time share them. */
+        const val FETCH_MARGIN = 2
+        /** So many boots long machines for a gang that must be in one zone are looked for in the same one. */
+        const val BOOTS_A_ZONE = 2
         const val STOPS_A_ROUND = 8
         const val FEW_FAULTS = 6
         /** For so many machines that are being emptied one replica may be on its way. */
--- a/src/main/kotlin/micatally/settings/Settings.kt
+++ b/src/main/kotlin/micatally/settings/Settings.kt
@@ -1,6 +1,7 @@
 package micatally.settings
 
 import kotlinx.serialization.json.JsonObject
+import micatally.state.StateLimits
 import micatally.wire.WireError
 import micatally.wire.asObject
 import micatally.wire.asText
@@ -25,10 +26,15 @@
     val host: String, val zone: String, val listen: String, val back: String, val peers: List<Peer>,
     val cloudAddr: String, val stateAddr: String, val zones: List<String>, val teams: Map<String, Team>,
     val objectives: List<Objective>, val reportMs: Long, val leaseMs: Long, val cancelMs: Long,
-    val stateRps: Double, val stateWriteRps: Double, val valueBytes: Int, val txnOps: Int,
+    val gangWaitMs: Long, val gangPeerMs: Long,
+    /** What this program keeps to: the smaller of the present limits and of those to come. */
+    val stateLimits: StateLimits,
     val cloudRps: Double, val listLagMs: Long, val maxSockets: Int, val coreShare: Double,
 ) {
     val controllers get() = peers.size + 1
+    val stateWriteRps get() = stateLimits.writeRps
+    val valueBytes get() = stateLimits.valueBytes
+    val txnOps get() = stateLimits.txnOps
 
     /** How long a cancellation that some controller has not confirmed lies in the state service before its user is told. */
     val untoldMs get() = leaseMs
@@ -76,12 +82,38 @@
                     Objective(t.text("kind"), (t["class"])?.asText(), t.numberOrNull("within_s"))
                 },
                 millis(workers, "report_s"), millis(workers, "lease_s"), millis(workers, "cancel_s"),
-                positive(state, "rps"), positive(state, "write_rps"), (positive(state, "value_kb") * 1024).toInt(),
-                positive(state, "txn_ops").toInt(), positive(cloud, "rps"), millis(cloud, "list_lag_s"),
+                gangMillis(workers, "gang_wait_s", GANG_WAIT_LEASES), gangMillis(workers, "gang_peer_s", GANG_PEER_LEASES),
+                stateLimits(state), positive(cloud, "rps"), millis(cloud, "list_lag_s"),
                 positive(limits, "max_sockets").toInt(), positive(limits, "core_share"),
             )
         }
 
+        /** Limits to come may be left out, each by itself; then the present one stays. */
+        private fun stateLimits(state: JsonObject): StateLimits {
+            val now = StateLimits(
+                positive(state, "rps"),
+                positive(state, "write_rps"),
+                valueBytes(positive(state, "value_kb")),
+                positive(state, "txn_ops").toInt(),
+            )
+            val next = state.child("next") ?: return now
+            fun later(name: String, present: Double): Double {
+                val limit = next.numberOrNull(name) ?: return present
+                if (limit <= 0) throw SettingsError("state.next.$name must be above 0")
+                return limit
+            }
+            return now.smallerOf(
+                StateLimits(
+                    later("rps", now.rps),
+                    later("write_rps", now.writeRps),
+                    valueBytes(later("value_kb", state.number("value_kb"))),
+                    later("txn_ops", now.txnOps.toDouble()).toInt(),
+                ),
+            )
+        }
+
+        private fun valueBytes(kibibytes: Double) = (kibibytes * 1024).toInt()
+
         private fun need(o: JsonObject, name: String) = o.child(name) ?: throw SettingsError("$name is missing")
 
         private fun positive(o: JsonObject, name: String) = o.number(name).also {
@@ -90,6 +122,15 @@
 
         private fun millis(o: JsonObject, name: String) = (positive(o, name) * 1000).toLong()
 
+        /** Deployments from before the gangs don't name these times; then a cautious share of a worker's lease is taken. */
+        private fun gangMillis(workers: JsonObject, name: String, leases: Double): Long {
+            if (workers.numberOrNull(name) != null) return millis(workers, name)
+            return (workers.number("lease_s") * 1000 * leases).toLong()
+        }
+
+        private const val GANG_WAIT_LEASES = 2.0
+        private const val GANG_PEER_LEASES = 0.2
+
         private fun address(o: JsonObject, name: String) = o.text(name).also {
             val port = it.substringAfterLast(':', "").toIntOrNull()
             if (port == null || port !in 0..65535 || it.substringBeforeLast(':').isEmpty()) throw SettingsError("$name must look like 10.0.0.1:8080")
--- a/src/main/kotlin/micatally/standin/Rehearsal.kt
+++ b/src/main/kotlin/micatally/standin/Rehearsal.kt
@@ -7,6 +7,7 @@
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.buildJsonArray
 import kotlinx.serialization.json.buildJsonObject
@@ -33,6 +34,7 @@
     private val specs = HashMap<String, JobSpec>()
     private val client = Client(loop.group, 200, loop::nowMs)
     private val completed = HashSet<Pair<String, Int>>()
+    override val gangs = GangTable(loop.scope, GangTimes(leaseMs * 2, leaseMs / 4), Random(1), loop::nowMs)
     val zones = listOf("a", "b")
     private val flavors = listOf(
         Flavor("small", Amount(8.0, 0.0, 32.0), 40.0, 10.0, 1.0, 0.3, 1.0, zones),
@@ -95,6 +97,9 @@
         put("together", false); put("scatter", laps > 1); put("loaners", format == "sweep"); put("lap_time_s", 1.0); put("sector_s", 0.0); put("pit_stop_s", 0.0); put("flag_s", 60.0)
     }
 
+    /** Number of the gang job. */
+    private const val GANG = 13
+
     private fun freePort() = ServerSocket(0).use { it.localPort }
 
     /** Whether jobs were accepted, run, finished and cancelled. */
@@ -128,6 +133,10 @@
                         delay(100)
                     }
                 }
+                val gang = JsonObject(job(GANG, "gang", 4) + mapOf("together" to JsonPrimitive(true), "scatter" to JsonPrimitive(false)))
+                fleet.upload(JobSpec.parse(gang))
+                while (call("POST", "/work", gang).first !in 200..201) delay(50)
+                while (call("GET", "/work/j-%06d".format(GANG), null).second != "done") delay(100)
                 for (n in 3..12 step 3) while (call("POST", "/work/j-%06d/cancel".format(n), null).second != "withdrawn") delay(50)
                 call("GET", "/work/j-999999", null).first == 404
             } ?: false
--- a/src/main/kotlin/micatally/state/StateClient.kt
+++ b/src/main/kotlin/micatally/state/StateClient.kt
@@ -19,6 +19,7 @@
 import micatally.wire.parseObject
 import micatally.wire.text
 import micatally.wire.textOrNull
+import org.slf4j.LoggerFactory
 
 class Item(val key: String, val value: JsonObject, val mark: Long)
 
@@ -39,6 +40,8 @@
     data object Refused : TxnResult
     /** Certainly not carried out: over the limits. */
     data object Limited : TxnResult
+    /** Certainly not carried out: larger than the service allows. */
+    data object TooLarge : TxnResult
     /** Perhaps carried out, perhaps carried out later. */
     data object Unknown : TxnResult
 }
@@ -59,6 +62,7 @@
     private val http: HttpCaller, private val addr: String, private val requests: RateBudget, private val writes: RateBudget,
     private val timeoutMs: Long,
 ) {
+    private val log = LoggerFactory.getLogger("micatally.state")
     val waitingWrites get() = writes.waiting
 
     private suspend fun send(method: String, target: String, body: JsonObject?, urgency: Urgency, timeout: Long = timeoutMs): Outcome {
@@ -139,7 +143,7 @@
             is Outcome.Answer -> when (out.status) {
                 200 -> TxnResult.Applied(parseObject(out.body).long("odometer"))
                 409 -> TxnResult.Failed((parseObject(out.body).listOrNull("failed") ?: emptyList()).map { it.asText() }.toSet())
-                400 -> if (out.body.decodeToString().contains("no such lease")) TxnResult.NoSuchLease else throw IllegalStateException("state service: " + out.body.decodeToString())
+                400 -> refusal(txn, out.body.decodeToString())
                 429 -> TxnResult.Limited
                 503 -> TxnResult.Refused
                 else -> TxnResult.Unknown
@@ -147,6 +151,17 @@
         }
     }
 
+    /** The limits may have been lowered since this was decided; the writers of large values try again in another form. */
+    private fun refusal(txn: Txn, text: String): TxnResult {
+        if ("no such lease" in text) return TxnResult.NoSuchLease
+        val key = txn.changes.first().key
+        if (refusedKinds.add(key.substringBefore('/'))) log.warn("state service refuses {}: {}", key, text)
+        return TxnResult.TooLarge
+    }
+
+    /** Kinds of keys of which a refusal has been logged. */
+    private val refusedKinds = HashSet<String>()
+
     suspend fun grant(lifeMs: Long): Long? {
         val out = send("POST", "/grants", buildJsonObject { put("life_ms", lifeMs) }, Urgency.LEASE)
         return if (out is Outcome.Answer && out.status == 200) parseObject(out.body).longOrNull("permit") else null
--- /dev/null
+++ b/src/main/kotlin/micatally/upgrade/Upgrade.kt
@@ -0,0 +1,110 @@
+package micatally.upgrade
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import micatally.ledger.Cluster
+import micatally.ledger.Keys
+import micatally.settings.Settings
+import micatally.state.Condition
+import micatally.state.Put
+import micatally.state.StateClient
+import micatally.state.Txn
+import micatally.state.TxnResult
+import micatally.state.Urgency
+import org.slf4j.LoggerFactory
+
+/**
+ * Carries an upgrade on: announces this host's version, raises the format once all hosts have announced it, and tells the
+ * other parts when forms of the current version may be written.
+ */
+class Upgrade(
+    private val scope: CoroutineScope,
+    private val settings: Settings,
+    private val state: StateClient,
+    private val cluster: Cluster,
+    private val onUniform: () -> Unit,
+) {
+    private val log = LoggerFactory.getLogger("micatally.upgrade")
+    private val hosts = settings.peers.map { it.host } + settings.host
+    private val retryMs = settings.leaseMs / RETRIES_A_LEASE
+
+    /** What this node knows; it may lag behind the state service, which only makes it more careful. */
+    var phase = UpgradePhase.MIXED
+        private set
+    val isUniform get() = phase == UpgradePhase.UNIFORM
+
+    private var writing = false
+    private var lastStep: UpgradeStep? = null
+    private var lastDowngraded: List<String> = emptyList()
+
+    /** The one place where the phase changes. */
+    private fun become(next: UpgradePhase) {
+        if (next == phase) return
+        check(next == UpgradePhase.UNIFORM) { "a raised format is never lowered" }
+        phase = next
+        log.info("upgrade finished: all controllers write format {}", FormatVersion.CURRENT)
+        onUniform()
+    }
+
+    /** Looks at the shared keys after a change. */
+    fun sharedChanged() {
+        if (cluster.revision < 0) return
+        if (UpgradePlan.phase(cluster) == UpgradePhase.UNIFORM) become(UpgradePhase.UNIFORM)
+        warnOfDowngrades()
+        val step = UpgradePlan.next(cluster, settings.host, hosts)
+        if (step != lastStep) report(step)
+        lastStep = step
+        if (step == UpgradeStep.Announce || step == UpgradeStep.Raise) write()
+    }
+
+    private fun report(step: UpgradeStep) {
+        if (step is UpgradeStep.WaitFor) {
+            log.info("upgrade: {} of {} controllers are new, waiting for {}", hosts.size - step.hosts.size, hosts.size, step.hosts)
+        }
+    }
+
+    private fun warnOfDowngrades() {
+        val downgraded = UpgradePlan.downgraded(cluster, hosts)
+        if (downgraded != lastDowngraded && downgraded.isNotEmpty()) {
+            log.warn("upgrade: {} run an older version than they had announced", downgraded)
+        }
+        lastDowngraded = downgraded
+    }
+
+    private fun write() {
+        if (writing) return
+        writing = true
+        scope.launch {
+            try {
+                val result = state.txn(1, Urgency.ACCEPTANCE) { transaction() }
+                if (result !is TxnResult.Applied) delay(retryMs)
+            } finally {
+                writing = false
+            }
+            sharedChanged()
+        }
+    }
+
+    /**
+     * Conditional on the key's mark, so late and repeated writes change nothing. The announcements that a raise rests on
+     * need no condition: they are never taken back.
+     */
+    private fun transaction(): Txn? {
+        val step = UpgradePlan.next(cluster, settings.host, hosts)
+        val key = when (step) {
+            UpgradeStep.Announce -> Keys.version(settings.host)
+            UpgradeStep.Raise -> Keys.FORMAT
+            else -> return null
+        }
+        log.info("upgrade: writing {} = {}", key, FormatVersion.CURRENT)
+        val value = buildJsonObject { put(UpgradePlan.VERSION_FIELD, FormatVersion.CURRENT) }
+        return Txn(listOf(Condition(key, cluster.mark(key))), listOf(Put(key, value)))
+    }
+
+    private companion object {
+        const val RETRIES_A_LEASE = 20
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/upgrade/UpgradePlan.kt
@@ -0,0 +1,67 @@
+package micatally.upgrade
+
+import micatally.ledger.Cluster
+import micatally.ledger.Keys
+import micatally.wire.longOrNull
+
+/**
+ * Which stored forms and messages the controllers may use.
+ *
+ * MIXED: a controller may still run the previous version, so only forms that it understands are written.
+ * UNIFORM: every controller of the settings has come up with the current version. Never left again.
+ */
+enum class UpgradePhase { MIXED, UNIFORM }
+
+/** Versions of the stored forms. The previous program writes [FIRST] and announces nothing. */
+object FormatVersion {
+    const val FIRST = 1L
+    const val CURRENT = 2L
+}
+
+/** What a controller has to write next so that an upgrade proceeds. */
+sealed interface UpgradeStep {
+    /** Record durably that this host has come up with the current version. */
+    data object Announce : UpgradeStep
+
+    /** All hosts have announced it: raise the format for good. */
+    data object Raise : UpgradeStep
+
+    /** Wait for these hosts to come up with the current version. */
+    data class WaitFor(val hosts: List<String>) : UpgradeStep
+
+    data object Finished : UpgradeStep
+}
+
+/** Decides on the steps of an upgrade from the shared keys alone. */
+object UpgradePlan {
+    fun announced(cluster: Cluster, host: String): Long = version(cluster, Keys.version(host))
+
+    fun phase(cluster: Cluster): UpgradePhase =
+        if (version(cluster, Keys.FORMAT) >= FormatVersion.CURRENT) UpgradePhase.UNIFORM else UpgradePhase.MIXED
+
+    /**
+     * An announcement is written by a process of the current version and stays. A host that has once come up new does not
+     * return old, so a host that is merely away does not hold up the others.
+     */
+    fun next(cluster: Cluster, self: String, hosts: Collection<String>): UpgradeStep {
+        if (announced(cluster, self) < FormatVersion.CURRENT) return UpgradeStep.Announce
+        if (phase(cluster) == UpgradePhase.UNIFORM) return UpgradeStep.Finished
+        val missing = hosts.filter { announced(cluster, it) < FormatVersion.CURRENT }.sorted()
+        return if (missing.isEmpty()) UpgradeStep.Raise else UpgradeStep.WaitFor(missing)
+    }
+
+    /** Hosts that run an older version although they had announced the current one: an operator has gone back too late. */
+    fun downgraded(cluster: Cluster, hosts: Collection<String>): List<String> = hosts.filter { host ->
+        val running = cluster.value(Keys.live(host)) ?: return@filter false
+        (running.longOrNull(FORMAT_FIELD) ?: FormatVersion.FIRST) < announced(cluster, host)
+    }.sorted()
+
+    private fun version(cluster: Cluster, key: String): Long =
+        cluster.value(key)?.longOrNull(VERSION_FIELD) ?: FormatVersion.FIRST
+
+    /** Field of the announcements and of the format key. */
+    const val VERSION_FIELD = "n"
+
+    /** Field of a live key that names the version of the process; the previous program neither writes nor reads it. */
+    const val FORMAT_FIELD = "format"
+}
--- a/src/main/kotlin/micatally/wire/Jobs.kt
+++ b/src/main/kotlin/micatally/wire/Jobs.kt
@@ -4,8 +4,7 @@
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 
-/** The protocol page names the first two; the bench submits the third as well: tasks that run to completion and only
- * together (see docs/questions.md). */
+/** Tasks that run to completion independently, replicas that run until cancelled, and tasks that run only all together. */
 enum class Format(val word: String) { ARRAY("sweep"), SERVICE("daemon"), GANG("gang") }
 
 /** The order is the order of importance, the first being the most important. */
@@ -18,6 +17,12 @@
     operator fun times(n: Int) = Amount(cores * n, cards * n, ram * n)
     fun fitsIn(o: Amount) = cores <= o.cores + SLACK && cards <= o.cards + SLACK && ram <= o.ram + SLACK
 
+    /** How many of it fit in [room]; a dimension that it does not take sets no bound. */
+    fun countIn(room: Amount): Int {
+        fun count(one: Double, all: Double) = if (one <= 0) Int.MAX_VALUE else ((all + SLACK) / one).toInt().coerceAtLeast(0)
+        return minOf(count(cores, room.cores), count(cards, room.cards), count(ram, room.ram))
+    }
+
     companion object {
         /** Sums of decimal amounts are compared with this much room for rounding. */
         const val SLACK = 1e-6
@@ -34,7 +39,10 @@
     val source: JsonObject,
 ) {
     val isService get() = format == Format.SERVICE
-    val isGang get() = format == Format.GANG || isService && together
+    val isGang get() = format == Format.GANG
+
+    /** Whether its waiting tasks are placed all at once or not at all. */
+    val isPlacedWhole get() = isGang || isService && together
 
     companion object {
         const val MAX_LAPS = 100_000
--- a/src/main/kotlin/micatally/wire/Workers.kt
+++ b/src/main/kotlin/micatally/wire/Workers.kt
@@ -10,7 +10,8 @@
 /** One task on one machine under one attempt, as a worker lists it. */
 data class ListedTask(val ref: String, val lap: Int, val attempt: Long, val status: String, val why: String?, val saved: Boolean) {
     val ended get() = status == ENDED
-    val done get() = ended && why == DONE
+    val done get() = ended && reason == ExitReason.DONE
+    val reason get() = ExitReason.of(why)
 
     companion object {
         const val PULLING = "pulling"
@@ -19,12 +20,28 @@
         const val RUNNING = "running"
         const val SAVING = "saving"
         const val ENDED = "ended"
-        const val DONE = "done"
-        const val ERROR = "error"
-        const val STOPPED = "stopped"
-        const val FULL = "full"
-        const val IN_USE = "in_use"
-        const val UNKNOWN = "unknown"
+        val STATUSES = setOf(PULLING, WAITING, RUNNING, SAVING, ENDED)
+    }
+}
+
+/** Why a task has ended, as its worker says. */
+enum class ExitReason(val word: String) {
+    DONE("done"),
+    STOPPED("stopped"),
+    ERROR("error"),
+    FULL("full"),
+    IN_USE("in_use"),
+    UNKNOWN("unknown"),
+
+    /** Another task of the gang is gone. */
+    PEERS("peers"),
+
+    /** The gang was not complete in time. */
+    ALONE("alone"),
+    ;
+
+    companion object {
+        fun of(word: String?): ExitReason? = entries.find { it.word == word }
     }
 }
 
--- a/src/main/kotlin/micatally/worker/Orders.kt
+++ b/src/main/kotlin/micatally/worker/Orders.kt
@@ -6,6 +6,7 @@
 import micatally.http.HttpCaller
 import micatally.http.Outcome
 import micatally.job.Attempt
+import micatally.job.AttemptEnd
 import micatally.job.AttemptState
 import micatally.job.GoneProof
 import micatally.job.StopReason
@@ -25,7 +26,7 @@
     /** The job's live attempt at this task, or null; [mine] tells whether the job is in an active ledger of this node. */
     fun mine(ref: String): Boolean
     fun attempt(ref: String, lap: Int): Attempt?
-    fun gone(a: Attempt, proof: GoneProof, why: String)
+    fun gone(attempt: Attempt, end: AttemptEnd)
 }
 
 /** Brings each machine to what this node wants of it. What to send is worked out anew from the attempts each time,
@@ -67,12 +68,11 @@
             val reconciled = m.confirmedToken >= a.job.ledger.holder.epoch
             val stop = a.stop
             if (stop != null) {
-                if (a.state == AttemptState.RECORDED) { book.gone(a, GoneProof.NEVER_SENT, stop.name); continue }
+                if (a.state == AttemptState.RECORDED) { book.gone(a, AttemptEnd(GoneProof.NEVER_SENT, stop.name)); continue }
                 covered.add(a)
                 if (entry?.ended == true) { ask = true; continue }
-                val grace = if (stop == StopReason.WITHDRAWN || stop == StopReason.STRAY) 0.0 else a.job.spec?.saveS ?: 0.0
                 val last = killedAt[a]
-                if (last == null || now - last >= killEveryMs) commands.add(Command(Verb.KILL, a.job.ref, a.lap, a.number, grace))
+                if (last == null || now - last >= killEveryMs) commands.add(Command(Verb.KILL, a.job.ref, a.lap, a.number, graceS(a, stop)))
             } else if (a.state == AttemptState.RECORDED) {
                 if (!membership.mayStart) continue
                 if (!reconciledOrOwn(a, reconciled)) { ask = true; continue }
@@ -102,7 +102,7 @@
         if (commands.size > MAX_COMMANDS) {
             val sent = commands.take(MAX_COMMANDS)
             m.poked = true
-            return Batch(token, sent, covered.filter { a -> a.state != AttemptState.RECORDED || sent.any { it.verb == Verb.RUN && it.ref == a.job.ref && it.attempt == a.number } })
+            return Batch(token, sent, covered.filter { a -> a.state != AttemptState.RECORDED || sent.any { it.verb == Verb.RUN && it.ref == a.job.ref && it.lap == a.lap && it.attempt == a.number } })
         }
         return Batch(token, commands, covered)
     }
@@ -110,7 +110,17 @@
     /** An attempt made by this process needs no reconciling: no earlier holder can have sent it. */
     private fun reconciledOrOwn(a: Attempt, reconciled: Boolean) = reconciled || a.sentAt == null
 
-    private fun attemptOf(c: Command) = book.attempt(c.ref, c.lap)?.takeIf { it.number == c.attempt }
+    /** A gang's task that was replaced has the same number on two machines. */
+    private fun attemptOf(m: Machine, c: Command) = book.attempt(c.ref, c.lap)?.takeIf { it.number == c.attempt && it.machine === m }
+
+    /** Time to save, where there is something to be saved; a save that is under way is never cut short by accident. */
+    private fun graceS(attempt: Attempt, reason: StopReason): Double = when (reason) {
+        StopReason.WITHDRAWN, StopReason.STRAY -> 0.0
+        StopReason.GANG_ENDED -> if (attempt.state == AttemptState.SAVING) saveS(attempt) else 0.0
+        StopReason.DRAIN, StopReason.PREEMPTED -> saveS(attempt)
+    }
+
+    private fun saveS(attempt: Attempt) = attempt.job.spec?.saveS ?: 0.0
 
     private suspend fun flush(m: Machine) {
         while (m.poked && !m.deleted) {
@@ -120,8 +130,8 @@
             val now = nowMs()
             val session = m.session
             for (c in b.commands) when (c.verb) {
-                Verb.RUN -> attemptOf(c)?.let { it.sentAt = now; it.become(AttemptState.ORDERED, now) }
-                Verb.KILL -> attemptOf(c)?.let { killedAt[it] = now }
+                Verb.RUN -> attemptOf(m, c)?.let { it.sentAt = now; it.become(AttemptState.ORDERED, now) }
+                Verb.KILL -> attemptOf(m, c)?.let { killedAt[it] = now }
                 Verb.CLEAR -> {}
             }
             m.mustAsk = false
@@ -163,10 +173,10 @@
             // Its place in the list is known from our own request, made after the intent. A run whose answer was lost
             // may still come, though, until the machine has seen a higher token than it carries.
             if (e == null) {
-                if (id in m.loose) { wantsHigherToken = true; m.mustAsk = true } else { killedAt.remove(a); book.gone(a, GoneProof.OWN_ANSWER, "not on the machine") }
+                if (id in m.loose) { wantsHigherToken = true; m.mustAsk = true } else { killedAt.remove(a); book.gone(a, AttemptEnd(GoneProof.OWN_ANSWER, "not on the machine")) }
             } else if (e.ended) {
                 killedAt.remove(a)
-                book.gone(a, if (e.done) GoneProof.COMPLETED else GoneProof.OWN_ANSWER, (e.why ?: "") + if (e.saved) " saved" else "")
+                book.gone(a, AttemptEnd(if (e.done) GoneProof.COMPLETED else GoneProof.OWN_ANSWER, e.why ?: "", e.reason, e.saved))
                 m.poked = true
             }
         }
--- a/src/test/kotlin/micatally/sim/SimFleet.kt
+++ b/src/test/kotlin/micatally/sim/SimFleet.kt
@@ -29,7 +29,9 @@
 import micatally.placement.Placement
 import micatally.settings.Settings
 import micatally.standin.CloudStandin
-import micatally.standin.StateLimits
+import micatally.standin.GangTable
+import micatally.standin.GangTimes
+import micatally.state.StateLimits
 import micatally.standin.StateStandin
 import micatally.standin.WorkerStandin
 import micatally.standin.WorkerWorld
@@ -154,6 +156,7 @@
 @OptIn(ExperimentalCoroutinesApi::class)
 class SimFleet(seed: Int, val nodes: Int = 3, private val timing: Timing = Timing.PLAIN) : WorkerWorld {
     val random = Random(seed)
+    override val gangs by lazy { GangTable(scope, GangTimes(settings[0].gangWaitMs, settings[0].gangPeerMs), Random(seed + 3)) { now } }
     private val scheduler = TestCoroutineScheduler()
     private val dispatcher = StandardTestDispatcher(scheduler)
     var failure: Throwable? = null
