--- a/src/main/kotlin/micatally/api/UserApi.kt
+++ b/src/main/kotlin/micatally/api/UserApi.kt
@@ -13,7 +13,7 @@
 import micatally.job.Owner
 import micatally.ledger.Keys
 import micatally.ledger.Membership
-import micatally.ledger.Right
+import micatally.ledger.Authority
 import micatally.peer.Peers
 import micatally.placement.Placement
 import micatally.placement.Rounds
@@ -50,7 +50,7 @@
 
     fun health(): HttpResponse =
         when {
-            membership.checkRight() != Right.ENTITLED || owner.own() == null || machines.flavors.isEmpty() -> later("starting")
+            membership.checkAuthority() != Authority.ENTITLED || owner.own() == null || machines.flavors.isEmpty() -> later("starting")
             // Others can take what this node has to turn away. In an outage for all every node stays: polls are still answered.
             !stateReachable && (peers.somePeerHasState() || !peers.anyHeard()) -> later("no contact with the state service")
             else -> HttpResponse(200, "{}".encodeToByteArray())
@@ -85,7 +85,7 @@
     private suspend fun waitFor(job: Job, status: Int): HttpResponse {
         val durable = withTimeoutOrNull(durableMs) { store.durable(job) } ?: return later("not stored yet")
         if (!durable) return knownOr(job.ref) { later("not stored") }
-        if (!owner.mayTell(job)) return later("a cancellation is under way")
+        if (!owner.mayConfirmWithdrawal(job)) return later("a cancellation is under way")
         // Its end may have come and be on its way since.
         if (job.endUnderWay || !membership.leaseHolds()) return knownOr(job.ref) { later("not stored yet") }
         return if (status == 201 && job.durableState == JobState.OPEN) HttpResponse(201, JobAnswer(job.ref, JobAnswer.PENDING, 0, 0).brief().bytes()) else ok(job.answer())
@@ -93,11 +93,11 @@
 
     /** 422 exactly where the protocol says so. */
     private fun impossible(spec: JobSpec): String? {
-        val team = settings.teams[spec.crew] ?: return "unknown team ${spec.crew}"
+        val team = settings.teams[spec.team] ?: return "unknown team ${spec.team}"
         if (!Placement.possible(spec, machines.flavors.values)) return "a task fits no allowed machine type"
-        val n = if (spec.format == Format.ARRAY) 1 else spec.laps
+        val n = if (spec.format == Format.ARRAY) 1 else spec.taskCount
         if (team.coresMax > 0 && spec.amount.cores * n > team.coresMax + 1e-6 || team.cardsMax > 0 && spec.amount.cards * n > team.cardsMax + 1e-6) {
-            return "the job needs more than the limit of team ${spec.crew}"
+            return "the job needs more than the limit of team ${spec.team}"
         }
         if (spec.isGang && !Placement.fitsZones(spec, settings.zones.size)) return "the gang's tasks may not all be in the allowed zones at once"
         return null
@@ -127,7 +127,7 @@
         if (job.durableState == JobState.NEW || job.endUnderWay || !membership.leaseHolds()) return null
         // This node's lease keeps others from its own ledger only: a ledger that it took over goes back to its host the
         // moment that host starts again, so of its jobs only the state service can tell.
-        if (job.ledger.name != settings.host || !owner.mayTell(job)) return null
+        if (job.ledger.name != settings.host || !owner.mayConfirmWithdrawal(job)) return null
         return job.answer()
     }
 
@@ -147,7 +147,7 @@
             is ReadResult.Found -> {
                 ledgerOf.put(ref, JobRecord.ledgerOf(read.item.value))
                 // Withdrawn, but not all controllers know of it yet: only its owner can tell when they do.
-                if (JobRecord.isTellable(read.item.value)) Look.Known(fromRecord(ref, read.item.value)) else Look.Unclear
+                if (JobRecord.isWithdrawalConfirmable(read.item.value)) Look.Known(fromRecord(ref, read.item.value)) else Look.Unclear
             }
         }
     }
@@ -194,9 +194,9 @@
         owner.withdraw(job)
         val ok = withTimeoutOrNull(durableMs) { store.durable(job) } ?: false
         if (!ok || job.durableState != JobState.WITHDRAWN && job.durableState != JobState.DONE) return null
-        if (!owner.mayTell(job)) {
+        if (!owner.mayConfirmWithdrawal(job)) {
             peers.spread(job)
-            if (!owner.mayTell(job)) return null
+            if (!owner.mayConfirmWithdrawal(job)) return null
         }
         return job.answer()
     }
--- a/src/main/kotlin/micatally/api/WorkerApi.kt
+++ b/src/main/kotlin/micatally/api/WorkerApi.kt
@@ -6,7 +6,7 @@
 import micatally.http.HttpResponse
 import micatally.http.errorResponse
 import micatally.ledger.Membership
-import micatally.ledger.Right
+import micatally.ledger.Authority
 import micatally.peer.Peers
 import micatally.settings.Settings
 import micatally.wire.Command
@@ -17,13 +17,13 @@
 import micatally.wire.parseObject
 import micatally.wire.reportAnswer
 import micatally.worker.AttemptId
-import micatally.worker.KillBook
+import micatally.worker.WithdrawnTasks
 import micatally.worker.Machines
 
 /** Workers' reports. A 200 keeps a worker's tasks alive, so it is given only while this node is entitled to. */
 class WorkerApi(
     private val settings: Settings, private val membership: Membership, private val machines: Machines,
-    private val peers: Peers, private val kills: KillBook, private val nowMs: () -> Long,
+    private val peers: Peers, private val kills: WithdrawnTasks, private val nowMs: () -> Long,
 ) {
     private val movedAt = HashMap<String, Long>()
 
@@ -39,7 +39,7 @@
             membership.catchUp(NOTHING_MORE)
             return refuse()
         }
-        if (membership.checkRight() != Right.ENTITLED) return refuse()
+        if (membership.checkAuthority() != Authority.ENTITLED) return refuse()
         // Others reach the state service and this node does not: they know of cancellations that it can't hear of.
         if (membership.viewAgeMs > settings.leaseMs * 3 / 10 && peers.somePeerHasState()) return refuse()
         if (known.deleted) return refuse()
@@ -57,11 +57,11 @@
     }
 
     private fun differs(before: List<micatally.wire.ListedTask>, r: Report) =
-        before.size != r.tasks.size || r.noticeS != null || before.zip(r.tasks).any { (a, b) -> a.ref != b.ref || a.lap != b.lap || a.attempt != b.attempt || a.status != b.status }
+        before.size != r.tasks.size || r.noticeS != null || before.zip(r.tasks).any { (a, b) -> a.ref != b.ref || a.taskIndex != b.taskIndex || a.attempt != b.attempt || a.status != b.status }
 
     /** Tasks of withdrawn jobs whose owner can't reach the machine. */
     private fun killsFor(r: Report): List<Command> =
-        r.tasks.filter { !it.ended && kills.has(r.machine, AttemptId(it.ref, it.lap, it.attempt)) }.map { Command(Verb.KILL, it.ref, it.lap, it.attempt, 0.0) }
+        r.tasks.filter { !it.ended && kills.has(r.machine, AttemptId(it.ref, it.taskIndex, it.attempt)) }.map { Command(Verb.KILL, it.ref, it.taskIndex, it.attempt, 0.0) }
 
     private fun refuse(): HttpResponse {
         val other = peers.entitledPeer()
--- a/src/main/kotlin/micatally/fleet/Keeper.kt
+++ b/src/main/kotlin/micatally/fleet/FleetManager.kt
@@ -42,7 +42,7 @@
 import org.slf4j.LoggerFactory
 
 /** Whoever holds the fleet key rents, drains and returns machines for all owners. */
-class Keeper(
+class FleetManager(
     private val scope: CoroutineScope, private val http: HttpCaller, private val settings: Settings, private val state: StateClient, private val cloud: CloudClient,
     private val membership: Membership, private val machines: Machines, private val demand: () -> List<Demand>, private val recent: () -> List<Demand>, private val silentZones: () -> Set<String>,
     private val operator: Operator, private val nowMs: () -> Long,
@@ -71,7 +71,7 @@
     private val goneAt = HashMap<String, Long>()
     var onFlavors: () -> Unit = {}
 
-    val keeping get() = term > 0 && cluster.mark(Keys.FLEET) == term
+    val isLeader get() = term > 0 && cluster.mark(Keys.FLEET) == term
 
     fun retire(names: List<String>) { wantedGone.addAll(names) }
 
@@ -79,7 +79,7 @@
         scope.launch { flavorLoop() }
         scope.launch { termLoop() }
         scope.launch { listLoop() }
-        scope.launch { while (true) { delay(settings.reportMs / 4); if (keeping) step() } }
+        scope.launch { while (true) { delay(settings.reportMs / 4); if (isLeader) step() } }
     }
 
     private suspend fun flavorLoop() {
@@ -89,7 +89,7 @@
                 val kept = state.get(Keys.FLAVORS, Urgency.ACCEPTANCE)
                 if (kept is ReadResult.Found) { known = kept.item.value.toString(); take(kept.item.value) }
             }
-            if (machines.flavors.isEmpty() || keeping) {
+            if (machines.flavors.isEmpty() || isLeader) {
                 val fresh = cloud.flavors()
                 if (fresh != null) {
                     take(fresh)
@@ -113,7 +113,7 @@
         while (true) {
             delay(settings.liveMs / 16)
             val lease = membership.lease
-            if (lease == null || keeping || cluster.revision < 0) continue
+            if (lease == null || isLeader || cluster.revision < 0) continue
             // The answer that gave it the key was lost: nobody else can take it while this node lives.
             val mine = cluster.value(Keys.FLEET)?.textOrNull("process") == membership.process
             if (mine) { begin(cluster.mark(Keys.FLEET)); continue }
@@ -143,7 +143,7 @@
     private suspend fun listLoop() {
         while (true) {
             delay(maxOf(settings.listLagMs / 2, (3000 / settings.cloudRps).toLong()))
-            if (!keeping) continue
+            if (!isLeader) continue
             val l = cloud.list() ?: continue
             lastList = l
             val now = nowMs()
@@ -206,7 +206,7 @@
         for ((zone, list) in silent) {
             // Few machines tell little, but when the zone's controller is silent with them, that is a cut too.
             val cut = list.size >= (heard[zone] ?: 0) && (list.size >= 3 || zone in alone)
-            for (m in list) if (!cut || now - maxOf(m.heardAt, since) > settings.rightMs + settings.leaseMs * 2) wantedGone.add(m.name)
+            for (m in list) if (!cut || now - maxOf(m.heardAt, since) > settings.authorityMs + settings.leaseMs * 2) wantedGone.add(m.name)
         }
         for (r in rentals.values) {
             if (r.up) continue
@@ -418,7 +418,7 @@
                 RentResult.Refused -> { if (!silent) { refusedUntil[offer] = nowMs() + settings.leaseMs / 5; break } }
                 RentResult.Unknown -> silent = true
             }
-            if (!keeping) return
+            if (!isLeader) return
             delay(settings.leaseMs / 10)
         }
         state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Delete(Keys.RENT + name))) }
@@ -432,7 +432,7 @@
     /** Old proofs are dropped; a machine whose proof is missed is simply deleted again. */
     suspend fun prune() {
         val old = goneAt.filterValues { nowMs() - it > settings.leaseMs * 60 }.keys.take(settings.txnOps / 2)
-        if (old.isEmpty() || !keeping) return
+        if (old.isEmpty() || !isLeader) return
         if (state.txn(old.size, Urgency.SUMMARY) { Txn(emptyList(), old.map { Delete(Keys.GONE + it) }) } is TxnResult.Applied) goneAt.keys.removeAll(old.toSet())
     }
 
--- a/src/main/kotlin/micatally/gang/GangPolicy.kt
+++ b/src/main/kotlin/micatally/gang/GangPolicy.kt
@@ -52,11 +52,11 @@
     /** Whether a run that is not whole has waited so long that no replacement can arrive in time. */
     fun isOverdue(job: Job, gang: Gang, timing: GangTiming, nowMs: Long): Boolean {
         val since = gang.waitingSinceMs ?: return false
-        return gang.phase == GangPhase.WAITING && job.attempts.size < job.laps && nowMs - since >= timing.giveUpMs
+        return gang.phase == GangPhase.WAITING && job.attempts.size < job.taskCount && nowMs - since >= timing.giveUpMs
     }
 
     /** A run that has started and lacks a task, as a new owner may find it. */
-    fun hasLostTask(job: Job, gang: Gang) = gang.phase == GangPhase.RUNNING && job.attempts.size < job.laps
+    fun hasLostTask(job: Job, gang: Gang) = gang.phase == GangPhase.RUNNING && job.attempts.size < job.taskCount
 
     /**
      * An orderly stop saves the progress only if each task is told within [GangTiming.peerMs]; so it is not begun while a
@@ -65,7 +65,7 @@
     fun mayStopOrderly(job: Job, gang: Gang, isReachable: (Attempt) -> Boolean): Boolean {
         val saves = (job.spec?.checkpointS ?: 0.0) > 0
         val isUp = gang.phase == GangPhase.RUNNING || gang.phase == GangPhase.WAITING
-        return saves && isUp && job.attempts.size == job.laps && job.attempts.values.all { it.stop == null && isReachable(it) }
+        return saves && isUp && job.attempts.size == job.taskCount && job.attempts.values.all { it.stop == null && isReachable(it) }
     }
 
     private val REFUSALS = setOf(ExitReason.FULL, ExitReason.IN_USE, ExitReason.UNKNOWN)
--- a/src/main/kotlin/micatally/gang/GangSupervisor.kt
+++ b/src/main/kotlin/micatally/gang/GangSupervisor.kt
@@ -45,7 +45,7 @@
         val job = attempt.job
         val gang = job.gang ?: return
         if (job.wantsTasks && GangPolicy.afterLoss(gang.phase, end) == AfterLoss.END_RUN) {
-            endRun(job, gang, "task ${attempt.lap} is gone: ${end.reason?.word ?: end.detail}")
+            endRun(job, gang, "task ${attempt.taskIndex} is gone: ${end.reason?.word ?: end.detail}")
         }
         if (job.attempts.isEmpty()) gang.allGone()
     }
--- a/src/main/kotlin/micatally/job/Attempt.kt
+++ b/src/main/kotlin/micatally/job/Attempt.kt
@@ -27,12 +27,12 @@
 /** Why an attempt is to be stopped; an earlier reason replaces a later one. */
 enum class StopReason { WITHDRAWN, DRAIN, PREEMPTED, GANG_ENDED, STRAY }
 
-class Attempt(val job: Job, val lap: Int, val number: Long, val machine: Machine, val session: Long, val inherited: Double, startState: AttemptState) {
+class Attempt(val job: Job, val taskIndex: Int, val number: Long, val machine: Machine, val session: Long, val inherited: Double, startState: AttemptState) {
     var state = startState
         private set
     var stop: StopReason? = null
         private set
-    var stopSince = 0L
+    var stopSinceMs = 0L
         private set
     var runningSince: Long? = null
     var sentAt: Long? = null
@@ -40,19 +40,19 @@
     /** The one place where an attempt changes its state. */
     fun become(next: AttemptState, nowMs: Long) {
         if (next == state) return
-        check(next.ordinal > state.ordinal) { "attempt ${job.ref}/$lap#$number may not go from $state to $next" }
+        check(next.ordinal > state.ordinal) { "attempt ${job.ref}/$taskIndex#$number may not go from $state to $next" }
         state = next
         if (next == AttemptState.RUNNING && runningSince == null) runningSince = nowMs
     }
 
     fun stop(reason: StopReason, nowMs: Long): Boolean {
         if (stop != null && stop!!.ordinal <= reason.ordinal) return false
-        if (stop == null) stopSince = nowMs
+        if (stop == null) stopSinceMs = nowMs
         stop = reason
         return true
     }
 
     val maySend get() = state >= AttemptState.RECORDED && state != AttemptState.GONE
     val live get() = state != AttemptState.GONE
-    override fun toString() = "${job.ref}/$lap#$number@${machine.name}"
+    override fun toString() = "${job.ref}/$taskIndex#$number@${machine.name}"
 }
--- a/src/main/kotlin/micatally/job/Job.kt
+++ b/src/main/kotlin/micatally/job/Job.kt
@@ -11,7 +11,7 @@
 /** NEW: not yet durable. OPEN: accepted. DONE and WITHDRAWN are final. DROPPED: this node does not own it any more. */
 enum class JobState { NEW, OPEN, DONE, WITHDRAWN, DROPPED }
 
-class Job(val ref: String, val spec: JobSpec?, val ledger: Ledger, val laps: Int, val submittedAt: Long, startState: JobState) {
+class Job(val ref: String, val spec: JobSpec?, val ledger: Ledger, val taskCount: Int, val submittedAt: Long, startState: JobState) {
     var state = startState
         private set
 
@@ -41,8 +41,8 @@
     var publishedAt: Long? = null
     val confirmedBy = HashSet<String>()
     var spreading = false
-    var tellable = false
-    var tellableRecorded = false
+    var withdrawalConfirmable = false
+    var confirmableRecorded = false
 
     // What the store keeps about writing the record.
     var mark = 0L
@@ -63,7 +63,7 @@
         if (next == state) return
         val ok = when (next) {
             JobState.OPEN -> state == JobState.NEW
-            JobState.DONE -> state == JobState.OPEN && doneCount == laps
+            JobState.DONE -> state == JobState.OPEN && doneCount == taskCount
             JobState.WITHDRAWN -> state == JobState.OPEN || state == JobState.NEW
             JobState.DROPPED -> true
             JobState.NEW -> false
@@ -72,9 +72,9 @@
         state = next
     }
 
-    fun markDone(lap: Int): Boolean {
-        if (lap !in 0 until laps || done[lap]) return false
-        done.set(lap)
+    fun markDone(taskIndex: Int): Boolean {
+        if (taskIndex !in 0 until taskCount || done[taskIndex]) return false
+        done.set(taskIndex)
         doneCount++
         return true
     }
@@ -88,15 +88,15 @@
     /** The lap numbers that neither are done nor have an attempt, lowest first. */
     fun pending(limit: Int): List<Int> {
         val out = ArrayList<Int>()
-        var lap = done.nextClearBit(0)
-        while (lap < laps && out.size < limit) {
-            if (!attempts.containsKey(lap)) out.add(lap)
-            lap = done.nextClearBit(lap + 1)
+        var taskIndex = done.nextClearBit(0)
+        while (taskIndex < taskCount && out.size < limit) {
+            if (!attempts.containsKey(taskIndex)) out.add(taskIndex)
+            taskIndex = done.nextClearBit(taskIndex + 1)
         }
         return out
     }
 
-    val pendingCount get() = if (!wantsTasks) 0 else laps - doneCount - attempts.size
+    val pendingCount get() = if (!wantsTasks) 0 else taskCount - doneCount - attempts.size
 
     fun answer(): JobAnswer {
         val running = attempts.values.count { it.state == AttemptState.RUNNING || it.state == AttemptState.SAVING }
--- a/src/main/kotlin/micatally/job/JobRecord.kt
+++ b/src/main/kotlin/micatally/job/JobRecord.kt
@@ -26,13 +26,13 @@
 
     /** The tasks of a withdrawn job that are not proven gone, as all nodes watch them. */
     fun encodeTasks(job: Job): JsonObject = KillListValue.of(
-        JsonArray(job.attempts.values.map { JsonArray(listOf(JsonPrimitive(it.machine.name), JsonPrimitive(it.lap), JsonPrimitive(it.number))) }),
+        JsonArray(job.attempts.values.map { JsonArray(listOf(JsonPrimitive(it.machine.name), JsonPrimitive(it.taskIndex), JsonPrimitive(it.number))) }),
     )
 
     fun encode(job: Job): JsonObject = buildJsonObject {
         put("l", job.ledger.name)
         put("e", when (job.state) { JobState.DONE -> DONE; JobState.WITHDRAWN -> WITHDRAWN; else -> OPEN })
-        put("k", job.laps)
+        put("k", job.taskCount)
         // Under which hold on the ledger it was written: the record of a new job that is found there is this node's own only then.
         put("c", job.ledger.hold)
         val final = job.state == JobState.DONE || job.state == JobState.WITHDRAWN
@@ -40,7 +40,7 @@
         if (job.doneCount > 0) put("d", ranges(job.done))
         if (final && job.attempts.isEmpty()) return@buildJsonObject
         // Withdrawn, and the user may have been told: any node may say so.
-        if (final && job.tellable) put("x", 1)
+        if (final && job.withdrawalConfirmable) put("x", 1)
         put("n", job.nextAttempt)
         put("t", job.submittedAt)
         if (job.service > 0) { put("v", Math.round(job.service)); put("q", job.queue) }
@@ -53,7 +53,7 @@
                 add(JsonPrimitive(m.type))
                 add(JsonPrimitive(m.zone))
                 add(JsonPrimitive(if (m.spot) 1 else 0))
-                for (a in list) { add(JsonPrimitive(a.lap)); add(JsonPrimitive(a.number)) }
+                for (a in list) { add(JsonPrimitive(a.taskIndex)); add(JsonPrimitive(a.number)) }
             })
         })
     }
@@ -79,7 +79,7 @@
     }
 
     /** A machine's description stands in each row, so that a new holder can ask it before it reports. */
-    class Placed(val machine: String, val session: Long, val addr: String, val type: String, val zone: String, val spot: Boolean, val lap: Int, val number: Long)
+    class Placed(val machine: String, val session: Long, val addr: String, val type: String, val zone: String, val spot: Boolean, val taskIndex: Int, val number: Long)
 
     fun ledgerOf(o: JsonObject) = o.text("l")
     fun holdOf(o: JsonObject) = (o["c"])?.asText() ?: ""
@@ -89,7 +89,7 @@
     private fun mayHaveAttempts(o: JsonObject) = o["a"] != null || RecordPacking.isPacked(o)
 
     /** Whether a user may hear of the end that the record has. */
-    fun isTellable(o: JsonObject) = state(o) != JobState.WITHDRAWN || !mayHaveAttempts(o) || o["x"] != null
+    fun isWithdrawalConfirmable(o: JsonObject) = state(o) != JobState.WITHDRAWN || !mayHaveAttempts(o) || o["x"] != null
 
     fun placed(o: JsonObject): List<Placed> = (o.listOrNull("a") ?: emptyList()).flatMap { e ->
         val row = e as JsonArray
@@ -104,14 +104,14 @@
         val state = state(o)
         val job = Job(ref, spec, ledger, o.long("k").toInt(), o.longOrNull("t") ?: 0L, state)
         val d = o.listOrNull("d") ?: emptyList()
-        for (i in d.indices step 2) for (lap in d[i].asLong().toInt() until d[i + 1].asLong().toInt()) job.markDone(lap)
+        for (i in d.indices step 2) for (taskIndex in d[i].asLong().toInt() until d[i + 1].asLong().toInt()) job.markDone(taskIndex)
         job.nextAttempt = o.longOrNull("n") ?: 1L
         job.service = o.numberOrNull("v") ?: 0.0
         job.queue = (o.longOrNull("q") ?: 0L).toInt()
         job.mark = mark
         job.durableState = state
-        job.tellable = state == JobState.WITHDRAWN && isTellable(o)
-        job.tellableRecorded = job.tellable
+        job.withdrawalConfirmable = state == JobState.WITHDRAWN && isWithdrawalConfirmable(o)
+        job.confirmableRecorded = job.withdrawalConfirmable
         return job
     }
 
--- a/src/main/kotlin/micatally/job/Owner.kt
+++ b/src/main/kotlin/micatally/job/Owner.kt
@@ -21,11 +21,11 @@
 import micatally.wire.ExitReason
 import micatally.wire.JobAnswer
 import micatally.wire.JobSpec
-import micatally.wire.KillNote
+import micatally.wire.WithdrawnTask
 import micatally.wire.ListedTask
 import micatally.wire.asLong
 import micatally.wire.asText
-import micatally.worker.KillBook
+import micatally.worker.WithdrawnTasks
 import micatally.worker.Machine
 import micatally.worker.Machines
 import micatally.worker.OrderBook
@@ -68,7 +68,7 @@
     /** A job that is not stored yet may turn out to be another owner's, whose tasks are then no strays: it was submitted there
      * before, and repeated here. */
     override fun mine(ref: String) = ledgers.values.any { l -> l.state == LedgerState.ACTIVE && l.jobs[ref]?.let { it.durableState != JobState.NEW } == true }
-    override fun attempt(ref: String, lap: Int) = job(ref)?.attempts?.get(lap)
+    override fun attempt(ref: String, taskIndex: Int) = job(ref)?.attempts?.get(taskIndex)
 
     /** Whether all jobs of this node's ledgers are known here. */
     val settled get() = own() != null && ledgers.values.all { it.state == LedgerState.ACTIVE }
@@ -77,7 +77,7 @@
     private val withdrawing = LinkedHashSet<Job>()
 
     /** Tasks of withdrawn jobs that may still be on their machines. */
-    fun withdrawnTasks(): List<KillNote> = withdrawing.filter { it.durableState == JobState.WITHDRAWN }.flatMap { notes(it) }
+    fun withdrawnTasks(): List<WithdrawnTask> = withdrawing.filter { it.durableState == JobState.WITHDRAWN }.flatMap { notes(it) }
 
     // Ledgers
 
@@ -109,7 +109,7 @@
             for (a in j.attempts.values) {
                 a.machine.detach(a, nowMs())
                 // Its new owner has yet to load it; to all that see this node's summary the room would look free meanwhile.
-                j.spec?.let { a.machine.promise(j.ref, a.lap, it.amount, nowMs() + settings.handOverMs) }
+                j.spec?.let { a.machine.promise(j.ref, a.taskIndex, it.amount, nowMs() + settings.handOverMs) }
             }
             store.drop(j)
         }
@@ -162,7 +162,7 @@
         val ref = record.ref
         // Whoever's job it is: a node that has just started must stop its tasks where it hears them.
         if (record.plain != null && JobRecord.state(record.stored) == JobState.WITHDRAWN) {
-            kills.take(JobRecord.placed(record.plain).map { KillNote(it.machine, ref, it.lap, it.number) })
+            kills.take(JobRecord.placed(record.plain).map { WithdrawnTask(it.machine, ref, it.taskIndex, it.number) })
         }
         if (JobRecord.ledgerOf(record.stored) != l.name) return
         // Accepted here while the list was on its way; or it was accepted before, and its user has just repeated the
@@ -191,8 +191,8 @@
     private fun adoptAttempt(job: Job, placed: JobRecord.Placed) {
         val machine = machines.known(placed.machine, placed.addr, placed.type, placed.zone, placed.spot)
         if (machine.session == 0L) machine.session = placed.session
-        val attempt = Attempt(job, placed.lap, placed.number, machine, placed.session, job.service, AttemptState.ORDERED)
-        job.attempts[placed.lap] = attempt
+        val attempt = Attempt(job, placed.taskIndex, placed.number, machine, placed.session, job.service, AttemptState.ORDERED)
+        job.attempts[placed.taskIndex] = attempt
         attach(attempt)
     }
 
@@ -211,20 +211,20 @@
     // Withdrawn jobs, and when their users may be told
 
     /** What other owners have withdrawn. */
-    val kills = KillBook(settings.cancelMs * 2, nowMs)
+    val kills = WithdrawnTasks(settings.cancelMs * 2, nowMs)
 
     /** Every controller that may answer workers either knows the job's tasks, and stops them where it hears them, or has lost
-     * touch: then its right ends early enough after [Settings.untoldMs] have passed since they lie in the state service.
+     * touch: then its right ends early enough after [Settings.withdrawalDelayMs] have passed since they lie in the state service.
      * Telling the user before that would leave a zone that is cut off only until its workers' leases end. A confirmation
      * counts only after the tasks lie there: the process that gave it may end, and the next one reads them at its start. */
-    fun mayTell(job: Job): Boolean {
-        if (job.durableState != JobState.WITHDRAWN || job.attempts.isEmpty() || job.tellable) return true
+    fun mayConfirmWithdrawal(job: Job): Boolean {
+        if (job.durableState != JobState.WITHDRAWN || job.attempts.isEmpty() || job.withdrawalConfirmable) return true
         val published = job.publishedAt ?: return false
-        job.tellable = job.confirmedBy.size >= settings.peers.size || nowMs() - published >= settings.untoldMs
-        return job.tellable
+        job.withdrawalConfirmable = job.confirmedBy.size >= settings.peers.size || nowMs() - published >= settings.withdrawalDelayMs
+        return job.withdrawalConfirmable
     }
 
-    fun notes(job: Job) = job.attempts.values.map { KillNote(it.machine.name, job.ref, it.lap, it.number) }
+    fun notes(job: Job) = job.attempts.values.map { WithdrawnTask(it.machine.name, job.ref, it.taskIndex, it.number) }
 
     /** The shared keys have changed: tasks that some owner has published. */
     fun published(key: String) {
@@ -232,7 +232,7 @@
         val main = membership.cluster.value(Keys.kill(ref)) ?: return
         val overflow = (0 until RecordPacking.overflowCount(main)).map { membership.cluster.value(Keys.killPart(ref, it)) ?: return }
         val rows = KillListValue.rows(RecordPacking.unpack(main, overflow))
-        kills.take(rows.map { KillNote(it[0].asText(), ref, it[1].asLong().toInt(), it[2].asLong()) })
+        kills.take(rows.map { WithdrawnTask(it[0].asText(), ref, it[1].asLong().toInt(), it[2].asLong()) })
     }
 
     /** Asks the other controllers to confirm the tasks of a withdrawn job. */
@@ -242,9 +242,9 @@
      * may say so, whoever asks. After a change of owner nobody else asks the other controllers again. */
     fun followWithdrawn(now: Long) {
         for (j in withdrawing.toList()) {
-            if (j.ledger.state != LedgerState.ACTIVE || j.durableState != JobState.WITHDRAWN || j.tellableRecorded) continue
-            if (j.attempts.values.none { it.stop == StopReason.WITHDRAWN && now - it.stopSince > settings.leaseMs / 10 }) continue
-            if (mayTell(j)) { j.tellableRecorded = true; store.touch(j, true) } else if (!j.spreading) {
+            if (j.ledger.state != LedgerState.ACTIVE || j.durableState != JobState.WITHDRAWN || j.confirmableRecorded) continue
+            if (j.attempts.values.none { it.stop == StopReason.WITHDRAWN && now - it.stopSinceMs > settings.leaseMs / 10 }) continue
+            if (mayConfirmWithdrawal(j)) { j.confirmableRecorded = true; store.touch(j, true) } else if (!j.spreading) {
                 j.spreading = true
                 scope.launch { try { spread(j) } finally { j.spreading = false } }
             }
@@ -261,12 +261,12 @@
     // Attempts
 
     /** Numbers are the job's, each used once for a task; the members of a gang, which find each other by it, share one. */
-    fun place(job: Job, lap: Int, m: Machine, number: Long = job.nextAttempt++): Attempt {
-        val a = Attempt(job, lap, number, m, m.session, job.service, AttemptState.INTENDED)
-        job.gang?.tried(lap, m.name)
-        job.attempts[lap] = a
+    fun place(job: Job, taskIndex: Int, m: Machine, number: Long = job.nextAttempt++): Attempt {
+        val a = Attempt(job, taskIndex, number, m, m.session, job.service, AttemptState.INTENDED)
+        job.gang?.tried(taskIndex, m.name)
+        job.attempts[taskIndex] = a
         attach(a)
-        log.info("task {}/{} attempt {} intended for {}", job.ref, lap, a.number, m.name)
+        log.info("task {}/{} attempt {} intended for {}", job.ref, taskIndex, a.number, m.name)
         return a
     }
 
@@ -278,7 +278,7 @@
         }
         for (m in touched) orders.poke(m)
         if (job.durableState == JobState.DONE || job.durableState == JobState.WITHDRAWN) {
-            if (mayTell(job)) rememberFinal(job.answer())
+            if (mayConfirmWithdrawal(job)) rememberFinal(job.answer())
             if (job.attempts.isEmpty() && job.durableVersion == job.version) {
                 // Kept in memory for a while so that its ended entries are still cleared from the machines.
                 val l = job.ledger
@@ -302,7 +302,7 @@
         val ranMs = attempt.runningSince?.let { now - it } ?: 0L
         attempt.become(AttemptState.GONE, now)
         attempt.machine.detach(attempt, now)
-        job.attempts.remove(attempt.lap, attempt)
+        job.attempts.remove(attempt.taskIndex, attempt)
         // What a ledger used is forgotten with it; its next holder has counted anew.
         if (job.ledger.mine) quota.release(job)
         log.info("task {} gone: {}", attempt, end)
@@ -342,7 +342,7 @@
 
     private fun finished(a: Attempt, ranMs: Long) {
         val job = a.job
-        if (!markDone(job, a.lap)) return
+        if (!markDone(job, a.taskIndex)) return
         a.machine.successes++
         lift(job, a.inherited + ranMs / 1000.0)
         if (job.state == JobState.DONE) store.touch(job, true)
@@ -351,8 +351,8 @@
     /** False if that was known. The tasks of a gang complete together: if one is done, all are. */
     private fun markDone(job: Job, task: Int): Boolean {
         if (!job.markDone(task)) return false
-        if (job.gang != null) for (other in 0 until job.laps) job.markDone(other)
-        if (job.doneCount == job.laps && job.state == JobState.OPEN) {
+        if (job.gang != null) for (other in 0 until job.taskCount) job.markDone(other)
+        if (job.doneCount == job.taskCount && job.state == JobState.OPEN) {
             job.become(JobState.DONE)
             log.info("job {} done", job.ref)
         }
@@ -367,7 +367,7 @@
 
     fun deleted(m: Machine) {
         m.deleted = true
-        m.loose.clear()
+        m.unansweredRuns.clear()
         for (a in m.attempts.toList()) gone(a, AttemptEnd(GoneProof.MACHINE_DELETED, "machine gone"))
     }
 
@@ -376,16 +376,16 @@
         var poke = false
         for (t in m.tasks) {
             val job = job(t.ref) ?: continue
-            val a = job.attempts[t.lap]
+            val a = job.attempts[t.taskIndex]
             if (a != null && a.number == t.attempt && a.machine === m && a.session == m.session) {
                 poke = listedAttempt(a, t, own) || poke
             } else {
                 poke = true
-                if (t.done) doneUnderFormerAttempt(job, t.lap)
+                if (t.done) doneUnderFormerAttempt(job, t.taskIndex)
             }
         }
         // What was there and is missing proves nothing, since nobody knows who took it away; but the machine is asked.
-        if (!own && m.attempts.any { it.state >= AttemptState.PULLING && it.session == m.session && m.tasks.none { t -> t.ref == it.job.ref && t.lap == it.lap && t.attempt == it.number } }) {
+        if (!own && m.attempts.any { it.state >= AttemptState.PULLING && it.session == m.session && m.tasks.none { t -> t.ref == it.job.ref && t.taskIndex == it.taskIndex && t.attempt == it.number } }) {
             m.mustAsk = true
             poke = true
         }
@@ -454,7 +454,7 @@
         val since = nowMs() - machines.bootMs(null) * RECENT_BOOTS / 3
         while (recent.isNotEmpty() && recent.first().first < since) recent.removeFirst()
         return recent.groupBy { (_, s) -> s.amount to s.types }.map { (shape, list) ->
-            Demand(shape.first.cores, shape.first.cards, shape.first.ram, shape.second?.toList() ?: emptyList(), count = list.sumOf { it.second.laps }, service = true)
+            Demand(shape.first.cores, shape.first.cards, shape.first.ram, shape.second?.toList() ?: emptyList(), count = list.sumOf { it.second.taskCount }, service = true)
         }
     }
 
@@ -462,10 +462,10 @@
 
     /** Creates a job of this node's own ledger; the caller waits for the store. */
     fun create(spec: JobSpec, ledger: Ledger): Job {
-        val job = Job(spec.ref, spec, ledger, spec.laps, wallMs(), JobState.NEW)
+        val job = Job(spec.ref, spec, ledger, spec.taskCount, wallMs(), JobState.NEW)
         ledger.jobs[spec.ref] = job
         if (spec.isService) recent.addLast(nowMs() to spec)
-        log.info("job {} of {} lane {}: {} tasks of {} cores {} cards", spec.ref, spec.crew, spec.lane, spec.laps, spec.amount.cores, spec.amount.cards)
+        log.info("job {} of {} lane {}: {} tasks of {} cores {} cards", spec.ref, spec.team, spec.jobClass, spec.taskCount, spec.amount.cores, spec.amount.cards)
         return job
     }
 
--- a/src/main/kotlin/micatally/ledger/Membership.kt
+++ b/src/main/kotlin/micatally/ledger/Membership.kt
@@ -19,7 +19,7 @@
 import kotlin.random.Random
 
 /** Whether this node may answer workers' reports. */
-enum class Right { STARTING, ENTITLED, LAPSED }
+enum class Authority { STARTING, ENTITLED, LAPSED }
 
 /** Life of this node as the state service sees it: its lease, the shared keys, the ledgers that it holds. */
 class Membership(
@@ -41,7 +41,7 @@
     private var ownLostAt: Long? = null
 
     /** Up to when the other controllers themselves have told of every cancellation; see [micatally.peer.Peers]. */
-    var toldAllAt: () -> Long = { Long.MIN_VALUE / 2 }
+    var peersConfirmedAt: () -> Long = { Long.MIN_VALUE / 2 }
 
     /** The summaries of all nodes, and who is told which of them have changed. */
     val summaries = Cluster()
@@ -50,33 +50,33 @@
     /** Told which shared keys have changed. */
     var onChange: (Set<String>) -> Unit = {}
 
-    var right = Right.STARTING
+    var authority = Authority.STARTING
         private set
 
     /** The one place where the node's right changes. */
-    private fun become(next: Right, why: String) {
-        if (right == next) return
-        log.info("right {} -> {}: {} epoch={}", right, next, why, cluster.epoch)
-        right = next
+    private fun become(next: Authority, why: String) {
+        if (authority == next) return
+        log.info("right {} -> {}: {} epoch={}", authority, next, why, cluster.epoch)
+        authority = next
     }
 
     /** Up to when this node is known to have heard of every cancellation that its users may have been told. */
-    private val toldAt get() = maxOf(viewProvenAt, toldAllAt())
+    private val toldAt get() = maxOf(viewProvenAt, peersConfirmedAt())
 
     /** Whether a task may be started now. A cancellation that this node has neither seen nor confirmed was published after it
-     * last knew of all, and is told [Settings.untoldMs] after that at the earliest: until then no start comes after it. */
-    val mayStart get() = nowMs() - toldAt < settings.untoldMs * 9 / 10
+     * last knew of all, and is told [Settings.withdrawalDelayMs] after that at the earliest: until then no start comes after it. */
+    val mayStart get() = nowMs() - toldAt < settings.withdrawalDelayMs * 9 / 10
 
     val viewAgeMs get() = nowMs() - viewProvenAt
 
     /** Looks at the clock: a right lapses by time alone. */
-    fun checkRight(): Right {
+    fun checkAuthority(): Authority {
         when {
             !started -> {}
-            nowMs() - toldAt > settings.rightMs -> become(Right.LAPSED, "no proof of state contact for ${settings.rightMs} ms")
-            right != Right.ENTITLED -> become(Right.ENTITLED, "state contact")
+            nowMs() - toldAt > settings.authorityMs -> become(Authority.LAPSED, "no proof of state contact for ${settings.authorityMs} ms")
+            authority != Authority.ENTITLED -> become(Authority.ENTITLED, "state contact")
         }
-        return right
+        return authority
     }
 
     /** True while no other node can have taken this node's ledgers: its lease at the state service cannot have ended. */
@@ -156,7 +156,7 @@
             lease = null
         }
         if (changed.isNotEmpty()) onChange(changed)
-        checkRight()
+        checkAuthority()
     }
 
     /** Takes the node's own ledger at the start, and those of nodes whose lease has ended. */
@@ -165,7 +165,7 @@
         // The workers' leases do not wait for this node's own ledger. When all nodes start at once each raises the epoch,
         // so that most tries fail; they are repeated soon.
         started = true
-        checkRight()
+        checkAuthority()
         scope.launch { follow(Keys.SUMMARIES, summaries, settings.leaseMs / 2, Urgency.INTENT) { keys, _ -> if (keys.isNotEmpty()) onSummaries(keys) } }
         while (!acquire(settings.host, "start")) delay(random.nextLong(settings.liveMs / 50))
         while (true) {
--- a/src/main/kotlin/micatally/node/Controller.kt
+++ b/src/main/kotlin/micatally/node/Controller.kt
@@ -9,7 +9,7 @@
 import micatally.api.UserApi
 import micatally.api.WorkerApi
 import micatally.fleet.CloudClient
-import micatally.fleet.Keeper
+import micatally.fleet.FleetManager
 import micatally.http.HttpCaller
 import micatally.http.HttpRequest
 import micatally.http.HttpResponse
@@ -65,13 +65,13 @@
     private val quota = Quota(scope, state, membership.cluster, settings.teams, { owner.ledgers.values.filter { it.mine } }, settings.controllers) { rounds.wake() }
     val rounds: Rounds = Rounds(scope, settings, owner, machines, store, quota, orders, Queues(operator.queueBounds.map { it * settings.leaseMs / 1000.0 }, operator.queueLift), effort, nowMs)
     private val peers = Peers(scope, http, settings, state, membership, machines, owner, rounds, nowMs)
-    private val keeper = Keeper(scope, http, settings, state, cloud, membership, machines, { rounds.unplaced.values.toList() + peers.demandOfPeers() }, { peers.recentServices() }, { peers.silentZones() }, operator, nowMs)
+    private val fleetManager = FleetManager(scope, http, settings, state, cloud, membership, machines, { rounds.unplaced.values.toList() + peers.demandOfPeers() }, { peers.recentServices() }, { peers.silentZones() }, operator, nowMs)
     private val users = UserApi(settings, state, membership, owner, store, machines, peers, rounds, upgrade, nowMs)
     private val workers = WorkerApi(settings, membership, machines, peers, owner.kills, nowMs)
 
     fun start() {
         owner.orders = orders
-        membership.toldAllAt = { peers.toldAllAt() }
+        membership.peersConfirmedAt = { peers.peersConfirmedAt() }
         owner.quota = quota
         owner.wake = { rounds.wake() }
         rounds.stateAnswers = { state.waitingWrites == 0 && state.get(Keys.EPOCH, Urgency.SUMMARY) is ReadResult.Found }
@@ -85,13 +85,13 @@
         machines.onSession = { owner.newSession(it) }
         machines.onBehind = { m -> if (m.attempts.isNotEmpty()) { m.mustAsk = true; orders.poke(m) } }
         machines.onTasks = { m, own -> owner.listed(m, own); rounds.wake() }
-        keeper.onFlavors = { rounds.wake() }
-        peers.onRetire = { keeper.retire(it) }
+        fleetManager.onFlavors = { rounds.wake() }
+        peers.onRetire = { fleetManager.retire(it) }
         peers.onNews = { rounds.wake() }
         membership.onChange = { keys -> effort.of(Effort.Kind.SHARED) { sharedChanged(keys) } }
         membership.onSummaries = { keys -> effort.of(Effort.Kind.SHARED) { peers.summariesChanged(keys) }; rounds.wake() }
         membership.start()
-        keeper.start()
+        fleetManager.start()
         peers.start()
         scope.launch { housekeeping() }
     }
@@ -143,7 +143,7 @@
             delay(settings.reportMs / 4)
             val now = nowMs()
             effort.of(Effort.Kind.HOUSE) {
-                membership.checkRight()
+                membership.checkAuthority()
                 owner.sweep()
                 for (job in owner.openJobs()) if (job.gang != null) owner.gangs.review(job, now)
                 rounds.wake()
@@ -164,7 +164,7 @@
                 bumpedAt = now
                 membership.raiseEpoch("a run without an answer must not come late")
             }
-            if (++round % 20 == 0) { quota.handBack(); scope.launch { keeper.prune() } }
+            if (++round % 20 == 0) { quota.handBack(); scope.launch { fleetManager.prune() } }
             if (round % 4 == 0) owner.followWithdrawn(now)
             if (now - effortAt > settings.leaseMs) { effortAt = now; effort.tell(" machines=${machines.byName.size} waiting=${rounds.unplaced.size} writes=${writeBudget.tell()} requests=${requestBudget.tell()}") }
             if (round % 8 == 0) askForEnds(now)
@@ -176,8 +176,8 @@
     private fun askForEnds(now: Long) {
         for (m in machines.byName.values) {
             if (m.deleted || m.attempts.isEmpty()) continue
-            if (now - m.heardAt > settings.leaseMs * 2 && m.heardAt == 0L || now - m.heardAt > settings.leaseMs + settings.rightMs + settings.leaseMs) {
-                keeper.retire(listOf(m.name))
+            if (now - m.heardAt > settings.leaseMs * 2 && m.heardAt == 0L || now - m.heardAt > settings.leaseMs + settings.authorityMs + settings.leaseMs) {
+                fleetManager.retire(listOf(m.name))
                 peers.retire(m.name)
             }
         }
--- a/src/main/kotlin/micatally/peer/Peers.kt
+++ b/src/main/kotlin/micatally/peer/Peers.kt
@@ -28,7 +28,7 @@
 import micatally.wire.Demand
 import micatally.wire.HeardList
 import micatally.wire.HeldRoom
-import micatally.wire.KillList
+import micatally.wire.WithdrawnTaskList
 import micatally.wire.MachineNote
 import micatally.wire.PeerAnswer
 import micatally.wire.PeerAsk
@@ -57,8 +57,8 @@
         var contactAt = Long.MIN_VALUE / 2
         var heardAt = Long.MIN_VALUE / 2
         /** When the question left whose answer told all that the peer has withdrawn, and the epoch of that answer. */
-        var toldAllAt = Long.MIN_VALUE / 2
-        var toldAllEpoch = 0L
+        var peersConfirmedAt = Long.MIN_VALUE / 2
+        var peersConfirmedEpoch = 0L
     }
 
     /** A peer's summary, put together from what came. */
@@ -112,10 +112,10 @@
     /** The time up to which this node has heard of every cancellation from the other controllers themselves: each has
      * listed its withdrawn tasks in an answer. Equal epochs show that no ledger has changed hands between the answers.
      * While the state service is out for all, this keeps the workers' leases alive as long as the controllers hear each other. */
-    fun toldAllAt(): Long {
+    fun peersConfirmedAt(): Long {
         val epoch = membership.cluster.epoch
-        if (lines.isEmpty() || !owner.settled || lines.any { it.toldAllEpoch != epoch }) return Long.MIN_VALUE / 2
-        return lines.minOf { it.toldAllAt }
+        if (lines.isEmpty() || !owner.settled || lines.any { it.peersConfirmedEpoch != epoch }) return Long.MIN_VALUE / 2
+        return lines.minOf { it.peersConfirmedAt }
     }
 
     /** Services that came to any controller lately. */
@@ -194,8 +194,8 @@
             val answer = ProtoBuf.decodeFromByteArray<NewsAnswer>(out.body)
             l.toldSummary = if (answer.needsWhole) 0 else sentNumber
             owner.kills.take(answer.kills)
-            l.toldAllEpoch = answer.epoch
-            l.toldAllAt = at
+            l.peersConfirmedEpoch = answer.epoch
+            l.peersConfirmedAt = at
             if (heard.isNotEmpty()) l.toldHeardAt = at
             pendingRetire.removeAll(retire.toSet())
         } else {
@@ -379,10 +379,10 @@
     private fun packed(bytes: ByteArray) = buildJsonObject { put("b", Base64.getEncoder().encodeToString(bytes)) }
 
     /** Makes the tasks of a withdrawn job known to the controllers that have not confirmed them yet. Only once they are in
-     * the state service: see [Owner.mayTell]. */
+     * the state service: see [Owner.mayConfirmWithdrawal]. */
     suspend fun spread(job: Job) {
         if (job.publishedAt == null) return
-        val body = ProtoBuf.encodeToByteArray(KillList(owner.notes(job)))
+        val body = ProtoBuf.encodeToByteArray(WithdrawnTaskList(owner.notes(job)))
         coroutineScope {
             for (l in lines) if (l.peer.host !in job.confirmedBy) launch {
                 val out = http.call(l.peer.addr, "POST", KILLS, body, settings.leaseMs / 20)
@@ -392,7 +392,7 @@
     }
 
     fun takeKills(body: ByteArray): ByteArray {
-        owner.kills.take(ProtoBuf.decodeFromByteArray<KillList>(body).kills)
+        owner.kills.take(ProtoBuf.decodeFromByteArray<WithdrawnTaskList>(body).kills)
         return ByteArray(0)
     }
 
--- a/src/main/kotlin/micatally/placement/Placement.kt
+++ b/src/main/kotlin/micatally/placement/Placement.kt
@@ -3,6 +3,7 @@
 import micatally.job.Attempt
 import micatally.job.Job
 import micatally.wire.Amount
+import micatally.wire.Demand
 import micatally.wire.Flavor
 import micatally.wire.JobSpec
 import micatally.worker.Machine
@@ -16,12 +17,12 @@
         flavors.any { typeAllowed(spec, it) && (spec.zone == null || spec.zone in it.zones) }
 
     /** At most half of the tasks, rounded up, in one zone. */
-    fun zoneCap(spec: JobSpec) = if (spec.scatter) (spec.laps + 1) / 2 else spec.laps
+    fun zoneCap(spec: JobSpec) = if (spec.scatter) (spec.taskCount + 1) / 2 else spec.taskCount
 
     /** Whether as many tasks as the job has may be in the zones that are allowed to it at the same time. */
     fun fitsZones(spec: JobSpec, zones: Int): Boolean {
         val allowed = if (spec.together || spec.zone != null) 1 else zones
-        return zoneCap(spec).toLong() * allowed >= spec.laps
+        return zoneCap(spec).toLong() * allowed >= spec.taskCount
     }
 
     /** The zones in which a further task of the job may start, given its live attempts; null: any. */
@@ -39,6 +40,16 @@
         }
     }
 
+    /** What so many tasks of the job ask of the fleet. */
+    fun demand(spec: JobSpec, rule: ZoneRule, allZones: List<String>, count: Int): Demand {
+        val zones = allZones.filter { rule.allows(it) }
+        val zoneRoom = if (spec.scatter) zones.map { zoneCap(spec) - (rule.used[it] ?: 0) } else emptyList()
+        return Demand(
+            spec.amount.cores, spec.amount.cards, spec.amount.ram, spec.types?.toList() ?: emptyList(), zones, spec.spot, count,
+            spec.priority.ordinal, spec.isService, spec.estimateS, spec.image, zoneRoom,
+        )
+    }
+
     fun kindAllowed(spec: JobSpec, m: Machine) = (!m.spot || spec.spot) && (spec.types == null || m.type in spec.types)
 
     /** How long the image will take, by the type's nominal rate; nothing if the machine has it, and part of it if a
--- /dev/null
+++ b/src/main/kotlin/micatally/placement/PlacementView.kt
@@ -0,0 +1,78 @@
+package micatally.placement
+
+import micatally.settings.Settings
+import micatally.wire.Amount
+import micatally.wire.Demand
+import micatally.wire.JobSpec
+import micatally.worker.Machine
+import micatally.worker.Machines
+
+/** The machines as placement looks at them, and what other owners wait for. */
+class PlacementView(private val settings: Settings, val machines: Machines) {
+    private val hosts = (settings.peers.map { it.host } + settings.host).sorted()
+    private val ownIndex = hosts.indexOf(settings.host)
+    private val turnMs = settings.reportMs / TURNS_A_REPORT
+
+    /** Services of other owners that found no room. */
+    var foreignServices: List<Demand> = emptyList()
+        private set
+
+    /**
+     * Machines with anything free, as this round found them, and those of them with cards free: with a full fleet and many
+     * waiters the search through all machines for each was nearly all that a round did. Null outside a round.
+     */
+    private var open: List<Machine>? = null
+    private var openWithCards: List<Machine> = emptyList()
+
+    fun beginRound(foreign: List<Demand>, now: Long) {
+        foreignServices = foreign.filter { it.service }
+        val usable = machines.byName.values.filter { isUsable(it, now) && freeOf(it).cores > Amount.SLACK }
+        open = usable
+        openWithCards = usable.filter { freeOf(it).cards > Amount.SLACK }
+    }
+
+    fun endRound() {
+        open = null
+    }
+
+    private fun freeOf(m: Machine): Amount = machines.total(m)?.let { it - m.used } ?: Amount.NONE
+
+    /** The machines worth a look for a task of this job. */
+    fun among(spec: JobSpec): Collection<Machine> {
+        val inRound = open?.takeIf { spec.amount.cores > 0 } ?: return machines.byName.values
+        return if (spec.amount.cards > 0) openWithCards else inRound
+    }
+
+    fun isUsable(m: Machine, now: Long): Boolean {
+        val isInService = !m.deleted && !m.draining && !m.recalled && m.session > 0 && m.addr.isNotEmpty()
+        val isHeard = now - m.heardAt < settings.leaseMs / 2 + settings.reportMs
+        return isInService && isHeard && now >= m.unreachableUntil && now >= m.fullUntil && now >= m.sickUntil
+    }
+
+    /**
+     * Owners see the same free room and would all choose it, and the worker refuses all but one. So each has its turn at
+     * a machine: first the one whose task left the room, then the others in an order of the machine's own.
+     */
+    fun turn(m: Machine): Int {
+        if (m.freedBy == null) return 0
+        val order = Math.floorMod(m.name.hashCode() - ownIndex, hosts.size)
+        return if (m.freedBy == Machine.NOBODY) order else order + 1
+    }
+
+    fun hasTurn(m: Machine, now: Long) = now >= m.freedAt + turn(m) * turnMs
+
+    /** Whether it is this owner's turn to do what all of them could do, in turns of this length. */
+    fun isOwnTurn(now: Long, lengthMs: Long) = (now / lengthMs % hosts.size).toInt() == ownIndex
+
+    val owners get() = hosts.size
+
+    fun mayUse(demand: Demand, m: Machine): Boolean {
+        val isType = demand.types.isEmpty() || m.type in demand.types
+        val isZone = demand.zones.isEmpty() || m.zone in demand.zones
+        return isType && isZone && (!m.spot || demand.spot)
+    }
+
+    private companion object {
+        const val TURNS_A_REPORT = 4
+    }
+}
--- a/src/main/kotlin/micatally/placement/Quota.kt
+++ b/src/main/kotlin/micatally/placement/Quota.kt
@@ -46,7 +46,7 @@
 
     private fun change(job: Job, sign: Int) {
         val spec = job.spec ?: return
-        val key = job.ledger.name to spec.crew
+        val key = job.ledger.name to spec.team
         val u = used[key] ?: Share(0.0, 0.0)
         used[key] = Share(u.cores + sign * spec.amount.cores, u.cards + sign * spec.amount.cards)
     }
@@ -71,7 +71,7 @@
     /** Whether the ledger's allotment has room for so many more tasks of this job at once. If not, more is asked for. */
     fun allows(job: Job, tasks: Int = 1): Boolean {
         val spec = job.spec ?: return false
-        val team = teams[spec.crew] ?: return false
+        val team = teams[spec.team] ?: return false
         if (!limited(team)) return true
         // Until its jobs are loaded nobody knows what a ledger uses.
         if (job.ledger.state != LedgerState.ACTIVE) return false
--- a/src/main/kotlin/micatally/settings/Settings.kt
+++ b/src/main/kotlin/micatally/settings/Settings.kt
@@ -20,7 +20,7 @@
 /** A team's guarantee and limit. As the deployment page says, 0 means none: no guarantee, no limit. */
 class Team(val name: String, val cores: Double, val coresMax: Double, val cards: Double, val cardsMax: Double)
 
-class Objective(val kind: String, val lane: String?, val withinS: Double?)
+class Objective(val kind: String, val jobClass: String?, val withinS: Double?)
 
 class Settings(
     val host: String, val zone: String, val listen: String, val back: String, val peers: List<Peer>,
@@ -37,12 +37,12 @@
     val txnOps get() = stateLimits.txnOps
 
     /** How long a cancellation that some controller has not confirmed lies in the state service before its user is told. */
-    val untoldMs get() = leaseMs
+    val withdrawalDelayMs get() = leaseMs
 
     /** For how long a node may answer reports after its last proof of contact with the state service. What it has not heard of
-     * by then is told [untoldMs] later at the earliest; from there the worker's lease and a margin of a tenth of it fit in
+     * by then is told [withdrawalDelayMs] later at the earliest; from there the worker's lease and a margin of a tenth of it fit in
      * the time that a cancellation has. */
-    val rightMs get() = maxOf(leaseMs / 2, untoldMs + cancelMs - leaseMs * 11 / 10)
+    val authorityMs get() = maxOf(leaseMs / 2, withdrawalDelayMs + cancelMs - leaseMs * 11 / 10)
 
     /** A node's own lease at the state service. */
     val liveMs get() = leaseMs * 8 / 10
--- a/src/main/kotlin/micatally/state/StateLimits.kt
+++ b/src/main/kotlin/micatally/state/StateLimits.kt
@@ -25,7 +25,19 @@
             return minOf(byOperations, byTransactionSize).coerceAtLeast(0)
         }
 
+    /** How many attempts of one job its record is sure to hold; more than the ceiling cost a round too much time. */
+    val attemptsOfOneJob: Int
+        get() {
+            val bytes = if (overflowValues == 0) PLAIN_ATTEMPT_BYTES else PACKED_ATTEMPT_BYTES
+            return minOf(MOST_ATTEMPTS, valueBytes * (1 + overflowValues) / bytes).coerceAtLeast(1)
+        }
+
     private companion object {
+        /** What an attempt takes in a record on average, and compressed; what does not fit after all is given up again. */
+        const val PLAIN_ATTEMPT_BYTES = 40
+        const val PACKED_ATTEMPT_BYTES = 15
+        const val MOST_ATTEMPTS = 400
+
         /** The protocol's limit of 64 KiB for a transaction, less its conditions and keys. */
         const val TRANSACTION_BYTES = 56 * 1024
     }
--- a/src/main/kotlin/micatally/wire/Jobs.kt
+++ b/src/main/kotlin/micatally/wire/Jobs.kt
@@ -32,7 +32,7 @@
 
 /** A job as its user submitted it. Parsed once, checked field by field. */
 class JobSpec(
-    val ref: String, val lane: String, val crew: String, val format: Format, val priority: Priority, val laps: Int,
+    val ref: String, val jobClass: String, val team: String, val format: Format, val priority: Priority, val taskCount: Int,
     val amount: Amount, val image: String, val imageGb: Double, val types: Set<String>?, val zone: String?,
     val together: Boolean, val scatter: Boolean, val spot: Boolean,
     val estimateS: Double, val checkpointS: Double, val saveS: Double, val deadlineS: Double?,
@@ -45,7 +45,7 @@
     val isPlacedWhole get() = isGang || isService && together
 
     companion object {
-        const val MAX_LAPS = 100_000
+        const val MAX_TASKS = 100_000
         private val REF = Regex("j-[0-9]{1,18}")
         private val FIELDS = setOf(
             "ref", "lane", "crew", "format", "grid", "laps", "cores", "cards", "ram_gb", "livery", "size_gb", "chassis",
@@ -57,8 +57,8 @@
         fun parse(o: JsonObject): JobSpec {
             val ref = o.text("ref")
             if (!validRef(ref)) throw WireError("ref must look like j-000412")
-            val laps = o.long("laps")
-            if (laps !in 1..MAX_LAPS) throw WireError("laps must be from 1 to $MAX_LAPS")
+            val taskCount = o.long("laps")
+            if (taskCount !in 1..MAX_TASKS) throw WireError("laps must be from 1 to $MAX_TASKS")
             val types = o.listOrNull("chassis")?.map {
                 try { it.asText() } catch (e: WireError) { throw WireError("chassis must hold strings") }
             }?.toSet()
@@ -69,7 +69,7 @@
                 Format.entries.find { it.word == o.text("format") } ?: throw WireError("format must be sweep, daemon or gang"),
                 Priority.entries.find { it.word == o.text("grid") }
                     ?: throw WireError("grid must be production, high, standard or low"),
-                laps.toInt(), Amount(amount(o, "cores"), amount(o, "cards"), amount(o, "ram_gb")),
+                taskCount.toInt(), Amount(amount(o, "cores"), amount(o, "cards"), amount(o, "ram_gb")),
                 image, amount(o, "size_gb"), types, o.textOrNull("circuit"),
                 o.flag("together"), o.flag("scatter"), o.flag("loaners"),
                 amount(o, "lap_time_s"), amount(o, "sector_s"), amount(o, "pit_stop_s"),
--- a/src/main/kotlin/micatally/wire/Peers.kt
+++ b/src/main/kotlin/micatally/wire/Peers.kt
@@ -6,7 +6,7 @@
 /** A task line of a report, handed on to other controllers. */
 @Serializable
 class NoteTask(
-    @ProtoNumber(1) val ref: String, @ProtoNumber(2) val lap: Int, @ProtoNumber(3) val attempt: Long,
+    @ProtoNumber(1) val ref: String, @ProtoNumber(2) val taskIndex: Int, @ProtoNumber(3) val attempt: Long,
     @ProtoNumber(4) val status: String, @ProtoNumber(5) val why: String = "", @ProtoNumber(6) val saved: Boolean = false,
 )
 
@@ -60,15 +60,15 @@
     /** The epoch that the answering node knows, if it knows all withdrawn tasks of its ledgers; 0 if it doesn't. */
     @ProtoNumber(2) val epoch: Long = 0,
     /** Tasks of withdrawn jobs that are not proven gone: whoever hears their machines hands the stop on. */
-    @ProtoNumber(3) val kills: List<KillNote> = emptyList(),
+    @ProtoNumber(3) val kills: List<WithdrawnTask> = emptyList(),
 )
 
 @Serializable
-class KillNote(@ProtoNumber(1) val machine: String, @ProtoNumber(2) val ref: String, @ProtoNumber(3) val lap: Int, @ProtoNumber(4) val attempt: Long)
+class WithdrawnTask(@ProtoNumber(1) val machine: String, @ProtoNumber(2) val ref: String, @ProtoNumber(3) val taskIndex: Int, @ProtoNumber(4) val attempt: Long)
 
 /** All tasks of a job that was withdrawn. */
 @Serializable
-class KillList(@ProtoNumber(1) val kills: List<KillNote>)
+class WithdrawnTaskList(@ProtoNumber(1) val kills: List<WithdrawnTask>)
 
 @Serializable
 class PeerNews(
--- a/src/main/kotlin/micatally/wire/Workers.kt
+++ b/src/main/kotlin/micatally/wire/Workers.kt
@@ -8,7 +8,7 @@
 import kotlinx.serialization.json.put
 
 /** One task on one machine under one attempt, as a worker lists it. */
-data class ListedTask(val ref: String, val lap: Int, val attempt: Long, val status: String, val why: String?, val saved: Boolean) {
+data class ListedTask(val ref: String, val taskIndex: Int, val attempt: Long, val status: String, val why: String?, val saved: Boolean) {
     val ended get() = status == ENDED
     val done get() = ended && reason == ExitReason.DONE
     val reason get() = ExitReason.of(why)
@@ -60,19 +60,19 @@
         private fun task(o: JsonObject): ListedTask {
             val name = o.text("lap")
             val slash = name.lastIndexOf('/')
-            val lap = if (slash < 0) null else name.substring(slash + 1).toIntOrNull()
-            if (lap == null) throw WireError("lap must look like j-000412/3")
+            val taskIndex = if (slash < 0) null else name.substring(slash + 1).toIntOrNull()
+            if (taskIndex == null) throw WireError("lap must look like j-000412/3")
             val saved = (o["saved"] as? JsonPrimitive)?.booleanOrNull ?: false
-            return ListedTask(name.substring(0, slash), lap, o.long("start"), o.text("status"), o.textOrNull("retire_reason"), saved)
+            return ListedTask(name.substring(0, slash), taskIndex, o.long("start"), o.text("status"), o.textOrNull("retire_reason"), saved)
         }
     }
 }
 
 enum class Verb(val word: String) { RUN("run"), KILL("kill"), CLEAR("clear") }
 
-class Command(val verb: Verb, val ref: String, val lap: Int, val attempt: Long, val graceS: Double? = null) {
+class Command(val verb: Verb, val ref: String, val taskIndex: Int, val attempt: Long, val graceS: Double? = null) {
     fun json() = buildJsonObject {
-        put("call", verb.word); put("lap", "$ref/$lap"); put("start", attempt)
+        put("call", verb.word); put("lap", "$ref/$taskIndex"); put("start", attempt)
         if (graceS != null) put("cooldown_s", graceS)
     }
 }
--- a/src/main/kotlin/micatally/worker/Machine.kt
+++ b/src/main/kotlin/micatally/worker/Machine.kt
@@ -5,7 +5,7 @@
 import micatally.wire.ListedTask
 
 /** One attempt's name on a machine. */
-data class AttemptId(val ref: String, val lap: Int, val attempt: Long)
+data class AttemptId(val ref: String, val taskIndex: Int, val attempt: Long)
 
 /** A worker as this node knows it, from reports, from answers to its own orders and from other nodes. */
 class Machine(val name: String, addr: String, type: String, zone: String, spot: Boolean) {
@@ -79,7 +79,7 @@
     /** The highest token with which it answered one of our orders. */
     var confirmedToken = 0L
     /** Runs whose answer never came, with the token that they carried. */
-    val loose = HashMap<AttemptId, Long>()
+    val unansweredRuns = HashMap<AttemptId, Long>()
     var mustAsk = false
     private var again: (() -> Unit)? = null
     /** One and the same for each machine, so that it is waited for once. */
@@ -92,13 +92,13 @@
      * the peers, or somebody else's task would be in it when the replica comes. */
     private val promises = HashMap<Pair<String, Int>, Promise>()
 
-    fun promise(ref: String, lap: Int, amount: Amount, until: Long) {
-        if (promises.put(ref to lap, Promise(amount, until)) == null) { ownUsed = ownUsed + amount; sum() }
+    fun promise(ref: String, taskIndex: Int, amount: Amount, until: Long) {
+        if (promises.put(ref to taskIndex, Promise(amount, until)) == null) { ownUsed = ownUsed + amount; sum() }
     }
 
     /** Takes a promise back, whether it is kept or has run out; false if there is none. */
-    fun release(ref: String, lap: Int): Boolean {
-        val p = promises.remove(ref to lap) ?: return false
+    fun release(ref: String, taskIndex: Int): Boolean {
+        val p = promises.remove(ref to taskIndex) ?: return false
         ownUsed = if (attempts.isEmpty() && promises.isEmpty()) Amount.NONE else ownUsed - p.amount
         sum()
         return true
@@ -108,7 +108,7 @@
         if (promises.isNotEmpty()) for ((id, p) in promises.entries.map { it.key to it.value }) if (p.until <= nowMs) release(id.first, id.second)
     }
 
-    fun promised(ref: String, lap: Int) = ref to lap in promises
+    fun promised(ref: String, taskIndex: Int) = ref to taskIndex in promises
     val isPromised get() = promises.isNotEmpty()
 
     private fun sum() { used = othersUsed.values.fold(ownUsed) { a, b -> a + b } }
--- a/src/main/kotlin/micatally/worker/Machines.kt
+++ b/src/main/kotlin/micatally/worker/Machines.kt
@@ -38,7 +38,7 @@
 
     fun absorb(n: MachineNote): Boolean {
         val m = known(n.machine, n.addr, n.type, n.zone, n.spot)
-        val tasks = n.tasks.map { ListedTask(it.ref, it.lap, it.attempt, it.status, it.why.ifEmpty { null }, it.saved) }
+        val tasks = n.tasks.map { ListedTask(it.ref, it.taskIndex, it.attempt, it.status, it.why.ifEmpty { null }, it.saved) }
         return absorb(m, n.session, n.tick, if (n.noticeS < 0) null else n.noticeS, tasks, false, n.ageMs)
     }
 
@@ -52,7 +52,7 @@
         // Copies of reports come late; only one that is newer than all before shows life, and the age is its sender's.
         m.heardAt = maxOf(m.heardAt, nowMs() - ageMs)
         m.noticeAt = if (noticeS == null) null else nowMs() + (noticeS * 1000).toLong()
-        if (newSession) { m.loose.clear(); m.freedAt = nowMs(); m.freedBy = Machine.NOBODY; onSession(m) }
+        if (newSession) { m.unansweredRuns.clear(); m.freedAt = nowMs(); m.freedBy = Machine.NOBODY; onSession(m) }
         // Most reports say what the one before said.
         if (changed || own) onTasks(m, own)
         return true
@@ -67,7 +67,7 @@
 
     fun note(m: Machine, withTasks: Boolean) = MachineNote(
         m.name, m.addr, m.type, m.zone, m.spot, m.session, m.tick, m.noticeAt?.let { maxOf(0L, it - nowMs()) / 1000.0 } ?: -1.0,
-        if (withTasks) m.tasks.map { NoteTask(it.ref, it.lap, it.attempt, it.status, it.why ?: "", it.saved) } else emptyList(),
+        if (withTasks) m.tasks.map { NoteTask(it.ref, it.taskIndex, it.attempt, it.status, it.why ?: "", it.saved) } else emptyList(),
         maxOf(0L, nowMs() - m.heardAt), m.changedTick,
     )
 
--- a/src/main/kotlin/micatally/worker/Orders.kt
+++ b/src/main/kotlin/micatally/worker/Orders.kt
@@ -25,7 +25,7 @@
 interface OrderBook {
     /** The job's live attempt at this task, or null; [mine] tells whether the job is in an active ledger of this node. */
     fun mine(ref: String): Boolean
-    fun attempt(ref: String, lap: Int): Attempt?
+    fun attempt(ref: String, taskIndex: Int): Attempt?
     fun gone(attempt: Attempt, end: AttemptEnd)
 }
 
@@ -33,7 +33,7 @@
  * one request a machine at a time, so repeating is the normal case and nothing is lost with an answer. */
 class Orders(
     private val scope: CoroutineScope, private val http: HttpCaller, private val settings: Settings,
-    private val membership: Membership, private val machines: Machines, private val book: OrderBook, private val kills: KillBook, private val nowMs: () -> Long,
+    private val membership: Membership, private val machines: Machines, private val book: OrderBook, private val kills: WithdrawnTasks, private val nowMs: () -> Long,
 ) {
     private val log = LoggerFactory.getLogger("micatally.worker")
     private val answerMs = settings.leaseMs * 4 / 10
@@ -57,11 +57,11 @@
         val commands = ArrayList<Command>()
         var ask = m.mustAsk
         val covered = ArrayList<Attempt>()
-        val listed = m.tasks.associateBy { AttemptId(it.ref, it.lap, it.attempt) }
+        val listed = m.tasks.associateBy { AttemptId(it.ref, it.taskIndex, it.attempt) }
         for (a in m.attempts.toList()) {
             if (!a.maySend || a.job.ledger.state != LedgerState.ACTIVE) continue
             if (a.session != m.session) continue
-            val id = AttemptId(a.job.ref, a.lap, a.number)
+            val id = AttemptId(a.job.ref, a.taskIndex, a.number)
             val entry = listed[id]
             // Another node holds the ledger by now, and this one has confirmed the cancellation to it.
             if (a.stop == null && kills.has(m.name, id)) a.stop(StopReason.WITHDRAWN, now)
@@ -72,16 +72,16 @@
                 covered.add(a)
                 if (entry?.ended == true) { ask = true; continue }
                 val last = killedAt[a]
-                if (last == null || now - last >= killEveryMs) commands.add(Command(Verb.KILL, a.job.ref, a.lap, a.number, graceS(a, stop)))
+                if (last == null || now - last >= killEveryMs) commands.add(Command(Verb.KILL, a.job.ref, a.taskIndex, a.number, graceS(a, stop)))
             } else if (a.state == AttemptState.RECORDED) {
                 if (!membership.mayStart) continue
                 if (!reconciledOrOwn(a, reconciled)) { ask = true; continue }
-                commands.add(Command(Verb.RUN, a.job.ref, a.lap, a.number))
+                commands.add(Command(Verb.RUN, a.job.ref, a.taskIndex, a.number))
                 covered.add(a)
             } else if (a.state == AttemptState.ORDERED && entry == null) {
                 covered.add(a)
                 // Taken over: whether it ever left is not known, so the machine is asked before anything else.
-                if (a.sentAt == null) ask = true else if (membership.mayStart) commands.add(Command(Verb.RUN, a.job.ref, a.lap, a.number))
+                if (a.sentAt == null) ask = true else if (membership.mayStart) commands.add(Command(Verb.RUN, a.job.ref, a.taskIndex, a.number))
             } else {
                 covered.add(a)
                 if (!reconciled) ask = true
@@ -89,20 +89,20 @@
         }
         for (t in m.tasks) {
             if (!book.mine(t.ref)) continue
-            val a = book.attempt(t.ref, t.lap)
+            val a = book.attempt(t.ref, t.taskIndex)
             if (a != null && a.number == t.attempt && a.machine === m) continue
-            if (!t.ended) { commands.add(Command(Verb.KILL, t.ref, t.lap, t.attempt, 0.0)); continue }
+            if (!t.ended) { commands.add(Command(Verb.KILL, t.ref, t.taskIndex, t.attempt, 0.0)); continue }
             // A clear makes the worker forget, and a copy of the run that comes after it would start the task again.
-            val loose = m.loose[AttemptId(t.ref, t.lap, t.attempt)]
-            if (loose == null || loose < m.confirmedToken) {
-                if (m.confirmedToken >= 1) commands.add(Command(Verb.CLEAR, t.ref, t.lap, t.attempt)) else ask = true
+            val unansweredRuns = m.unansweredRuns[AttemptId(t.ref, t.taskIndex, t.attempt)]
+            if (unansweredRuns == null || unansweredRuns < m.confirmedToken) {
+                if (m.confirmedToken >= 1) commands.add(Command(Verb.CLEAR, t.ref, t.taskIndex, t.attempt)) else ask = true
             } else wantsHigherToken = true
         }
         if (commands.isEmpty() && !ask) return null
         if (commands.size > MAX_COMMANDS) {
             val sent = commands.take(MAX_COMMANDS)
             m.poked = true
-            return Batch(token, sent, covered.filter { a -> a.state != AttemptState.RECORDED || sent.any { it.verb == Verb.RUN && it.ref == a.job.ref && it.lap == a.lap && it.attempt == a.number } })
+            return Batch(token, sent, covered.filter { a -> a.state != AttemptState.RECORDED || sent.any { it.verb == Verb.RUN && it.ref == a.job.ref && it.taskIndex == a.taskIndex && it.attempt == a.number } })
         }
         return Batch(token, commands, covered)
     }
@@ -111,7 +111,7 @@
     private fun reconciledOrOwn(a: Attempt, reconciled: Boolean) = reconciled || a.sentAt == null
 
     /** A gang's task that was replaced has the same number on two machines. */
-    private fun attemptOf(m: Machine, c: Command) = book.attempt(c.ref, c.lap)?.takeIf { it.number == c.attempt && it.machine === m }
+    private fun attemptOf(m: Machine, c: Command) = book.attempt(c.ref, c.taskIndex)?.takeIf { it.number == c.attempt && it.machine === m }
 
     /** Time to save, where there is something to be saved; a save that is under way is never cut short by accident. */
     private fun graceS(attempt: Attempt, reason: StopReason): Double = when (reason) {
@@ -142,7 +142,7 @@
                 answered(m, b, out.status, session, Report.parse(parseObject(out.body)))
                 continue
             }
-            if (out is Outcome.Silence) for (c in b.commands) if (c.verb == Verb.RUN) m.loose[AttemptId(c.ref, c.lap, c.attempt)] = b.token
+            if (out is Outcome.Silence) for (c in b.commands) if (c.verb == Verb.RUN) m.unansweredRuns[AttemptId(c.ref, c.taskIndex, c.attempt)] = b.token
             m.mustAsk = true
             m.poked = true
             m.failuresInRow++
@@ -163,17 +163,17 @@
             return
         }
         m.confirmedToken = maxOf(m.confirmedToken, b.token)
-        m.loose.values.removeIf { it < m.confirmedToken }
+        m.unansweredRuns.values.removeIf { it < m.confirmedToken }
         machines.absorb(r, true)
-        val listed = r.tasks.associateBy { AttemptId(it.ref, it.lap, it.attempt) }
+        val listed = r.tasks.associateBy { AttemptId(it.ref, it.taskIndex, it.attempt) }
         for (a in b.covered) {
             if (!a.live || a.state < AttemptState.ORDERED || a.session != session) continue
-            val id = AttemptId(a.job.ref, a.lap, a.number)
+            val id = AttemptId(a.job.ref, a.taskIndex, a.number)
             val e = listed[id]
             // Its place in the list is known from our own request, made after the intent. A run whose answer was lost
             // may still come, though, until the machine has seen a higher token than it carries.
             if (e == null) {
-                if (id in m.loose) { wantsHigherToken = true; m.mustAsk = true } else { killedAt.remove(a); book.gone(a, AttemptEnd(GoneProof.OWN_ANSWER, "not on the machine")) }
+                if (id in m.unansweredRuns) { wantsHigherToken = true; m.mustAsk = true } else { killedAt.remove(a); book.gone(a, AttemptEnd(GoneProof.OWN_ANSWER, "not on the machine")) }
             } else if (e.ended) {
                 killedAt.remove(a)
                 book.gone(a, AttemptEnd(if (e.done) GoneProof.COMPLETED else GoneProof.OWN_ANSWER, e.why ?: "", e.reason, e.saved))
--- a/src/main/kotlin/micatally/worker/KillBook.kt
+++ b/src/main/kotlin/micatally/worker/WithdrawnTasks.kt
@@ -1,15 +1,15 @@
 package micatally.worker
 
-import micatally.wire.KillNote
+import micatally.wire.WithdrawnTask
 
 /** Tasks of withdrawn jobs, as the owners told them. Whichever node hears their machines hands the stop on. A note is kept
  * well beyond the time that a cancellation has: its owner may end before it can say that the task is gone. */
-class KillBook(private val keepMs: Long, private val nowMs: () -> Long) {
+class WithdrawnTasks(private val keepMs: Long, private val nowMs: () -> Long) {
     private val byMachine = HashMap<String, HashMap<AttemptId, Long>>()
 
-    fun take(notes: List<KillNote>) {
+    fun take(notes: List<WithdrawnTask>) {
         val until = nowMs() + keepMs
-        for (k in notes) byMachine.getOrPut(k.machine) { HashMap() }[AttemptId(k.ref, k.lap, k.attempt)] = until
+        for (k in notes) byMachine.getOrPut(k.machine) { HashMap() }[AttemptId(k.ref, k.taskIndex, k.attempt)] = until
     }
 
     fun has(machine: String, id: AttemptId) = byMachine[machine]?.containsKey(id) == true
