--- a/src/main/kotlin/micatally/placement/MachineChoice.kt
+++ b/src/main/kotlin/micatally/placement/MachineChoice.kt
@@ -26,9 +26,8 @@
     /** Services and gangs are to start at once; that another owner may choose the same room only counts against it. */
     private val takesTurns = !spec.isService && !spec.isGang
 
-    /** Room that a more important service of another owner waits for is not filled again. */
-    private val reservedFor =
-        if (spec.isService) emptyList() else view.foreignServices.filter { it.priority < spec.priority.ordinal }
+    /** Room that a more important waiter is short of is not filled again. */
+    private val reservedFor = if (spec.isService) emptyList() else view.waitersBefore(spec.priority.ordinal)
 
     var rule = Placement.zones(job, spec, moving)
         private set
--- a/src/main/kotlin/micatally/placement/Placement.kt
+++ b/src/main/kotlin/micatally/placement/Placement.kt
@@ -46,7 +46,7 @@
         val zoneRoom = if (spec.scatter) zones.map { zoneCap(spec) - (rule.used[it] ?: 0) } else emptyList()
         return Demand(
             spec.amount.cores, spec.amount.cards, spec.amount.ram, spec.types?.toList() ?: emptyList(), zones, spec.spot, count,
-            spec.priority.ordinal, spec.isService, spec.estimateS, spec.image, zoneRoom,
+            spec.priority.ordinal, spec.isService, spec.estimateS, spec.image, zoneRoom, spec.isGang,
         )
     }
 
--- a/src/main/kotlin/micatally/placement/PlacementView.kt
+++ b/src/main/kotlin/micatally/placement/PlacementView.kt
@@ -17,6 +17,23 @@
     var foreignServices: List<Demand> = emptyList()
         private set
 
+    /** Gangs that found no room, of other owners and, in the present round, of this one. */
+    private var foreignGangs: List<Demand> = emptyList()
+    private val ownGangs = ArrayList<Demand>()
+
+    fun gangWaits(demand: Demand) {
+        ownGangs.add(demand)
+    }
+
+    fun forgetOwnGangs() = ownGangs.clear()
+
+    /**
+     * Whoever starts now leaves the room alone that more important waiters of this list fit in: a service of another owner,
+     * or a gang, whose room would otherwise be filled again by single tasks before there is enough of it.
+     */
+    fun waitersBefore(priority: Int): List<Demand> =
+        (foreignServices + foreignGangs + ownGangs).filter { it.priority < priority }
+
     /**
      * Machines with anything free, as this round found them, and those of them with cards free: with a full fleet and many
      * waiters the search through all machines for each was nearly all that a round did. Null outside a round.
@@ -26,6 +43,7 @@
 
     fun beginRound(foreign: List<Demand>, now: Long) {
         foreignServices = foreign.filter { it.service }
+        foreignGangs = foreign.filter { it.isGang }
         val usable = machines.byName.values.filter { isUsable(it, now) && freeOf(it).cores > Amount.SLACK }
         open = usable
         openWithCards = usable.filter { freeOf(it).cards > Amount.SLACK }
--- a/src/main/kotlin/micatally/placement/Rounds.kt
+++ b/src/main/kotlin/micatally/placement/Rounds.kt
@@ -36,7 +36,10 @@
     private val view = PlacementView(settings, machines)
     private val preemption = Preemption(settings, view, queues, orders)
     private val moves = ReplicaMoves(scope, settings, view, owner, store, quota, orders, nowMs)
-    private val whole = WholePlacement(settings, view, owner, store, quota) { job, demand -> finding[job.ref] = demand }
+    private val whole = WholePlacement(settings, view, owner, store, quota) { job, demand ->
+        finding[job.ref] = demand
+        if (demand.isGang) view.gangWaits(demand)
+    }
 
     /** Whether the state service answers now, and no write of this node waits. */
     var stateAnswers: suspend () -> Boolean
@@ -90,6 +93,7 @@
         if (from >= jobs.size) from = 0
         if (from == 0) {
             finding.clear()
+            view.forgetOwnGangs()
             preemption.beginRound()
         }
         view.beginRound(foreign(), now)
--- a/src/main/kotlin/micatally/standin/CloudStandin.kt
+++ b/src/main/kotlin/micatally/standin/CloudStandin.kt
@@ -95,6 +95,11 @@
         capacity.merge(Triple(c.type, c.zone, c.spot), 1, Int::plus)
     }
 
+    /** No more machines of this type are to be had. */
+    fun refuse(type: String) {
+        for (key in capacity.keys.filter { it.first == type }) capacity[key] = 0
+    }
+
     /** The cloud takes a machine back without a word, or a machine dies. */
     fun take(name: String) = remove(name)
 
--- a/src/main/kotlin/micatally/wire/Peers.kt
+++ b/src/main/kotlin/micatally/wire/Peers.kt
@@ -38,6 +38,8 @@
     @ProtoNumber(9) val service: Boolean = false, @ProtoNumber(10) val estimateS: Double = 0.0, @ProtoNumber(11) val image: String = "",
     /** For each of [zones], how many of them may go there at the most; empty: any number. */
     @ProtoNumber(12) val zoneRoom: List<Int> = emptyList(),
+    /** They start only all together; a receiver of the previous version takes them for independent ones. */
+    @ProtoNumber(13) val isGang: Boolean = false,
 )
 
 /** An owner's free-room summary: what it holds where, and what it could not place. With a [base] only the rooms are in
--- a/src/test/kotlin/micatally/sim/GangTest.kt
+++ b/src/test/kotlin/micatally/sim/GangTest.kt
@@ -221,6 +221,36 @@
         assertEquals(0, f.gangs.endedAlone)
     }
 
+    /** Guard: [micatally.placement.PlacementView.waitersBefore]; without it single tasks fill each room again. */
+    @Test
+    fun `room that a gang waits for is not filled again by an array`() = meeting(14) {
+        val place = arrayOf<Pair<String, Any>>("circuit" to "a", "loaners" to false, "cores" to 5.0, "ram_gb" to 20.0)
+        f.cloud.refuse("g8")
+        val array = submit(0, "sweep", 150, *place, "grid" to "low")
+        runUntil(f.lease * 8, "the zone is full") { tasks(array).size == 8 }
+        f.runFor(f.lease)
+        val ref = submit(0, "gang", 4, *place, "grid" to "high", "together" to true, runMs = 8000)
+        val left = f.rules.specs.getValue(array).taskCount - f.rules.completed.getValue(array).size
+        runUntil(f.lease * 3, "the gang runs") { statuses(ref).count { it == "running" } == 4 }
+        assertTrue(left > 40 && !done(array), "there was more of the array: $left")
+    }
+
+    /** Guard: [micatally.job.Owner.gone] marks all tasks of a gang; with one marked the gang runs anew. */
+    @Test
+    fun `a gang is done with the first task that is heard to be done, though the other machines are lost`() = meeting(15) {
+        val ref = gang(0, 3, runMs = 5000)
+        untilSeenRunning(ref)
+        val others = tasks(ref).map { it.machine }.drop(1)
+        f.net.mute.addAll(others)
+        f.net.deaf.addAll(others)
+        runUntil(f.lease * 2, "it is done") { done(ref) }
+        val starts = f.rules.starts
+        for (m in others) f.lose(worker(m))
+        runUntil(5000, "users hear of it") { f.asked(0, "GET", "/work/$ref").second == "done" }
+        f.runFor(f.lease * 3)
+        assertEquals(starts, f.rules.starts)
+    }
+
     /** Guard: a finished task lifts to the longest path, not to the sum ([micatally.job.Owner.gone]). */
     @Test
     fun `a run lifts the number of its job once`() = meeting(12) {
