--- a/src/main/kotlin/micatally/api/WorkerApi.kt
+++ b/src/main/kotlin/micatally/api/WorkerApi.kt
@@ -25,7 +25,7 @@
     private val settings: Settings, private val membership: Membership, private val machines: Machines,
     private val peers: Peers, private val kills: WithdrawnTasks, private val nowMs: () -> Long,
 ) {
-    private val movedAt = HashMap<String, Long>()
+    private val redirects = WorkerRedirects(settings, machines, nowMs) { peers.bestFor(it) }
 
     fun report(request: HttpRequest): HttpResponse {
         val report = try { Report.parse(parseObject(request.body)) } catch (e: WireError) { return errorResponse(400, e.message ?: "") }
@@ -43,15 +43,7 @@
         // Others reach the state service and this node does not: they know of cancellations that it can't hear of.
         if (membership.viewAgeMs > settings.leaseMs * 3 / 10 && peers.somePeerHasState()) return refuse()
         if (known.deleted) return refuse()
-        // A worker that reports within its zone does not notice when zones lose each other. Sent there once in a while
-        // only, so that two nodes that see the peers differently don't toss it about.
-        if (nowMs() - (movedAt[known.name] ?: Long.MIN_VALUE / 2) > settings.leaseMs * 3) {
-            val local = peers.bestFor(known.zone)
-            if (local != null && local != settings.host) {
-                movedAt[known.name] = nowMs()
-                return HttpResponse(421, buildJsonObject { put("marshal", local) }.bytes())
-            }
-        }
+        redirects.targetFor(known, report)?.let { return HttpResponse(421, buildJsonObject { put("marshal", it) }.bytes()) }
         known.heardHereAt = nowMs()
         return HttpResponse(200, reportAnswer(membership.cluster.epoch, killsFor(report)).bytes())
     }
--- a/src/main/kotlin/micatally/peer/Peers.kt
+++ b/src/main/kotlin/micatally/peer/Peers.kt
@@ -215,7 +215,10 @@
         }
         var new = news.summary != null
         for (n in news.notes) if (machines.absorb(n)) new = true
-        for (n in news.heard) machines.heard(n)
+        for (n in news.heard) {
+            machines.heard(n)
+            machines.of(n.machine)?.heardBy(news.host, nowMs() - n.ageMs)
+        }
         val joined = news.summary?.let { take(it) } ?: true
         if (news.retire.isNotEmpty()) onRetire(news.retire)
         if (new) onNews()
--- a/src/main/kotlin/micatally/worker/Machine.kt
+++ b/src/main/kotlin/micatally/worker/Machine.kt
@@ -36,6 +36,15 @@
     var heardAt = 0L
     /** When this node answered a report of its last. */
     var heardHereAt = 0L
+
+    /** When each other node answered a report of its last, as far as they have told. */
+    private val heardElsewhereAt = HashMap<String, Long>()
+
+    fun heardBy(host: String, atMs: Long) {
+        heardElsewhereAt.merge(host, atMs, ::maxOf)
+    }
+
+    fun heardByAt(host: String): Long? = heardElsewhereAt[host]
     /** When the keeper asked it last because it was silent, how often in a row it took the question and said nothing, and when
      * it last took a connection of its own for that: a machine without power does not. */
     var probedAt = Long.MIN_VALUE / 2
