--- a/src/main/kotlin/micatally/job/Job.kt
+++ b/src/main/kotlin/micatally/job/Job.kt
@@ -32,8 +32,7 @@
     var waitedSince = submittedAt
     var waitedMs = 0L
     var retryAt = 0L
-    var failures = 0
-    val badMachines = HashSet<String>()
+    val health = JobHealth()
     val stoppedOnce = HashSet<Int>()
 
     // Of a withdrawn job: since when its tasks are known to stand in the state service, the controllers that have confirmed
@@ -76,6 +75,7 @@
         if (taskIndex !in 0 until taskCount || done[taskIndex]) return false
         done.set(taskIndex)
         doneCount++
+        health.succeeded()
         return true
     }
 
--- a/src/main/kotlin/micatally/job/Owner.kt
+++ b/src/main/kotlin/micatally/job/Owner.kt
@@ -39,8 +39,7 @@
     lateinit var orders: Orders
     lateinit var quota: Quota
     var wake: () -> Unit = {}
-    /** A machine failed what it started. */
-    var onFault: (Machine, Attempt) -> Unit = { _, _ -> }
+    val faults = FaultJudgement(settings, machines)
 
     val gangs = GangSupervisor(this, GangTiming(settings.gangWaitMs, settings.gangPeerMs, settings.reportMs), nowMs)
 
@@ -260,7 +259,7 @@
             // Stopped or lost: its run time counts as service that the job has had.
             lift(job, attempt.inherited + ranMs / 1000.0)
         }
-        learn(attempt, end, now)
+        learn(attempt, end, ranMs, now)
         gangs.taskGone(attempt, end)
         // The end of a job that is done is known already: that its last attempts are gone may wait a little.
         val isUrgent = job.state == JobState.WITHDRAWN || job.state == JobState.OPEN && attempt.stop != null || job.endUnderWay
@@ -269,18 +268,10 @@
     }
 
     /** What an exit tells of the machine and of when to try again. */
-    private fun learn(attempt: Attempt, end: AttemptEnd, now: Long) {
+    private fun learn(attempt: Attempt, end: AttemptEnd, ranMs: Long, now: Long) {
         val job = attempt.job
         when (end.reason) {
-            ExitReason.ERROR -> {
-                job.failures++
-                job.badMachines.add(attempt.machine.name)
-                if (job.badMachines.size > FAULTS_TO_PAUSE) {
-                    val pauseMs = settings.reportMs shl minOf(job.badMachines.size - FAULTS_TO_PAUSE, 5)
-                    job.retryAt = now + minOf(settings.leaseMs * 6, pauseMs)
-                }
-                onFault(attempt.machine, attempt)
-            }
+            ExitReason.ERROR -> faults.taskFailed(attempt, ranMs, now)
             ExitReason.FULL -> attempt.machine.fullUntil = now + settings.reportMs
             ExitReason.UNKNOWN, ExitReason.IN_USE -> job.retryAt = now + settings.reportMs
             else -> {}
@@ -290,7 +281,7 @@
     private fun finished(a: Attempt, ranMs: Long) {
         val job = a.job
         if (!markDone(job, a.taskIndex)) return
-        a.machine.successes++
+        faults.taskCompleted(a, nowMs())
         lift(job, a.inherited + ranMs / 1000.0)
         if (job.state == JobState.DONE) store.touch(job, true)
     }
@@ -451,7 +442,6 @@
 
     private companion object {
         const val FINALS = 20_000L
-        const val FAULTS_TO_PAUSE = 3
         const val MOST_LOGGED_ONCE = 100
         /** Services of so many thirds of a boot may come while a machine boots. */
         const val RECENT_BOOTS = 4
--- a/src/main/kotlin/micatally/node/Controller.kt
+++ b/src/main/kotlin/micatally/node/Controller.kt
@@ -69,6 +69,9 @@
     private val users = UserApi(settings, state, membership, owner, store, machines, peers, rounds, upgrade, nowMs)
     private val workers = WorkerApi(settings, membership, machines, peers, owner.withdrawals.stopList, nowMs)
 
+    /** Whether this node rents and returns machines for all. */
+    val isFleetManager get() = fleetManager.isLeader
+
     fun start() {
         owner.orders = orders
         membership.peersConfirmedAt = { peers.peersConfirmedAt() }
@@ -76,7 +79,6 @@
         owner.wake = { rounds.wake() }
         rounds.stateAnswers = { state.waitingWrites == 0 && state.get(Keys.EPOCH, Urgency.SUMMARY) is ReadResult.Found }
         rounds.foreign = { peers.demandOfPeers() }
-        owner.onFault = { m, a -> fault(m, a.job.ref) }
         store.onDurable = { job, written -> owner.durable(job, written) }
         store.onDropped = { owner.forget(it) }
         store.onRecordFull = { job, attempts -> owner.giveUp(job, attempts) }
@@ -121,17 +123,6 @@
         rounds.wake()
     }
 
-    /** A machine that fails tasks of several jobs in a row is left alone for a while, longer each time. */
-    private fun fault(m: Machine, ref: String) {
-        m.errorRefs.add(ref)
-        if (m.errorRefs.size < 2 && m.successes > 0) return
-        m.errorRefs.clear()
-        m.successes = 0
-        m.sickTimes++
-        m.sickUntil = nowMs() + settings.leaseMs * 3 * minOf(m.sickTimes, 4)
-        log.info("machine {} fails what it starts", m.name)
-    }
-
     private fun isReachable(m: Machine, now: Long) =
         !m.deleted && m.failuresInRow == 0 && now >= m.unreachableUntil && now - m.heardAt < settings.reportMs * 2
 
@@ -146,6 +137,7 @@
                 membership.checkAuthority()
                 owner.sweep()
                 for (job in owner.openJobs()) if (job.gang != null) owner.gangs.review(job, now)
+                owner.faults.review(owner.openJobs(), now)
                 rounds.wake()
                 rounds.moveOff(now)
                 for (m in machines.byName.values) m.releaseOld(now)
--- a/src/main/kotlin/micatally/placement/MachineChoice.kt
+++ b/src/main/kotlin/micatally/placement/MachineChoice.kt
@@ -49,8 +49,7 @@
     }
 
     private fun isAllowed(machine: Machine, now: Long): Boolean {
-        val isFaulty = machine.name in job.badMachines && job.badMachines.size <= FEW_FAULTS
-        return view.isUsable(machine, now) && Placement.kindAllowed(spec, machine) && !isFaulty
+        return view.isUsable(machine, now) && Placement.kindAllowed(spec, machine) && !job.health.avoids(machine.name)
     }
 
     /** The best machine for one more task; the one given before has been filled meanwhile. */
@@ -101,9 +100,6 @@
     }
 
     private companion object {
-        /** With more machines than this that failed the job it is the job that is faulty. */
-        const val FEW_FAULTS = 6
-
         /** What a later turn counts against a machine, for tasks that don't wait for theirs. */
         const val TURN_WEIGHT = 0.5
 
--- a/src/main/kotlin/micatally/placement/PlacementView.kt
+++ b/src/main/kotlin/micatally/placement/PlacementView.kt
@@ -64,7 +64,7 @@
     fun isUsable(m: Machine, now: Long): Boolean {
         val isInService = !m.deleted && !m.draining && !m.recalled && m.session > 0 && m.addr.isNotEmpty()
         val isHeard = now - m.heardAt < settings.leaseMs / 2 + settings.reportMs
-        return isInService && isHeard && now >= m.unreachableUntil && now >= m.fullUntil && now >= m.sickUntil
+        return isInService && isHeard && now >= m.unreachableUntil && now >= m.fullUntil && now >= m.health.excludedUntil
     }
 
     /**
--- a/src/main/kotlin/micatally/placement/Rounds.kt
+++ b/src/main/kotlin/micatally/placement/Rounds.kt
@@ -140,11 +140,17 @@
     /** How many tasks of a job may be on machines at once: as many as its record is sure to have room for. */
     private val mostAttempts = settings.stateLimits.attemptsOfOneJob
 
+    /** How many more tasks of the job may be placed. One that fails everywhere is tried with a single task at a time. */
+    private fun attemptRoom(job: Job): Int {
+        val most = if (job.health.isSuspect && job.spec?.isPlacedWhole == false) TASKS_OF_SUSPECT else minOf(mostAttempts, job.attemptLimit)
+        return most - job.attempts.size
+    }
+
     /** Places what can be placed of one job. Returns whether all of it found room. */
     fun placeJob(job: Job, now: Long, withImage: Boolean = false): Boolean {
         val spec = job.spec ?: return true
         if (!job.wantsTasks || now < job.retryAt) return true
-        val room = minOf(mostAttempts, job.attemptLimit) - job.attempts.size
+        val room = attemptRoom(job)
         if (room <= 0) return true
         job.gang?.let { return whole.placeGang(job, spec, it, room, now) }
         if (spec.isService) moves.place(job, spec, now)
@@ -159,7 +165,7 @@
             if (!quota.allows(job)) { blocked = true; break }
             val m = choice.next()
             if (m == null) {
-                if (choice.deferred || withImage) blocked = true else if (job.badMachines.isEmpty()) noRoom.add(shape(spec, choice.rule))
+                if (choice.deferred || withImage) blocked = true else if (job.health.machines.isEmpty()) noRoom.add(shape(spec, choice.rule))
                 break
             }
             owner.place(job, taskIndex, m)
@@ -179,6 +185,12 @@
     }
 
     private fun unplaceable(job: Job, spec: JobSpec, count: Int, now: Long) {
+        // Nothing is stopped for a job that fails everywhere, and nothing rented while machines of its kind are there.
+        if (job.health.isSuspect) {
+            val hasMachines = machines.byName.values.any { view.isUsable(it, now) && Placement.kindAllowed(spec, it) }
+            if (!hasMachines) note(job, spec, TASKS_OF_SUSPECT)
+            return
+        }
         note(job, spec, job.pendingCount)
         val rule = Placement.zones(job, spec)
         val q = queues.current(job)
@@ -198,6 +210,7 @@
 
     private companion object {
         const val ROUND_TASKS = 100
+        const val TASKS_OF_SUSPECT = 1
 
         /** How much longer the pause after a round is than the round. */
         const val REST = 3
--- a/src/main/kotlin/micatally/standin/WorkerStandin.kt
+++ b/src/main/kotlin/micatally/standin/WorkerStandin.kt
@@ -34,6 +34,9 @@
     /** How long a task takes without its image; null: until it is stopped. */
     fun runMs(ref: String, taskIndex: Int): Long?
     fun completed(ref: String, taskIndex: Int): Boolean
+
+    /** Whether the job was submitted with a mistake: its tasks fail on every machine. */
+    fun isBroken(ref: String): Boolean = false
     val gangs: GangTable
     fun started(machine: WorkerStandin, ref: String, taskIndex: Int)
     fun left(machine: WorkerStandin, ref: String, taskIndex: Int, done: Boolean)
@@ -235,7 +238,7 @@
                 changed = true
                 world.started(this@WorkerStandin, t.ref, t.taskIndex)
                 if (spec.isGang && !sick && !world.completed(t.ref, t.taskIndex)) { joinGang(t, spec); return@launch }
-                if (sick) { delay(500); end(t, "error"); return@launch }
+                if (sick || world.isBroken(t.ref)) { delay(FAILS_AFTER_MS); end(t, "error"); return@launch }
                 if (world.completed(t.ref, t.taskIndex)) { end(t, "done"); return@launch }
                 val ms = world.runMs(t.ref, t.taskIndex) ?: return@launch
                 delay(ms)
@@ -262,4 +265,8 @@
         t.job?.cancel()
         end(t, "stopped")
     }
+
+    private companion object {
+        const val FAILS_AFTER_MS = 500L
+    }
 }
--- a/src/main/kotlin/micatally/worker/Machine.kt
+++ b/src/main/kotlin/micatally/worker/Machine.kt
@@ -73,12 +73,9 @@
     var freedAt = 0L
     var freedBy: String? = NOBODY
     var fullUntil = 0L
-    var sickUntil = 0L
-    var sickTimes = 0
+    val health = MachineHealth()
     /** When it was last seen with a task, a reservation or a reason to stay. */
     var busyAt = 0L
-    val errorRefs = HashSet<String>()
-    var successes = 0
 
     // The order channel.
     var flushing = false
--- a/src/test/kotlin/micatally/sim/GangTest.kt
+++ b/src/test/kotlin/micatally/sim/GangTest.kt
@@ -211,7 +211,7 @@
         pulling.hung = true
         f.scope.launch { delay(f.lease * 4); pulling.hung = false }
         untilDone(ref)
-        assertTrue(gangOfOrNull(ref)?.badMachines?.isEmpty() != false)
+        assertTrue(gangOfOrNull(ref)?.health?.machines?.isEmpty() != false)
     }
 
     private fun Meeting.gangOfOrNull(ref: String) = f.live.firstNotNullOfOrNull { it?.owner?.job(ref) }
--- a/src/test/kotlin/micatally/sim/OperationsTest.kt
+++ b/src/test/kotlin/micatally/sim/OperationsTest.kt
@@ -12,6 +12,56 @@
         for (seed in seeds) meeting(seed, before = before, test = test)
     }
 
+    private fun Meeting.excludedMachines() = f.live.filterNotNull().flatMap { node ->
+        val time = node.machines.byName.values.maxOfOrNull { it.heardAt } ?: 0L
+        node.machines.byName.values.filter { !it.deleted && it.health.excludedUntil > time }.map { it.name }
+    }
+
+    private fun Meeting.submitBroken(node: Int, format: String, tasks: Int): String = spec(format, tasks, "loaners" to false).let { s ->
+        f.broken.add(s.ref)
+        val (status, _) = f.asked(node, "POST", "/work", s.source.toString().encodeToByteArray())
+        assertEquals(201, status)
+        f.rules.answeredSubmit(s.ref, status)
+        s.ref
+    }
+
+    /** Guard: a job that fails everywhere accuses no machine ([micatally.job.FaultJudgement]); it is tried with one task at a time, and
+     * waits longer after each failure ([micatally.job.JobHealth]). Before, any machine without a success was left alone after one failure. */
+    @Test
+    fun `jobs with a mistake take no machine out of service and little of the fleet`() = each {
+        val good = (0..2).map { submit(it, "daemon", 2, "loaners" to false) }
+        allRun(good)
+        f.runFor(f.lease * 2)
+        val broken = (0..2).map { submitBroken(it, "sweep", 8) } + submitBroken(0, "daemon", 2)
+        f.runFor(f.lease * 3)
+        val starts = f.rules.starts
+        val rented = f.cloud.count()
+        f.runFor(f.lease * 6)
+        assertTrue(f.rules.starts - starts <= broken.size * 12, "${f.rules.starts - starts} starts in six leases")
+        assertTrue(f.rules.starts > starts, "they are still tried")
+        assertTrue(f.cloud.count() <= rented, "nothing is rented for them")
+        assertTrue(excludedMachines().isEmpty(), "${excludedMachines()}")
+        val late = submit(1, "sweep", 2, "loaners" to false, runMs = 1000)
+        runUntil(f.lease * 3, "another job is done beside them") { f.rules.completed[late]?.size == 2 }
+        for ((i, ref) in broken.withIndex()) cancel(ref, listOf((i + 1) % 3))
+        f.runFor(f.lease * 4)
+        assertTrue(broken.all { f.rules.isCancelled(it) })
+        afterwards(good)
+    }
+
+    /** Guard: two jobs, or one that runs elsewhere, exclude a machine ([micatally.worker.MachineHealth]), whatever broken jobs do meanwhile. */
+    @Test
+    fun `a faulty machine is found while jobs with a mistake run`() = each {
+        submitBroken(0, "sweep", 4)
+        val array = submit(0, "sweep", 8, "loaners" to false, runMs = 4000)
+        runUntil(f.lease * 4, "some tasks are done") { (f.rules.completed[array]?.size ?: 0) >= 2 }
+        val faulty = f.cloud.workers.filter { it.onMachine.isEmpty() || it.onMachine.any { t -> t.ref == array } }.maxBy { it.onMachine.size }
+        faulty.sick = true
+        val more = (1..6).map { submit(it % 3, "sweep", 6, "loaners" to false, runMs = 3000) }
+        f.runFor(f.lease * 12)
+        assertTrue(more.all { f.rules.completed[it]?.size == 6 }, "all others are done beside it")
+    }
+
     /** Found in an incident: a controller that its workers could not reach still talked to the others, which sent each worker back to
      * it until its lease was over. Guard: [micatally.api.WorkerRedirects]. */
     @Test
@@ -32,4 +82,11 @@
             assertTrue(there.any { it.heardHereAt > latest - f.lease }, "workers go back to their zone")
         }
     }
+
+    private fun Meeting.leader() = (0 until f.nodes).firstOrNull { f.live[it]?.isFleetManager == true }
+
+    private companion object {
+        /** Machines of the simulation that take all tasks of a test. */
+        const val NEEDED_AT_MOST = 3
+    }
 }
--- a/src/test/kotlin/micatally/sim/SimFleet.kt
+++ b/src/test/kotlin/micatally/sim/SimFleet.kt
@@ -320,6 +320,9 @@
 
     override fun spec(ref: String) = rules.specs[ref]
     override fun runMs(ref: String, taskIndex: Int): Long? = if (rules.specs[ref]?.isService == true) null else runs[ref] ?: runTimes.getOrPut(ref to taskIndex) { random.nextLong(500, 12_000) }
+    /** Jobs that were submitted with a mistake. */
+    val broken = HashSet<String>()
+    override fun isBroken(ref: String) = ref in broken
     override fun completed(ref: String, taskIndex: Int) = rules.completed[ref]?.contains(taskIndex) == true
     private fun on(m: WorkerStandin, ref: String, taskIndex: Int) = OnMachine(ref, taskIndex, m.name, m.type, m.zone, m.spot)
     override fun started(machine: WorkerStandin, ref: String, taskIndex: Int) { note("start $ref/$taskIndex on ${machine.name}"); rules.started(on(machine, ref, taskIndex), now) }
