Boot times are learnt; late machines are replaced once; bookings are known to the next leader

Cause: every rental not up counted as coming for four nominal boots and was then deleted and ordered anew, so that under slow boots none ever came; a new fleet manager ordered all that was on its way once more, since the cloud's list comes late and the note of a booking went with its answer. Change: BootTimes (median of boots seen and ages of those out, by type and zone), Rentals, Booking with its machines; renting waits for the first list.

--- /dev/null
+++ b/src/main/kotlin/micatally/fleet/Booking.kt
@@ -0,0 +1,45 @@
+package micatally.fleet
+
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import micatally.wire.asText
+import micatally.wire.flag
+import micatally.wire.listOrNull
+import micatally.wire.long
+import micatally.wire.text
+
+/**
+ * A request for machines as it is kept in the state service, from before the cloud hears of it until the cloud lists what it gave.
+ *
+ * @property name never used again, since the cloud answers a repeated request as before
+ * @property machines what the cloud gave, once it has answered; versions that don't know the field ask the cloud again
+ */
+data class Booking(val name: String, val offer: Offer, val count: Int, val machines: List<String> = emptyList()) {
+    fun answered(names: List<String>) = copy(machines = names)
+
+    fun toJson(): JsonObject = buildJsonObject {
+        put(TYPE, offer.type)
+        put(ZONE, offer.zone)
+        put(SPOT, offer.spot)
+        put(COUNT, count)
+        if (machines.isNotEmpty()) put(MACHINES, JsonArray(machines.map { JsonPrimitive(it) }))
+    }
+
+    companion object {
+        private const val TYPE = "rig"
+        private const val ZONE = "circuit"
+        private const val SPOT = "loaners"
+        private const val COUNT = "count"
+        private const val MACHINES = "cars"
+
+        fun parse(name: String, stored: JsonObject) = Booking(
+            name,
+            Offer(stored.text(TYPE), stored.text(ZONE), stored.flag(SPOT)),
+            stored.long(COUNT).toInt(),
+            (stored.listOrNull(MACHINES) ?: emptyList()).map { it.asText() },
+        )
+    }
+}
--- a/src/main/kotlin/micatally/fleet/FleetManager.kt
+++ b/src/main/kotlin/micatally/fleet/FleetManager.kt
@@ -50,12 +50,21 @@
     private val log = LoggerFactory.getLogger("micatally.fleet")
     private val cluster: Cluster = membership.cluster
 
-    private class Rental(val name: String, val offer: Offer, val at: Long) { var up = false }
-
     private var term = 0L
     private var bookings = 0
     private var since = 0L
-    private val rentals = HashMap<String, Rental>()
+    private val rentals = Rentals { machines.bootMs(it) }
+
+    /** Bookings that the cloud has answered and whose machines it may not list yet, by the booking's name. */
+    private class Unlisted(val machines: List<String>, val sinceMs: Long)
+
+    private val unlisted = HashMap<String, Unlisted>()
+
+    /** Whether this term has read the list of machines: before that nobody knows what is on its way. */
+    private var hasListed = false
+
+    /** When there was demand last. */
+    private var neededAt = Long.MIN_VALUE / 2
     private val refusedUntil = HashMap<Offer, Long>()
     private val refusals = HashMap<Offer, Int>()
     private val wantedGone = LinkedHashSet<String>()
@@ -67,7 +76,7 @@
     private val drains = HashMap<String, Drain>()
     private val keptUntil = HashMap<String, Long>()
     private val renting = HashSet<String>()
-    private var lastList: List<ListedMachine> = emptyList()
+    private val unknownStates = HashSet<String>()
     private val goneAt = HashMap<String, Long>()
     var onFlavors: () -> Unit = {}
 
@@ -133,29 +142,66 @@
         bookings = 0
         since = nowMs()
         rentals.clear()
+        unlisted.clear()
+        hasListed = false
+        neededAt = nowMs()
         drains.clear()
         for (i in cluster.under(Keys.DRAIN)) drains[i.key.removePrefix(Keys.DRAIN)] = Drain(nowMs(), DrainState.EMPTYING, nowMs())
         log.info("fleet key held, term {}", term)
-        // What the former keeper had decided is finished under its names: repeating a booking rents nothing twice.
-        for (i in cluster.under(Keys.RENT)) scope.launch { book(i.key.removePrefix(Keys.RENT), i.value.text("rig"), i.value.text("circuit"), i.value.flag("loaners"), i.value.long("count").toInt()) }
+        for (i in cluster.under(Keys.RENT)) resume(Booking.parse(i.key.removePrefix(Keys.RENT), i.value))
+    }
+
+    /** What the former fleet manager had decided is finished under its names: repeating a booking rents nothing twice. Machines of
+     * answered ones may not be listed yet, and would be rented again if they were not counted. */
+    private fun resume(booking: Booking) {
+        if (booking.machines.isEmpty()) {
+            carryOut(booking)
+            return
+        }
+        rentals.rented(booking.machines.filter { it !in machines.deletedNames }, booking.offer, nowMs())
+        unlisted[booking.name] = Unlisted(booking.machines, nowMs())
+    }
+
+    private fun carryOut(booking: Booking) {
+        renting.add(booking.name)
+        scope.launch { try { book(booking) } finally { renting.remove(booking.name) } }
     }
 
     private suspend fun listLoop() {
         while (true) {
-            delay(maxOf(settings.listLagMs / 2, (3000 / settings.cloudRps).toLong()))
+            // A new term waits for its first list only as long as the cloud takes.
+            delay(if (isLeader && !hasListed) settings.leaseMs / 20 else maxOf(settings.listLagMs / 2, (3000 / settings.cloudRps).toLong()))
             if (!isLeader) continue
-            val l = cloud.list() ?: continue
-            lastList = l
-            val now = nowMs()
-            for (c in l) {
-                if (cluster.has(Keys.GONE + c.name) || c.name in machines.deletedNames) continue
-                if (c.status == ListedMachine.FAILED) { wantedGone.add(c.name); continue }
-                val r = rentals.getOrPut(c.name) { Rental(c.name, Offer(c.type, c.zone, c.spot), now - (c.ageS * 1000).toLong()) }
-                if (c.status != ListedMachine.STARTING) {
-                    r.up = true
-                    machines.known(c.name, c.addr, c.type, c.zone, c.spot)
-                }
+            val termOfList = term
+            val list = cloud.list() ?: continue
+            if (term != termOfList) continue
+            for (line in list) takeLine(line, nowMs())
+            hasListed = true
+            dropListedBookings(list)
+        }
+    }
+
+    private fun takeLine(line: ListedMachine, now: Long) {
+        if (cluster.has(Keys.GONE + line.name) || line.name in machines.deletedNames) return
+        when (line.status) {
+            ListedMachine.FAILED -> wantedGone.add(line.name)
+            ListedMachine.STARTING, ListedMachine.RUNNING -> {
+                rentals.listed(line, now)
+                if (line.status == ListedMachine.RUNNING) machines.known(line.name, line.addr, line.type, line.zone, line.spot)
             }
+            else -> if (unknownStates.add(line.status)) log.warn("machine {} is listed in an unknown state: {}", line.name, line.status)
+        }
+    }
+
+    /** The note of a booking may go when every list shows all its machines, or they have come and gone: until then it is the
+     * only trace of them for another fleet manager. A list may be twice as late as stated. */
+    private fun dropListedBookings(list: List<ListedMachine>) {
+        val listed = list.mapTo(HashSet()) { it.name }
+        val oldEnough = nowMs() - settings.listLagMs * LONGEST_LAG
+        val done = unlisted.filterValues { u -> u.sinceMs < oldEnough && u.machines.all { it in listed || it in machines.deletedNames } }.keys.toList()
+        for (name in done) {
+            unlisted.remove(name)
+            scope.launch { state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Delete(Keys.RENT + name))) } }
         }
     }
 
@@ -164,9 +210,10 @@
         if (!membership.leaseHolds() || membership.viewAgeMs > settings.leaseMs / 2) return
         for (m in machines.byName.values) {
             if (m.deleted || m.session == 0L) continue
-            rentals.getOrPut(m.name) { Rental(m.name, Offer(m.type, m.zone, m.spot), m.busyAt) }.up = true
+            rentals.reports(m.name, Offer(m.type, m.zone, m.spot), m.firstHeardAt)
         }
-        rentals.keys.removeIf { it in machines.deletedNames }
+        rentals.removeAll(machines.deletedNames)
+        rentals.observe(now)
         findDead(now)
         findIdle(now)
         sendDeletes()
@@ -185,9 +232,9 @@
         val hungMs = settings.leaseMs * 2
         val silent = HashMap<String, ArrayList<Machine>>()
         for (m in machines.byName.values) {
-            val r = rentals[m.name]
-            if (m.deleted || r != null && !r.up) continue
-            val silence = now - maxOf(m.heardAt, since, r?.at ?: 0L)
+            val rental = rentals.of(m.name)
+            if (m.deleted || rental != null && !rental.isUp) continue
+            val silence = now - maxOf(m.heardAt, since, rental?.rentedAtMs ?: 0L)
             if (silence > probeAfterMs) { probe(m, now); quiet.merge(m.zone, 1, Int::plus) } else heard.merge(m.zone, 1, Int::plus)
             // A machine that takes connections and says nothing hangs and may go on soon: its tasks are lost by then, but
             // not its images, and those take longer to fetch than the wait.
@@ -208,10 +255,10 @@
             val cut = list.size >= (heard[zone] ?: 0) && (list.size >= 3 || zone in alone)
             for (m in list) if (!cut || now - maxOf(m.heardAt, since) > settings.authorityMs + settings.leaseMs * 2) wantedGone.add(m.name)
         }
-        for (r in rentals.values) {
-            if (r.up) continue
-            val ready = ((machines.flavors[r.offer.type]?.readyS ?: 60.0) * 1000).toLong()
-            if (now - r.at > ready * LATE_BOOTS) { log.info("machine {} never came up", r.name); wantedGone.add(r.name) }
+        if (!hasListed) return
+        for (rental in rentals.givenUp(now, now - neededAt < settings.leaseMs)) {
+            log.info("machine {} has not come up in {} ms", rental.name, rental.ageMs(now))
+            wantedGone.add(rental.name)
         }
     }
 
@@ -322,7 +369,7 @@
         val lately = recent()
         for (f in machines.flavors.values.sortedByDescending { it.hourly }) {
             fun share(a: Amount) = maxOf(if (f.amount.cards > 0) a.cards / f.amount.cards else 0.0, a.cores / f.amount.cores)
-            val candidates = up.filter { it.type == f.label && (keptUntil[it.name] ?: 0L) < now && now - (rentals[it.name]?.at ?: 0L) > MIN_CHARGE_MS }
+            val candidates = up.filter { it.type == f.label && (keptUntil[it.name] ?: 0L) < now && now - (rentals.of(it.name)?.rentedAtMs ?: 0L) > MIN_CHARGE_MS }
                 .sortedWith(compareBy({ it.used.cards }, { share(it.used) }, { it.name }))
             val next = lately.filter { (it.types.isEmpty() || f.label in it.types) && (it.cards > 0) == (f.amount.cards > 0) }
             val nextCards = next.sumOf { it.cards * it.count }
@@ -376,52 +423,74 @@
     }
 
     private fun rent(now: Long) {
-        if (machines.flavors.isEmpty() || renting.isNotEmpty()) return
         val demands = demand()
-        if (demands.isEmpty()) return
-        val coming = ArrayList<RentPlan.Room>()
+        if (demands.isNotEmpty()) neededAt = now
+        if (demands.isEmpty() || !hasListed || machines.flavors.isEmpty() || renting.isNotEmpty()) return
         val owned = HashMap<String, Int>()
-        for (r in rentals.values) {
-            owned.merge("${r.offer.type}/${r.offer.zone}", 1, Int::plus)
-            val f = machines.flavors[r.offer.type] ?: continue
-            if (!r.up) coming.add(RentPlan.Room(r.offer.type, r.offer.zone, r.offer.spot, f.amount))
+        for (rental in rentals.all) owned.merge("${rental.offer.type}/${rental.offer.zone}", 1, Int::plus)
+        val coming = rentals.coming(now).mapNotNullTo(ArrayList()) { rental ->
+            machines.flavors[rental.offer.type]?.let { RentPlan.Room(rental.offer.type, rental.offer.zone, rental.offer.spot, it.amount) }
         }
-        val plan = RentPlan.plan(demands, coming, machines.flavors.values, { (refusedUntil[it] ?: 0L) > now }, owned, MOST_AT_ONCE)
-        for ((o, all) in plan) for (part in 0 until all step MOST_A_BOOKING) {
-            val n = minOf(MOST_A_BOOKING, all - part)
-            val name = "b$term-${++bookings}"
-            renting.add(name)
-            scope.launch {
-                try {
-                    val r = state.txn(1, Urgency.INTENT) {
-                        Txn(listOf(Condition(Keys.FLEET, term)), listOf(Put(Keys.RENT + name, buildJsonObject { put("rig", o.type); put("circuit", o.zone); put("loaners", o.spot); put("count", n) })))
-                    }
-                    if (r is TxnResult.Applied) book(name, o.type, o.zone, o.spot, n)
-                } finally { renting.remove(name) }
-            }
+        val market = Market({ (refusedUntil[it] ?: 0L) > now }, { rentals.bootTimes.slowness(it) })
+        val plan = RentPlan.plan(demands, coming, machines.flavors.values, market, owned, MOST_AT_ONCE)
+        for ((offer, count) in plan) for (part in 0 until count step MOST_A_BOOKING) {
+            decide(Booking("b$term-${++bookings}", offer, minOf(MOST_A_BOOKING, count - part)))
+        }
+    }
+
+    /** A booking is stored before the cloud hears of it, so that its name is used for nothing else. */
+    private fun decide(booking: Booking) {
+        renting.add(booking.name)
+        scope.launch {
+            try {
+                val stored = state.txn(1, Urgency.INTENT) {
+                    Txn(listOf(Condition(Keys.FLEET, term)), listOf(Put(Keys.RENT + booking.name, booking.toJson())))
+                }
+                if (stored is TxnResult.Applied) book(booking)
+            } finally { renting.remove(booking.name) }
         }
     }
 
-    private suspend fun book(name: String, type: String, zone: String, spot: Boolean, count: Int) {
-        val offer = Offer(type, zone, spot)
+    private suspend fun book(booking: Booking) {
+        val offer = booking.offer
         val at = nowMs()
-        var silent = false
+        var isUnclear = false
         while (true) {
-            when (val r = cloud.rent(name, type, zone, spot, count)) {
+            when (val r = cloud.rent(booking.name, offer.type, offer.zone, offer.spot, booking.count)) {
                 is RentResult.Rented -> {
-                    log.info("rented {} of {} {} in {} spot={}: {}", r.names.size, count, type, zone, spot, r.names)
-                    for (n in r.names) if (n !in machines.deletedNames) rentals.getOrPut(n) { Rental(n, offer, at) }
-                    if (r.names.size < count) refuse(offer) else refusals.remove(offer)
+                    log.info("rented {} of {} {} in {} spot={}: {}", r.names.size, booking.count, offer.type, offer.zone, offer.spot, r.names)
+                    rentals.rented(r.names.filter { it !in machines.deletedNames }, offer, at)
+                    if (r.names.size < booking.count) refuse(offer) else refusals.remove(offer)
+                    if (r.names.isNotEmpty()) {
+                        keepUntilListed(booking.answered(r.names))
+                        return
+                    }
+                    break
+                }
+                RentResult.NoCapacity -> {
+                    log.info("no capacity for {} in {} spot={}", offer.type, offer.zone, offer.spot)
+                    refuse(offer)
+                    break
+                }
+                RentResult.Refused -> if (!isUnclear) {
+                    refusedUntil[offer] = nowMs() + settings.leaseMs / 5
                     break
                 }
-                RentResult.NoCapacity -> { log.info("no capacity for {} in {} spot={}", type, zone, spot); refuse(offer); break }
-                RentResult.Refused -> { if (!silent) { refusedUntil[offer] = nowMs() + settings.leaseMs / 5; break } }
-                RentResult.Unknown -> silent = true
+                RentResult.Unknown -> isUnclear = true
             }
             if (!isLeader) return
             delay(settings.leaseMs / 10)
         }
-        state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Delete(Keys.RENT + name))) }
+        state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Delete(Keys.RENT + booking.name))) }
+    }
+
+    /** On condition that the note is there: it may have been dropped meanwhile, by the next fleet manager. */
+    private suspend fun keepUntilListed(booking: Booking) {
+        unlisted[booking.name] = Unlisted(booking.machines, nowMs())
+        val key = Keys.RENT + booking.name
+        state.txn(1, Urgency.SUMMARY) {
+            if (!cluster.has(key) || booking.name !in unlisted) null else Txn(listOf(Condition(key, cluster.mark(key))), listOf(Put(key, booking.toJson())))
+        }
     }
 
     private fun refuse(o: Offer) {
@@ -437,7 +506,6 @@
     }
 
     private companion object {
-        const val LATE_BOOTS = 4
         /** The protocol charges a machine for so long at least. */
         const val MIN_CHARGE_MS = 60_000L
         /** Connections in a row that have to hang. */
@@ -448,6 +516,8 @@
         /** A machine used beyond this is not worth emptying. */
         const val MOSTLY_FREE = 0.8
         const val MOST_AT_ONCE = 100
+        /** The protocol: the list lags by up to twice what the settings say. */
+        const val LONGEST_LAG = 2
         /** The protocol's limit for one request. */
         const val MOST_A_BOOKING = 50
     }
--- a/src/main/kotlin/micatally/fleet/RentPlan.kt
+++ b/src/main/kotlin/micatally/fleet/RentPlan.kt
@@ -7,6 +7,14 @@
 /** A machine type in a zone, spot or ordinary: what the cloud is asked for. */
 data class Offer(val type: String, val zone: String, val spot: Boolean)
 
+/**
+ * What is known of offers besides their prices.
+ *
+ * @property isRefused the cloud turned the offer down lately
+ * @property slowness how many times slower than nominal its machines come now
+ */
+class Market(val isRefused: (Offer) -> Boolean, val slowness: (Offer) -> Double)
+
 /** What to rent for tasks that find no room. Decisions only. */
 object RentPlan {
     class Room(val type: String, val zone: String, val spot: Boolean, var free: Amount)
@@ -28,9 +36,9 @@
     private fun shape(d: Demand) = Shape(Amount(d.cores, d.cards, d.ram), d.types, d.spot)
 
     /** Fills the rooms that are coming first, then picks offers for the rest, by the cost of what each would carry.
-     * [coming] is changed. [refused] are offers that the cloud turned down lately. */
+     * [coming] is changed. */
     fun plan(
-        demands: List<Demand>, coming: MutableList<Room>, flavors: Collection<Flavor>, refused: (Offer) -> Boolean, owned: Map<String, Int>, most: Int,
+        demands: List<Demand>, coming: MutableList<Room>, flavors: Collection<Flavor>, market: Market, owned: Map<String, Int>, most: Int,
     ): Map<Offer, Int> {
         val out = LinkedHashMap<Offer, Int>()
         val perZone = HashMap(owned)
@@ -61,9 +69,9 @@
                     if (n == 0) continue
                     for (z in f.zones) for (spot in if (d.spot) listOf(true, false) else listOf(false)) {
                         val o = Offer(f.label, z, spot)
-                        if (!allowed(d, f.label, z, spot) || refused(o) || !roomIn(z)) continue
+                        if (!allowed(d, f.label, z, spot) || market.isRefused(o) || !roomIn(z)) continue
                         val many = maxOf(left, bulk[shape(d)] ?: 0)
-                        val cost = f.price(spot) * Math.ceil(many.toDouble() / n) / many * (1 + (perZone["${f.label}/$z"] ?: 0) * ZONE_BALANCE)
+                        val cost = f.price(spot) * Math.ceil(many.toDouble() / n) / many * (1 + (perZone["${f.label}/$z"] ?: 0) * ZONE_BALANCE) * (1 + (market.slowness(o) - 1) * SLOWNESS_WEIGHT)
                         if (cost < bestCost) { best = o; bestCost = cost }
                     }
                 }
@@ -82,6 +90,9 @@
 
     /** Ties between zones go to the one with fewer machines of the type. */
     private const val ZONE_BALANCE = 1e-3
+    /** An offer that comes so many times slower than nominal costs so much more, for each of them beyond the first. */
+    private const val SLOWNESS_WEIGHT = 0.25
+
     /** How much of its even share of the cores each card keeps. */
     private const val CORES_KEPT = 0.7
 }
--- a/src/main/kotlin/micatally/wire/Cloud.kt
+++ b/src/main/kotlin/micatally/wire/Cloud.kt
@@ -26,6 +26,7 @@
 class ListedMachine(val name: String, val addr: String, val type: String, val zone: String, val spot: Boolean, val status: String, val ageS: Double) {
     companion object {
         const val STARTING = "starting"
+        const val RUNNING = "running"
         const val FAILED = "failed"
 
         fun parse(o: JsonObject) = ListedMachine(
--- a/src/main/kotlin/micatally/worker/Machine.kt
+++ b/src/main/kotlin/micatally/worker/Machine.kt
@@ -32,8 +32,16 @@
     /** The tick with which the tasks last changed. */
     var changedTick = 0L
     var tasks: List<ListedTask> = emptyList()
+    /** When any node heard from it first, as far as this one knows; 0: not yet. */
+    var firstHeardAt = 0L
+        private set
+
     /** When any node heard from it last. */
     var heardAt = 0L
+        set(value) {
+            field = value
+            if (firstHeardAt == 0L) firstHeardAt = value
+        }
     /** When this node answered a report of its last. */
     var heardHereAt = 0L
 
--- /dev/null
+++ b/src/test/kotlin/micatally/fleet/BootTimesTest.kt
@@ -0,0 +1,45 @@
+package micatally.fleet
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class BootTimesTest {
+    private val offer = Offer("g8", "a", false)
+    private val nominal = 30_000L
+    private val times = BootTimes { nominal }
+
+    @Test
+    fun `a few late machines are not counted on, the others are`() {
+        repeat(8) { times.cameUp(offer, 25_000) }
+        times.waitingFor(List(2) { offer to 100_000L })
+        assertTrue(times.plausibleMs(offer) in nominal..nominal * 2)
+        assertEquals(1.0, times.slowness(offer))
+        assertTrue(times.hopelessMs(offer) <= nominal * 4)
+    }
+
+    /** Guard: the ages of machines that are still out count beside the boots seen ([BootTimes]); else they would be ordered anew
+     * and given up before any of them can come. */
+    @Test
+    fun `when all machines of a place are late they are waited for`() {
+        repeat(2) { times.cameUp(offer, 25_000) }
+        times.waitingFor(List(5) { offer to 100_000L })
+        assertEquals(nominal * 4, times.plausibleMs(offer))
+        assertTrue(times.hopelessMs(offer) > nominal * 9)
+        assertTrue(times.slowness(offer) > 3)
+        assertEquals(1.0, times.slowness(offer.copy(zone = "b")))
+    }
+
+    @Test
+    fun `boots that were slow before are expected to be`() {
+        repeat(4) { times.cameUp(offer, 150_000) }
+        assertTrue(times.plausibleMs(offer) > 150_000)
+        assertTrue(times.hopelessMs(offer) > 250_000)
+    }
+
+    @Test
+    fun `without any experience the stated time counts`() {
+        assertEquals(nominal * 2, times.plausibleMs(offer))
+        assertEquals(nominal * 4, times.hopelessMs(offer))
+    }
+}
--- a/src/test/kotlin/micatally/sim/OperationsTest.kt
+++ b/src/test/kotlin/micatally/sim/OperationsTest.kt
@@ -62,6 +62,34 @@
         assertTrue(more.all { f.rules.completed[it]?.size == 6 }, "all others are done beside it")
     }
 
+    /** Guard: late machines are waited for while all are late ([micatally.fleet.BootTimes]). Before, each was given up after four nominal
+     * boots and ordered anew, so that none ever came. */
+    @Test
+    fun `machines that take seven times as long come up, and little more than needed is rented`() = each({ cloud.bootMs = { (it.readyS * 7000).toLong() } }) {
+        val refs = (0..2).map { submit(it, "daemon", 2, "cores" to 4.0, "loaners" to false) }
+        var most = 0
+        runUntil(f.lease * 12, "all replicas run") {
+            most = maxOf(most, f.cloud.count())
+            refs.all { tasks(it).size == 2 }
+        }
+        assertTrue(most <= NEEDED_AT_MOST * 2, "$most machines at once")
+    }
+
+    /** Guard: a booking stays noted until its machines are listed, and a new fleet manager rents only after it has read the list
+     * ([micatally.fleet.FleetManager]). Before, it ordered all that was on its way once more. */
+    @Test
+    fun `a new fleet manager does not rent again what its predecessor has rented`() = each({ cloud.bootMs = { (it.readyS * 5000).toLong() } }) {
+        val refs = (1..2).map { submit(it, "daemon", 2, "cores" to 4.0, "loaners" to false) }
+        runUntil(f.lease, "machines are rented") { f.cloud.count() > 0 }
+        f.runFor(f.lease / 10)
+        val before = f.cloud.count()
+        f.crash(leader()!!)
+        runUntil(f.lease * 3 / 2, "another node manages the fleet") { leader() != null }
+        f.runFor(f.lease / 10)
+        assertEquals(before, f.cloud.count())
+        runUntil(f.lease * 6, "all replicas run") { refs.all { tasks(it).size == 2 } }
+    }
+
     /** Found in an incident: a controller that its workers could not reach still talked to the others, which sent each worker back to
      * it until its lease was over. Guard: [micatally.api.WorkerRedirects]. */
     @Test
