Users' reads keep to a share; a node cut from its workers leaves its work to others

Cause: each question about a job unknown to a node read the state service before any placement could; a controller that had lost its workers alone went on accepting jobs and kept those it had. Change: RecordReads (shared until sent, half of a node's requests, the rest refused at once); WorkerReach: asks three workers when none was heard though peers hear some, twice without an answer is cut off: not healthy, accepts nothing, gives its lease up after a quarter of a lease, at most once in six leases. Safety: the lease ends here before it is ended at the state service; writes are conditional on the ledgers' marks; it is not granted anew until the node reaches workers, and its own ledger is taken back as after any absence.

--- /dev/null
+++ b/src/main/kotlin/micatally/api/RecordReads.kt
@@ -0,0 +1,39 @@
+package micatally.api
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
+import micatally.ledger.Keys
+import micatally.state.RateBudget
+import micatally.state.ReadResult
+import micatally.state.StateClient
+import micatally.state.Urgency
+
+/**
+ * Reads of job records for users' questions. Users may ask many times as often as usual, also for jobs that nobody submitted; the
+ * reads then keep to [budget], so that submissions, placements and leases still get their requests, and what can't be read soon is
+ * refused at once.
+ *
+ * Questions for one job share a read as long as it has not left. One that has left may see a state from before what its user was
+ * told by another node meanwhile, so nobody joins it.
+ */
+class RecordReads(private val state: StateClient, private val budget: RateBudget, private val mostWaiting: Int, private val timeoutMs: Long) {
+    private val notSent = HashMap<String, CompletableDeferred<ReadResult>>()
+
+    suspend fun read(ref: String): ReadResult {
+        notSent[ref]?.let { return it.await() }
+        if (notSent.size >= mostWaiting) return ReadResult.Unavailable
+        val answer = CompletableDeferred<ReadResult>()
+        notSent[ref] = answer
+        try {
+            val read = withTimeoutOrNull(timeoutMs) {
+                budget.take(1, Urgency.ACCEPTANCE)
+                state.get(Keys.job(ref), Urgency.ACCEPTANCE) { notSent.remove(ref, answer) }
+            } ?: ReadResult.Unavailable
+            answer.complete(read)
+            return read
+        } finally {
+            notSent.remove(ref, answer)
+            answer.complete(ReadResult.Unavailable)
+        }
+    }
+}
--- a/src/main/kotlin/micatally/api/UserApi.kt
+++ b/src/main/kotlin/micatally/api/UserApi.kt
@@ -31,12 +31,13 @@
 import micatally.wire.parseObject
 import micatally.wire.textOrNull
 import micatally.worker.Machines
+import micatally.worker.WorkerReach
 
 /** What users ask. Nothing is held back: what can't be decided now is answered 503 with the time to come back. */
 class UserApi(
     private val settings: Settings, private val state: StateClient, private val membership: Membership, private val owner: Owner,
     private val store: JobStore, private val machines: Machines, private val peers: Peers, private val rounds: Rounds,
-    private val upgrade: Upgrade, private val nowMs: () -> Long,
+    private val upgrade: Upgrade, private val reads: RecordReads, private val reach: WorkerReach, private val nowMs: () -> Long,
 ) {
     /** Which ledger a job belongs to never changes. */
     private val ledgerOf = CacheBuilder.newBuilder().maximumSize(20_000).build<String, String>()
@@ -53,6 +54,7 @@
             membership.checkAuthority() != Authority.ENTITLED || owner.own() == null || machines.flavors.isEmpty() -> later("starting")
             // Others can take what this node has to turn away. In an outage for all every node stays: polls are still answered.
             !stateReachable && (peers.somePeerHasState() || !peers.anyHeard()) -> later("no contact with the state service")
+            reach.isCutOff && peers.somePeerHasState() -> later("no contact with the workers")
             else -> HttpResponse(200, "{}".encodeToByteArray())
         }
 
@@ -71,6 +73,7 @@
         if (spec.isGang && !upgrade.isUniform) return knownOr(ref) { later("gangs are served once all controllers are upgraded") }
         val ledger = owner.own()
         if (ledger == null || !stateReachable || !membership.leaseHolds()) return later("no contact with the state service")
+        if (reach.isCutOff && owner.job(ref) == null) return knownOr(ref) { later("no contact with the workers") }
         if (state.waitingWrites > settings.stateWriteRps) return later("too many submissions at once")
         owner.job(ref)?.let {
             // Of a ledger that it has taken over this node can't tell whether it is still its own.
@@ -112,7 +115,7 @@
     suspend fun query(ref: String): HttpResponse {
         if (!JobSpec.validRef(ref)) return errorResponse(404, "no such job")
         local(ref)?.let { return ok(it) }
-        return when (val r = look(ref)) {
+        return when (val r = look(ref) { reads.read(ref) }) {
             is Look.Known -> ok(r.answer)
             Look.Missing -> errorResponse(404, "no such job")
             Look.Unclear -> later("the job can't be looked up now")
@@ -137,17 +140,18 @@
         data object Unclear : Look
     }
 
-    private suspend fun look(ref: String): Look {
+    private suspend fun look(ref: String, read: suspend () -> ReadResult = { state.get(Keys.job(ref), Urgency.ACCEPTANCE) }): Look {
         val cached = ledgerOf.getIfPresent(ref)
         if (cached != null) askHolder(cached, Peers.QUERY, ref)?.let { return Look.Known(it) }
         if (!stateReachable) return Look.Unclear
-        return when (val read = state.get(Keys.job(ref), Urgency.ACCEPTANCE)) {
+        return when (val found = read()) {
             is ReadResult.Unavailable -> Look.Unclear
             is ReadResult.Missing -> Look.Missing
             is ReadResult.Found -> {
-                ledgerOf.put(ref, JobRecord.ledgerOf(read.item.value))
+                val record = found.item.value
+                ledgerOf.put(ref, JobRecord.ledgerOf(record))
                 // Withdrawn, but not all controllers know of it yet: only its owner can tell when they do.
-                if (JobRecord.isWithdrawalConfirmable(read.item.value)) Look.Known(fromRecord(ref, read.item.value)) else Look.Unclear
+                if (JobRecord.isWithdrawalConfirmable(record)) Look.Known(fromRecord(ref, record)) else Look.Unclear
             }
         }
     }
--- a/src/main/kotlin/micatally/ledger/Membership.kt
+++ b/src/main/kotlin/micatally/ledger/Membership.kt
@@ -43,6 +43,9 @@
     /** Up to when the other controllers themselves have told of every cancellation; see [micatally.peer.Peers]. */
     var peersConfirmedAt: () -> Long = { Long.MIN_VALUE / 2 }
 
+    /** Whether another node can serve this one's ledgers better: then this one has no lease until they are taken, or it can again. */
+    var standsBack: () -> Boolean = { false }
+
     /** The summaries of all nodes, and who is told which of them have changed. */
     val summaries = Cluster()
     var onSummaries: (Set<String>) -> Unit = {}
@@ -94,6 +97,11 @@
         while (true) {
             val sent = nowMs()
             val held = lease
+            if (standsBack()) {
+                if (held != null) standBack(held)
+                delay(pause())
+                continue
+            }
             if (held == null) {
                 if (cluster.revision < 0) { delay(settings.liveMs / 200); continue }
                 val l = state.grant(settings.liveMs)
@@ -124,6 +132,14 @@
         }
     }
 
+    /** The lease is ended here first and then at the state service: nothing is answered from memory from now on. Writes that are
+     * under way are conditional on the ledgers' marks, which their next holder changes. */
+    private suspend fun standBack(held: Long) {
+        log.info("lease {} given up: others reach the workers and this node does not", held)
+        lease = null
+        state.revoke(held)
+    }
+
     private fun pause() = settings.liveMs / 32 + random.nextLong(settings.liveMs / 32)
 
     private suspend fun viewLoop() = follow(Keys.PREFIX, cluster, settings.leaseMs / 10, Urgency.LEASE, ::seen)
--- a/src/main/kotlin/micatally/node/Controller.kt
+++ b/src/main/kotlin/micatally/node/Controller.kt
@@ -6,6 +6,7 @@
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
 import kotlinx.serialization.protobuf.ProtoBuf
+import micatally.api.RecordReads
 import micatally.api.UserApi
 import micatally.api.WorkerApi
 import micatally.fleet.CloudClient
@@ -37,6 +38,7 @@
 import micatally.worker.Machine
 import micatally.worker.Machines
 import micatally.worker.Orders
+import micatally.worker.WorkerReach
 import org.slf4j.LoggerFactory
 import kotlin.random.Random
 
@@ -65,8 +67,11 @@
     private val quota = Quota(scope, state, membership.cluster, settings.teams, { owner.ledgers.values.filter { it.mine } }, settings.controllers) { rounds.wake() }
     val rounds: Rounds = Rounds(scope, settings, owner, machines, store, quota, orders, Queues(operator.queueBounds.map { it * settings.leaseMs / 1000.0 }, operator.queueLift), effort, nowMs)
     private val peers = Peers(scope, http, settings, state, membership, machines, owner, rounds, nowMs)
+    private val reach = WorkerReach(scope, http, settings, machines, nowMs)
     private val fleetManager = FleetManager(scope, http, settings, state, cloud, membership, machines, { rounds.unplaced.values.toList() + peers.demandOfPeers() }, { peers.recentServices() }, { peers.silentZones() }, operator, nowMs)
-    private val users = UserApi(settings, state, membership, owner, store, machines, peers, rounds, upgrade, nowMs)
+    private val questionRps = settings.stateLimits.rps * share * QUESTION_SHARE
+    private val reads = RecordReads(state, RateBudget(scope, questionRps, nowMs), maxOf(1, questionRps.toInt()), settings.leaseMs / 8)
+    private val users = UserApi(settings, state, membership, owner, store, machines, peers, rounds, upgrade, reads, reach, nowMs)
     private val workers = WorkerApi(settings, membership, machines, peers, owner.withdrawals.stopList, nowMs)
 
     /** Whether this node rents and returns machines for all. */
@@ -74,6 +79,7 @@
 
     fun start() {
         owner.orders = orders
+        membership.standsBack = { reach.mayStandBack() && peers.somePeerHasState() }
         membership.peersConfirmedAt = { peers.peersConfirmedAt() }
         owner.quota = quota
         owner.wake = { rounds.wake() }
@@ -135,6 +141,7 @@
             val now = nowMs()
             effort.of(Effort.Kind.HOUSE) {
                 membership.checkAuthority()
+                reach.review()
                 owner.sweep()
                 for (job in owner.openJobs()) if (job.gang != null) owner.gangs.review(job, now)
                 owner.faults.review(owner.openJobs(), now)
@@ -209,4 +216,9 @@
         }
         return HttpResponse(200, bytes, HttpResponse.BINARY)
     }
+
+    private companion object {
+        /** The share of this node's requests to the state service that users' questions may take. */
+        const val QUESTION_SHARE = 0.5
+    }
 }
--- a/src/main/kotlin/micatally/state/StateClient.kt
+++ b/src/main/kotlin/micatally/state/StateClient.kt
@@ -76,8 +76,11 @@
         return out
     }
 
-    suspend fun get(key: String, urgency: Urgency): ReadResult {
-        val out = send("GET", "/keys/$key", null, urgency)
+    /** @param onSend runs when the request leaves: what is asked from then on may be newer than its answer */
+    suspend fun get(key: String, urgency: Urgency, onSend: () -> Unit = {}): ReadResult {
+        requests.take(1, urgency)
+        onSend()
+        val out = call("GET", "/keys/$key", null, timeoutMs)
         if (out !is Outcome.Answer) return ReadResult.Unavailable
         return when (out.status) {
             200 -> ReadResult.Found(item(parseObject(out.body)))
--- a/src/main/kotlin/micatally/worker/Machines.kt
+++ b/src/main/kotlin/micatally/worker/Machines.kt
@@ -15,6 +15,11 @@
 
     /** When a worker's own words reached this node last, by zone: other nodes may hear a zone that this one is cut off from. */
     private val reachedAt = HashMap<String, Long>()
+
+    /** The same for all zones together; from the start on, so that a new process doubts nothing at once. */
+    var lastReachedAt = nowMs()
+        private set
+
     fun reachedAt(zone: String) = reachedAt[zone] ?: (Long.MIN_VALUE / 2)
 
     /** Its tasks have changed and this node has missed it. */
@@ -33,7 +38,12 @@
     fun absorb(r: Report, ownAnswer: Boolean): Boolean {
         val m = known(r.machine, r.addr, r.type, r.zone, r.spot)
         // Copies of old reports come late and show nothing.
-        return absorb(m, r.session, r.tick, r.noticeS, r.tasks, ownAnswer, 0).also { if (it) reachedAt[m.zone] = nowMs() }
+        return absorb(m, r.session, r.tick, r.noticeS, r.tasks, ownAnswer, 0).also { if (it) reached(m) }
+    }
+
+    private fun reached(m: Machine) {
+        lastReachedAt = nowMs()
+        reachedAt[m.zone] = lastReachedAt
     }
 
     fun absorb(n: MachineNote): Boolean {
--- /dev/null
+++ b/src/main/kotlin/micatally/worker/WorkerReach.kt
@@ -0,0 +1,121 @@
+package micatally.worker
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import micatally.http.HttpCaller
+import micatally.http.Outcome
+import micatally.settings.Settings
+import micatally.wire.Report
+import micatally.wire.WireError
+import micatally.wire.parseObject
+import org.slf4j.LoggerFactory
+
+/**
+ * REACHING: workers' own words come in.
+ * DOUBTFUL: none have for a while though other controllers hear workers; some are being asked.
+ * CUT_OFF: none of those asked answered, several times over.
+ */
+enum class ReachState { REACHING, DOUBTFUL, CUT_OFF }
+
+/**
+ * Whether this controller can talk to workers at all. One that can't, while it still has the state service and the other
+ * controllers, would go on accepting jobs and keep those it has, and none of them would start.
+ */
+class WorkerReach(
+    private val scope: CoroutineScope,
+    private val http: HttpCaller,
+    private val settings: Settings,
+    private val machines: Machines,
+    private val nowMs: () -> Long,
+) {
+    private val log = LoggerFactory.getLogger("micatally.worker")
+    private val quietMs = maxOf(settings.reportMs * 2, settings.leaseMs / 4)
+    private val askMs = settings.leaseMs / 16
+    private var isAsking = false
+    private var failedRounds = 0
+    private var cutOffSince = 0L
+    private var stoodBackUntil = Long.MIN_VALUE / 2
+    private var standsBack = false
+
+    var state = ReachState.REACHING
+        private set
+
+    /** The one place where the state changes. */
+    private fun become(next: ReachState) {
+        if (next == state) return
+        if (next == ReachState.CUT_OFF) cutOffSince = nowMs()
+        if (next == ReachState.REACHING) {
+            failedRounds = 0
+            if (standsBack) stoodBackUntil = nowMs()
+            standsBack = false
+        }
+        if (next == ReachState.CUT_OFF || state == ReachState.CUT_OFF) log.info("workers: {} -> {}", state, next)
+        state = next
+    }
+
+    val isCutOff get() = state == ReachState.CUT_OFF
+
+    /**
+     * Whether the node is to leave its ledgers to others. Cuts of a few seconds move nothing, and after its return it keeps its work
+     * for some leases whatever happens.
+     */
+    fun mayStandBack(): Boolean {
+        val now = nowMs()
+        if (!isCutOff) return false
+        if (now - cutOffSince > settings.leaseMs / 4 && now - stoodBackUntil > settings.leaseMs * LEASES_BETWEEN) standsBack = true
+        return standsBack
+    }
+
+    /** Looks at the clock, and asks workers where in doubt. */
+    fun review() {
+        val now = nowMs()
+        if (now - machines.lastReachedAt < quietMs) {
+            become(ReachState.REACHING)
+            return
+        }
+        val heardByOthers = machines.byName.values.filter { isHeardByOthers(it, now) }
+        if (heardByOthers.isEmpty()) {
+            become(ReachState.REACHING)
+            return
+        }
+        if (state == ReachState.REACHING) become(ReachState.DOUBTFUL)
+        ask(heardByOthers)
+    }
+
+    private fun isHeardByOthers(m: Machine, now: Long) =
+        !m.deleted && m.session > 0 && m.addr.isNotEmpty() && now - m.heardAt < quietMs
+
+    private fun ask(machinesToAsk: List<Machine>) {
+        if (isAsking) return
+        isAsking = true
+        val chosen = machinesToAsk.sortedBy { it.probedAt }.take(MACHINES_A_ROUND)
+        scope.launch {
+            try {
+                val isAnswered = coroutineScope { chosen.map { async { answers(it) } }.awaitAll().any { it } }
+                if (isAnswered) failedRounds = 0 else failedRounds++
+                if (failedRounds >= ROUNDS_TO_CUT_OFF && nowMs() - machines.lastReachedAt >= quietMs) become(ReachState.CUT_OFF)
+            } finally { isAsking = false }
+        }
+    }
+
+    private suspend fun answers(m: Machine): Boolean {
+        m.probedAt = nowMs()
+        val out = http.call(m.addr, "GET", "/show", null, askMs)
+        if (out !is Outcome.Answer || out.status != 200) return false
+        try {
+            machines.absorb(Report.parse(parseObject(out.body)), false)
+        } catch (e: WireError) {
+            log.info("machine {} answers what is no report: {}", m.name, e.message)
+        }
+        return true
+    }
+
+    private companion object {
+        const val MACHINES_A_ROUND = 3
+        const val ROUNDS_TO_CUT_OFF = 2
+        const val LEASES_BETWEEN = 6
+    }
+}
--- a/src/test/kotlin/micatally/sim/OperationsTest.kt
+++ b/src/test/kotlin/micatally/sim/OperationsTest.kt
@@ -99,7 +99,7 @@
             allRun(refs)
             f.runFor(f.lease)
             val starts = f.rules.starts
-            val cut = cut(mode) { a, b -> a.name.startsWith("m-") && b.name == "n0" }
+            val cut = cutFromWorkers(mode)
             f.runFor(f.lease * 4)
             heal(cut)
             f.runFor(f.lease * 5)
@@ -111,6 +111,38 @@
         }
     }
 
+    /** Guard: a controller that can talk to no worker says that it is not healthy, accepts nothing, and leaves its ledger to one that
+     * can ([micatally.worker.WorkerReach], [micatally.ledger.Membership.standsBack]). */
+    @Test
+    fun `the jobs of a controller that is cut from the workers go on at another one, and short cuts move nothing`() {
+        for (mode in CutMode.entries) each {
+            val before = (0..2).map { submit(it, "daemon", 2, "loaners" to false) }
+            allRun(before)
+            val epoch = f.live[1]!!.membership.cluster.epoch
+            repeat(2) {
+                val short = cutFromWorkers(mode)
+                f.runFor(f.lease / 4)
+                heal(short)
+                f.runFor(f.lease / 4)
+            }
+            assertEquals(epoch, f.live[1]!!.membership.cluster.epoch, "short cuts move nothing")
+            val cut = cutFromWorkers(mode)
+            f.runFor(100)
+            val waiting = submit(0, "sweep", 2, "loaners" to false, runMs = 1000)
+            runUntil(f.lease, "it says that it is not healthy") { f.asked(0, "GET", "/healthz").first == 503 }
+            assertEquals(503, f.asked(0, "POST", "/work", spec("sweep", 1).source.toString().encodeToByteArray()).first)
+            runUntil(f.lease * 2, "the job is done at another controller") { f.rules.completed[waiting]?.size == 2 }
+            cancel(before[0], listOf(1, 2))
+            runUntil(f.lease * 2, "its jobs can be cancelled") { f.rules.isCancelled(before[0]) }
+            f.runFor(f.lease * 4)
+            heal(cut)
+            runUntil(f.lease * 2, "it has its ledger again") { holdsOf(0, 0) && f.asked(0, "GET", "/healthz").first == 200 }
+            afterwards(before)
+        }
+    }
+
+    private fun Meeting.cutFromWorkers(mode: CutMode) = cut(mode) { a, b -> a.name.startsWith("m-") && b.name == "n0" }
+
     private fun Meeting.leader() = (0 until f.nodes).firstOrNull { f.live[it]?.isFleetManager == true }
 
     private companion object {
