--- a/src/test/kotlin/micatally/sim/Rules.kt
+++ b/src/test/kotlin/micatally/sim/Rules.kt
@@ -97,7 +97,7 @@
                 it.ref == t.ref && it.taskIndex == t.taskIndex
             }.let { if (it.isNotEmpty()) throw Broken("ran_twice", "$t while on ${it.first().machine}") }
         val spec = specs[t.ref] ?: throw Broken("invented", "$t of a job that nobody submitted")
-        if (spec.types != null && t.type !in spec.types!! || spec.zone != null && spec.zone != t.zone ||
+        if (spec.types != null && t.type !in spec.types || spec.zone != null && spec.zone != t.zone ||
             t.spot && !spec.spot
         ) {
             throw Broken("wrong_place", "$t")
