A worker in a zone that has just been cut off is not refused by its own controller

Cause: a controller refuses reports when it has had no contact with the state service for three tenths of a lease while a peer says that it has. When a zone is cut off both end at the same moment, and for up to a second the peer's last word made it refuse its own workers, which then found nobody within their lease. Change: the peer's word has to be newer than the time from which this node has been without contact for too long. Safety: the refusal is besides the right, which counts from contact as before. Also: the test of faulty machines now asks that the machine is found (stayed green without its guard; red now).

--- a/src/main/kotlin/micatally/api/WorkerApi.kt
+++ b/src/main/kotlin/micatally/api/WorkerApi.kt
@@ -53,7 +53,7 @@
         }
         if (membership.checkAuthority() != Authority.ENTITLED) return refuse()
         // Others reach the state service and this node does not: they know of cancellations that it can't hear of.
-        if (membership.viewAgeMs > settings.leaseMs * 3 / 10 && peers.somePeerHasState()) return refuse()
+        if (isAloneWithoutState()) return refuse()
         if (known.deleted) return refuse()
         redirects
             .targetFor(
@@ -64,6 +64,16 @@
         return HttpResponse(200, reportAnswer(membership.cluster.epoch, killsFor(report)).bytes())
     }
 
+    /**
+     * A peer's word counts only if it is newer than the time from which this node has been without contact for too long. When a
+     * zone is cut off both end at the same moment: a worker refused then finds no other controller within its lease.
+     */
+    private fun isAloneWithoutState(): Boolean {
+        val longestMs = settings.leaseMs * 3 / 10
+        val overdueMs = membership.viewAgeMs - longestMs
+        return overdueMs > 0 && peers.somePeerHasStateSince(nowMs() - overdueMs)
+    }
+
     private fun differs(
         before: List<micatally.wire.ListedTask>,
         r: Report,
--- a/src/main/kotlin/micatally/peer/Peers.kt
+++ b/src/main/kotlin/micatally/peer/Peers.kt
@@ -102,6 +102,9 @@
     var onNews: () -> Unit = {}
     private var pendingRetire = LinkedHashSet<String>()
 
+    /** A peer has said at this time or later that it reaches the state service. */
+    fun somePeerHasStateSince(sinceMs: Long): Boolean = lines.any { it.contactAt >= sinceMs }
+
     /** A peer has said just now that it reaches the state service. */
     fun somePeerHasState(): Boolean = lines.any { nowMs() - it.contactAt < settings.leaseMs / 5 }
 
--- a/src/test/kotlin/micatally/sim/OperationsTest.kt
+++ b/src/test/kotlin/micatally/sim/OperationsTest.kt
@@ -86,6 +86,7 @@
                     }.maxBy { it.onMachine.size }
             faulty.sick = true
             val more = (1..6).map { submit(it % 3, "sweep", 6, "loaners" to false, runMs = 3000) }
+            runUntil(f.lease * 6, "the faulty machine is left alone") { faulty.name in excludedMachines() }
             f.runFor(f.lease * 12)
             assertTrue(more.all { f.rules.completed[it]?.size == 6 }, "all others are done beside it")
         }
