--- a/src/main/kotlin/micatally/fleet/Booking.kt
+++ b/src/main/kotlin/micatally/fleet/Booking.kt
@@ -12,7 +12,7 @@
 import micatally.wire.text
 
 /**
- * A request for machines as it is kept in the state service, from before the cloud hears of it until the cloud lists what it gave.
+ * A request for machines as it is kept in the state service, from before the cloud hears of it until what it gave is up.
  *
  * @property name never used again, since the cloud answers a repeated request as before
  * @property machines what the cloud gave, once it has answered; versions that don't know the field ask the cloud again
--- a/src/main/kotlin/micatally/fleet/BootTimes.kt
+++ b/src/main/kotlin/micatally/fleet/BootTimes.kt
@@ -11,19 +11,22 @@
 class BootTimes(private val nominalMs: (String) -> Long) {
     private data class Place(val type: String, val zone: String)
 
-    private val seen = HashMap<Place, ArrayDeque<Long>>()
+    private class Boot(val tookMs: Long, val atMs: Long)
+
+    private val seen = HashMap<Place, ArrayDeque<Boot>>()
     private var ages: Map<Place, List<Long>> = emptyMap()
 
     /** A machine came up. */
-    fun cameUp(offer: Offer, afterMs: Long) {
+    fun cameUp(offer: Offer, tookMs: Long, nowMs: Long) {
         val recent = seen.getOrPut(place(offer)) { ArrayDeque() }
-        recent.addLast(afterMs)
+        recent.addLast(Boot(tookMs, nowMs))
         if (recent.size > REMEMBERED) recent.removeFirst()
     }
 
-    /** Machines that are still out, by offer and age. */
-    fun waitingFor(machines: List<Pair<Offer, Long>>) {
-        ages = machines.groupBy({ place(it.first) }, { it.second })
+    /** Takes note of the machines that are still out, by offer and age, and forgets what is long past. */
+    fun observe(waitingFor: List<Pair<Offer, Long>>, nowMs: Long) {
+        ages = waitingFor.groupBy({ place(it.first) }, { it.second })
+        for ((place, boots) in seen) boots.removeIf { nowMs - it.atMs > nominalMs(place.type) * REMEMBERED_NOMINAL }
     }
 
     /** Up to which age a machine that is not up counts as coming. */
@@ -50,17 +53,18 @@
     private fun typicalMs(offer: Offer): Long {
         val nominal = nominalMs(offer.type)
         val late = ages[place(offer)]?.filter { it > nominal * LEAST_NOMINAL } ?: emptyList()
-        val all = (seen[place(offer)] ?: emptyList<Long>()) + late
+        val all = (seen[place(offer)]?.map { it.tookMs } ?: emptyList()) + late
         return if (all.isEmpty()) nominal else all.sorted()[all.size / 2]
     }
 
-    private fun longestSeenMs(offer: Offer) = seen[place(offer)]?.maxOrNull() ?: 0L
+    private fun longestSeenMs(offer: Offer) = seen[place(offer)]?.maxOfOrNull { it.tookMs } ?: 0L
 
     private fun place(offer: Offer) = Place(offer.type, offer.zone)
 
     private companion object {
-        /** Boots remembered for each type and zone. */
+        /** Boots remembered for each type and zone, and for how many nominal boots: a spell of slow ones passes. */
         const val REMEMBERED = 8
+        const val REMEMBERED_NOMINAL = 10L
 
         /** The protocol: usually up to 1.5 times the nominal time. */
         const val LEAST_NOMINAL = 2L
--- /dev/null
+++ b/src/main/kotlin/micatally/fleet/Drains.kt
@@ -0,0 +1,187 @@
+package micatally.fleet
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import micatally.ledger.Cluster
+import micatally.ledger.Keys
+import micatally.settings.Operator
+import micatally.settings.Settings
+import micatally.state.Change
+import micatally.state.Condition
+import micatally.state.Delete
+import micatally.state.Put
+import micatally.state.StateClient
+import micatally.state.Txn
+import micatally.state.Urgency
+import micatally.wire.Demand
+import micatally.worker.Machine
+import micatally.worker.Machines
+import org.slf4j.LoggerFactory
+
+/** EMPTYING: no new tasks, the owners move what they can. EMPTY: nothing on it; deleted once all know of the drain. */
+private enum class DrainState { EMPTYING, EMPTY }
+
+/** Takes machines out of service that stand idle, or whose tasks others have room for. */
+class Drains(
+    private val scope: CoroutineScope,
+    private val settings: Settings,
+    private val state: StateClient,
+    private val cluster: Cluster,
+    private val machines: Machines,
+    private val rentals: Rentals,
+    private val deletions: Deletions,
+    private val recentServices: () -> List<Demand>,
+    private val operator: Operator,
+    private val nowMs: () -> Long,
+) {
+    private val log = LoggerFactory.getLogger("micatally.fleet")
+
+    private class Drain(val since: Long, state: DrainState) {
+        var state = state
+            private set
+        var stateSince = since
+            private set
+
+        /** The one place where a drain changes its state. */
+        fun become(next: DrainState, now: Long) {
+            if (next == state) return
+            state = next
+            stateSince = now
+        }
+    }
+
+    private val drains = HashMap<String, Drain>()
+    private val keptUntil = HashMap<String, Long>()
+    private var since = 0L
+    private var lastEmptying = 0L
+    private var reconciledAt = 0L
+    private var keysOff: Set<String> = emptySet()
+
+    fun beginTerm() {
+        since = nowMs()
+        drains.clear()
+        for (item in cluster.under(Keys.DRAIN)) drains[item.key.removePrefix(Keys.DRAIN)] = Drain(since, DrainState.EMPTYING)
+    }
+
+    /** Looks at all machines, given what finds no room at present. */
+    fun review(demands: List<Demand>, now: Long) {
+        for (m in machines.byName.values) if (!m.deleted && m.session != 0L) review(m, demands, now)
+        drains.keys.removeIf { it in machines.deletedNames }
+        reconcile(now)
+        val isSettled = now - since > settings.leaseMs * 2
+        if (demands.isEmpty() && isSettled && now - lastEmptying > machines.bootMs(null) / EMPTYING_A_BOOT) {
+            lastEmptying = now
+            emptySome(now)
+        }
+    }
+
+    private fun review(m: Machine, demands: List<Demand>, now: Long) {
+        val drain = drains[m.name]
+        if (!isEmpty(m)) {
+            m.busyAt = now
+            if (drain == null || m.recalled) return
+            drain.become(DrainState.EMPTYING, now)
+            if (demands.any { isAllowedOn(it, m) }) {
+                keep(m, now, "there is demand for it")
+            } else if (now - drain.since > machines.bootMs(m.type) * EMPTYING_BOOTS) {
+                keep(m, now, "it does not empty")
+            }
+            return
+        }
+        if (drain != null) {
+            drain.become(DrainState.EMPTY, now)
+            val isKnown = now - drain.stateSince > settings.reportMs + settings.leaseMs / 10 && cluster.has(Keys.DRAIN + m.name)
+            if (isKnown) deletions.want(m.name)
+            return
+        }
+        val idleMs = if (m.recalled) 0L else (machines.bootMs(m.type) * operator.fleetIdleBoots).toLong()
+        if (now - maxOf(m.busyAt, since) > idleMs) drain(m, now, DrainState.EMPTY, "idle")
+    }
+
+    private fun isEmpty(m: Machine): Boolean {
+        val u = m.used
+        return m.tasks.all { it.ended } && m.attempts.isEmpty() && u.cores < EPSILON && u.cards < EPSILON && u.ram < EPSILON
+    }
+
+    private fun isAllowedOn(d: Demand, m: Machine): Boolean {
+        val isType = d.types.isEmpty() || m.type in d.types
+        val isZone = d.zones.isEmpty() || m.zone in d.zones
+        return isType && isZone && (!m.spot || d.spot)
+    }
+
+    private fun emptySome(now: Long) {
+        val up = machines.byName.values.filter { m ->
+            val isInService = !m.deleted && !m.recalled && m.session > 0 && m.name !in drains
+            isInService && now - m.heardAt < settings.leaseMs / 2
+        }
+        val leaving = drains.filterValues { it.state == DrainState.EMPTYING }.keys.mapNotNull { machines.of(it) }.filter { !it.deleted }
+        val most = maxOf(EMPTYING_AT_ONCE, (up.size * EMPTYING_SHARE).toInt()) - leaving.size
+        if (most <= 0) return
+        val plan = EmptyingPlan(up, leaving, machines.flavors, recentServices(), operator.fleetHeadroom)
+        for (choice in plan.choose(most) { mayEmpty(it, now) }) drain(choice.machine, now, DrainState.EMPTYING, choice.reason)
+    }
+
+    private fun mayEmpty(m: Machine, now: Long): Boolean {
+        val isPaidFor = now - (rentals.of(m.name)?.rentedAtMs ?: 0L) > MIN_CHARGE_MS
+        return isPaidFor && (keptUntil[m.name] ?: 0L) < now
+    }
+
+    private fun drainOf(name: String) = Put(Keys.DRAIN + name, buildJsonObject { put("by", settings.host) })
+
+    private fun drain(m: Machine, now: Long, to: DrainState, reason: String) {
+        drains[m.name] = Drain(now, to)
+        log.info("machine {} drained: {}", m.name, reason)
+        write { Txn(emptyList(), listOf(drainOf(m.name))) }
+    }
+
+    private fun keep(m: Machine, now: Long, reason: String) {
+        drains.remove(m.name)
+        keptUntil[m.name] = now + machines.bootMs(m.type) * KEPT_BOOTS
+        log.info("machine {} kept: {}", m.name, reason)
+        write { Txn(emptyList(), listOf(Delete(Keys.DRAIN + m.name))) }
+    }
+
+    private fun write(build: () -> Txn?) {
+        scope.launch { state.txn(1, Urgency.SUMMARY, build) }
+    }
+
+    /**
+     * A drain or its end may have got no answer, and may be carried out late or never: what the key says is brought to what was
+     * decided last. A machine that is drained by mistake gets no work though jobs wait for it.
+     */
+    private fun reconcile(now: Long) {
+        if (now - reconciledAt < settings.leaseMs / 4) return
+        reconciledAt = now
+        val listed = cluster.under(Keys.DRAIN)
+        val names = listed.mapTo(HashSet()) { it.key.removePrefix(Keys.DRAIN) }
+        val surplus = listed.filter { it.key.removePrefix(Keys.DRAIN) !in drains }
+        val missing = drains.keys.filter { it !in names }
+        // Only what was off at the last look too: the usual write is under way.
+        for (item in surplus) if (item.key in keysOff) write { conditional(item.key, item.mark, Delete(item.key)) }
+        for (name in missing) {
+            val key = Keys.DRAIN + name
+            if (key in keysOff) write { if (name in drains) conditional(key, 0, drainOf(name)) else null }
+        }
+        keysOff = surplus.mapTo(HashSet()) { it.key } + missing.map { Keys.DRAIN + it }
+    }
+
+    private fun conditional(key: String, mark: Long, change: Change) = Txn(listOf(Condition(key, mark)), listOf(change))
+
+    private companion object {
+        const val EPSILON = 1e-6
+
+        /** The protocol charges a machine for so long at least. */
+        const val MIN_CHARGE_MS = 60_000L
+
+        /** Machines being emptied at once: at least so many, or a share of those that are up; looked for so often in a boot. */
+        const val EMPTYING_AT_ONCE = 2
+        const val EMPTYING_SHARE = 0.25
+        const val EMPTYING_A_BOOT = 6
+
+        /** A machine that does not empty in so many boots is kept, and one that is kept is left alone for some. */
+        const val EMPTYING_BOOTS = 4
+        const val KEPT_BOOTS = 2
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/fleet/MachineTypes.kt
@@ -0,0 +1,73 @@
+package micatally.fleet
+
+import kotlinx.coroutines.delay
+import kotlinx.serialization.json.JsonObject
+import micatally.job.RecordPacking
+import micatally.ledger.Keys
+import micatally.settings.Settings
+import micatally.state.Put
+import micatally.state.ReadResult
+import micatally.state.StateClient
+import micatally.state.Txn
+import micatally.state.TxnResult
+import micatally.state.Urgency
+import micatally.wire.Flavor
+import micatally.wire.WireError
+import micatally.worker.Machines
+import org.slf4j.LoggerFactory
+
+/** Keeps the machine types known here: from the cloud, or from the state service while the cloud can't be asked. */
+class MachineTypes(
+    private val settings: Settings,
+    private val state: StateClient,
+    private val cloud: CloudClient,
+    private val machines: Machines,
+    private val isLeader: () -> Boolean,
+    private val onFirstKnown: () -> Unit,
+) {
+    private val log = LoggerFactory.getLogger("micatally.fleet")
+    private var stored: String? = null
+
+    suspend fun follow() {
+        while (true) {
+            if (machines.flavors.isEmpty()) readStored()
+            if (machines.flavors.isEmpty() || isLeader()) askCloud()
+            delay(if (machines.flavors.isEmpty()) settings.leaseMs / UNKNOWN_SHARE else settings.leaseMs * KNOWN_LEASES)
+        }
+    }
+
+    private suspend fun readStored() {
+        val kept = state.get(Keys.FLAVORS, Urgency.ACCEPTANCE)
+        if (kept !is ReadResult.Found) return
+        stored = kept.item.value.toString()
+        take(kept.item.value)
+    }
+
+    /** What the cloud says is stored for nodes that start while it can't be asked. */
+    private suspend fun askCloud() {
+        val fresh = cloud.flavors() ?: return
+        take(fresh)
+        val text = fresh.toString()
+        if (text == stored || RecordPacking.size(fresh) > settings.valueBytes) return
+        val written = state.txn(1, Urgency.SUMMARY) { Txn(emptyList(), listOf(Put(Keys.FLAVORS, fresh))) }
+        if (written is TxnResult.Applied) stored = text
+    }
+
+    private fun take(answer: JsonObject) {
+        val types = try {
+            Flavor.parseAll(answer)
+        } catch (e: WireError) {
+            log.error("machine types: {}", e.message)
+            return
+        }
+        val isFirst = machines.flavors.isEmpty()
+        machines.flavors = types.associateBy { it.label }
+        if (isFirst) onFirstKnown()
+    }
+
+    private companion object {
+        /** How often to ask: so many times a lease while nothing is known, and once in so many leases afterwards. */
+        const val UNKNOWN_SHARE = 20
+        const val KNOWN_LEASES = 3
+    }
+}
--- a/src/main/kotlin/micatally/fleet/Rentals.kt
+++ b/src/main/kotlin/micatally/fleet/Rentals.kt
@@ -49,13 +49,13 @@
      */
     fun reports(name: String, offer: Offer, firstHeardMs: Long) {
         val rental = byName.getOrPut(name) { Rental(name, offer, firstHeardMs) }
-        if (!rental.isUp && firstHeardMs > rental.rentedAtMs) bootTimes.cameUp(offer, rental.ageMs(firstHeardMs))
+        if (!rental.isUp && firstHeardMs > rental.rentedAtMs) bootTimes.cameUp(offer, rental.ageMs(firstHeardMs), firstHeardMs)
         rental.cameUp()
     }
 
     /** Tells the boot times which machines are out. */
     fun observe(nowMs: Long) {
-        bootTimes.waitingFor(byName.values.filter { !it.isUp }.map { it.offer to it.ageMs(nowMs) })
+        bootTimes.observe(byName.values.filter { !it.isUp }.map { it.offer to it.ageMs(nowMs) }, nowMs)
     }
 
     /** Machines on their way that may be counted on. */
--- a/src/main/kotlin/micatally/node/Controller.kt
+++ b/src/main/kotlin/micatally/node/Controller.kt
@@ -10,6 +10,7 @@
 import micatally.api.UserApi
 import micatally.api.WorkerApi
 import micatally.fleet.CloudClient
+import micatally.fleet.FleetDemand
 import micatally.fleet.FleetManager
 import micatally.http.HttpCaller
 import micatally.http.HttpRequest
@@ -68,12 +69,20 @@
     val rounds: Rounds = Rounds(scope, settings, owner, machines, store, quota, orders, Queues(operator.queueBounds.map { it * settings.leaseMs / 1000.0 }, operator.queueLift), effort, nowMs)
     private val peers = Peers(scope, http, settings, state, membership, machines, owner, rounds, nowMs)
     private val reach = WorkerReach(scope, http, settings, machines, nowMs)
-    private val fleetManager = FleetManager(scope, http, settings, state, cloud, membership, machines, { rounds.unplaced.values.toList() + peers.demandOfPeers() }, { peers.recentServices() }, { peers.silentZones() }, operator, nowMs)
+    private val fleetManager = FleetManager(scope, http, settings, state, cloud, membership, machines, fleetDemand(), operator, nowMs)
     private val questionRps = settings.stateLimits.rps * share * QUESTION_SHARE
     private val reads = RecordReads(state, RateBudget(scope, questionRps, nowMs), maxOf(1, questionRps.toInt()), settings.leaseMs / 8)
     private val users = UserApi(settings, state, membership, owner, store, machines, peers, rounds, upgrade, reads, reach, nowMs)
     private val workers = WorkerApi(settings, membership, machines, peers, owner.withdrawals.stopList, nowMs)
 
+    private fun fleetDemand() = object : FleetDemand {
+        override fun unplaced() = rounds.unplaced.values.toList() + peers.demandOfPeers()
+
+        override fun recentServices() = peers.recentServices()
+
+        override fun silentZones() = peers.silentZones()
+    }
+
     /** Whether this node rents and returns machines for all. */
     val isFleetManager get() = fleetManager.isLeader
 
--- a/src/main/kotlin/micatally/peer/Peers.kt
+++ b/src/main/kotlin/micatally/peer/Peers.kt
@@ -99,9 +99,15 @@
         return there.minWithOrNull(compareBy({ steps[it] ?: 0 }, { it }))
     }
 
-    private val steps: Map<String, Int> = (settings.peers.map { it.host to it.zone } + (settings.host to settings.zone)).sortedBy { it.first }.let { all ->
-        all.withIndex().associate { (i, h) -> h.first to (1..all.size).first { all[(i + it) % all.size].second == h.second } }
+    private val steps: Map<String, Int> = stepsToNextOfZone()
+
+    private fun stepsToNextOfZone(): Map<String, Int> {
+        val hosts = (settings.peers.map { it.host to it.zone } + (settings.host to settings.zone)).sortedBy { it.first }
+        return hosts.withIndex().associate { (i, h) ->
+            h.first to (1..hosts.size).first { hosts[(i + it) % hosts.size].second == h.second }
+        }
     }
+
     /** False when the last words to a peer got no answer. */
     fun reaches(host: String) = lines.any { it.peer.host == host && it.failures == 0 }
 
@@ -121,7 +127,8 @@
     /** Services that came to any controller lately. */
     fun recentServices(): List<Demand> = myRecent + theirs.values.flatMap { it.recent }
 
-    fun demandOfPeers(): List<Demand> = theirs.values.flatMap { it.demand }
+    /** What waits at a node whose ledgers another one has taken waits there now: counted twice it would be rented for twice. */
+    fun demandOfPeers(): List<Demand> = theirs.filterKeys { it !in orphanedAt }.values.flatMap { it.demand }
 
     /** A report here showed something new: the owners of its tasks are to hear of it. */
     fun tell(m: Machine) { for (l in lines) l.untold.add(m.name) }
@@ -136,7 +143,7 @@
                 forgetOrphans()
                 // Before its ledgers are loaded a node does not know what it holds, and an empty summary reads as free room.
                 if (owner.settled) refreshSummary()
-                for (l in lines) if (!l.talking && nowMs() >= l.nextAt && (l.untold.isNotEmpty() || l.toldSummary != number || nowMs() - l.toldHeardAt > heardEveryMs || pendingRetire.isNotEmpty())) {
+                for (l in lines) if (!l.talking && nowMs() >= l.nextAt && hasNewsFor(l)) {
                     l.talking = true
                     scope.launch { try { talk(l) } finally { l.talking = false } }
                 }
@@ -145,6 +152,11 @@
         scope.launch { publishLoop() }
     }
 
+    private fun hasNewsFor(l: Line): Boolean {
+        val isHeardListDue = nowMs() - l.toldHeardAt > heardEveryMs
+        return l.untold.isNotEmpty() || l.toldSummary != number || isHeardListDue || pendingRetire.isNotEmpty()
+    }
+
     /** Finds what has changed since the last look. */
     private fun refreshSummary() {
         val next = number + 1
