--- a/src/main/kotlin/micatally/api/RecordReads.kt
+++ b/src/main/kotlin/micatally/api/RecordReads.kt
@@ -16,7 +16,12 @@
  * Questions for one job share a read as long as it has not left. One that has left may see a state from before what its user was
  * told by another node meanwhile, so nobody joins it.
  */
-class RecordReads(private val state: StateClient, private val budget: RateBudget, private val mostWaiting: Int, private val timeoutMs: Long) {
+class RecordReads(
+    private val state: StateClient,
+    private val budget: RateBudget,
+    private val mostWaiting: Int,
+    private val timeoutMs: Long,
+) {
     private val notSent = HashMap<String, CompletableDeferred<ReadResult>>()
 
     suspend fun read(ref: String): ReadResult {
@@ -25,10 +30,11 @@
         val answer = CompletableDeferred<ReadResult>()
         notSent[ref] = answer
         try {
-            val read = withTimeoutOrNull(timeoutMs) {
-                budget.take(1, Urgency.ACCEPTANCE)
-                state.get(Keys.job(ref), Urgency.ACCEPTANCE) { notSent.remove(ref, answer) }
-            } ?: ReadResult.Unavailable
+            val read =
+                withTimeoutOrNull(timeoutMs) {
+                    budget.take(1, Urgency.ACCEPTANCE)
+                    state.get(Keys.job(ref), Urgency.ACCEPTANCE) { notSent.remove(ref, answer) }
+                } ?: ReadResult.Unavailable
             answer.complete(read)
             return read
         } finally {
--- a/src/main/kotlin/micatally/api/UserApi.kt
+++ b/src/main/kotlin/micatally/api/UserApi.kt
@@ -11,9 +11,9 @@
 import micatally.job.JobState
 import micatally.job.JobStore
 import micatally.job.Owner
+import micatally.ledger.Authority
 import micatally.ledger.Keys
 import micatally.ledger.Membership
-import micatally.ledger.Authority
 import micatally.peer.Peers
 import micatally.placement.Placement
 import micatally.placement.Rounds
@@ -35,25 +35,43 @@
 
 /** What users ask. Nothing is held back: what can't be decided now is answered 503 with the time to come back. */
 class UserApi(
-    private val settings: Settings, private val state: StateClient, private val membership: Membership, private val owner: Owner,
-    private val store: JobStore, private val machines: Machines, private val peers: Peers, private val rounds: Rounds,
-    private val upgrade: Upgrade, private val reads: RecordReads, private val reach: WorkerReach, private val nowMs: () -> Long,
+    private val settings: Settings,
+    private val state: StateClient,
+    private val membership: Membership,
+    private val owner: Owner,
+    private val store: JobStore,
+    private val machines: Machines,
+    private val peers: Peers,
+    private val rounds: Rounds,
+    private val upgrade: Upgrade,
+    private val reads: RecordReads,
+    private val reach: WorkerReach,
+    private val nowMs: () -> Long,
 ) {
     /** Which ledger a job belongs to never changes. */
     private val ledgerOf = CacheBuilder.newBuilder().maximumSize(20_000).build<String, String>()
+
     /** Users wait five seconds for a submission or a cancellation, and what can't be done is answered before that. */
     private val durableMs = minOf(settings.leaseMs * 3 / 10, 4000L)
+
     /** Users wait two seconds for a poll, and after a peer's silence there is the state service to be asked. */
     private val askMs = minOf(settings.leaseMs / 20, 1000L)
 
     private fun later(why: String) = errorResponse(503, why, 1)
+
     private fun ok(a: JobAnswer) = HttpResponse(200, a.json().bytes())
 
     fun health(): HttpResponse =
         when {
-            membership.checkAuthority() != Authority.ENTITLED || owner.own() == null || machines.flavors.isEmpty() -> later("starting")
+            membership.checkAuthority() != Authority.ENTITLED || owner.own() == null || machines.flavors.isEmpty() ->
+                later(
+                    "starting",
+                )
             // Others can take what this node has to turn away. In an outage for all every node stays: polls are still answered.
-            !stateReachable && (peers.somePeerHasState() || !peers.anyHeard()) -> later("no contact with the state service")
+            !stateReachable && (peers.somePeerHasState() || !peers.anyHeard()) ->
+                later(
+                    "no contact with the state service",
+                )
             reach.isCutOff && peers.somePeerHasState() -> later("no contact with the workers")
             else -> HttpResponse(200, "{}".encodeToByteArray())
         }
@@ -61,18 +79,46 @@
     private val stateReachable get() = membership.viewAgeMs < settings.leaseMs * 3 / 10
 
     suspend fun submit(request: HttpRequest): HttpResponse {
-        val o = try { parseObject(request.body) } catch (e: WireError) { return errorResponse(400, e.message ?: "") }
-        val ref = try { o.textOrNull("ref") } catch (e: WireError) { null }
+        val o =
+            try {
+                parseObject(request.body)
+            } catch (e: WireError) {
+                return errorResponse(400, e.message ?: "")
+            }
+        val ref =
+            try {
+                o.textOrNull("ref")
+            } catch (e: WireError) {
+                null
+            }
         if (ref == null || !JobSpec.validRef(ref)) return errorResponse(400, "ref must look like j-000412")
         local(ref)?.let { return ok(it) }
         // From here on a repeat of an accepted job must not be judged by what it says now.
-        val spec = try { JobSpec.parse(o) } catch (e: WireError) { return knownOr(ref) { errorResponse(400, e.message ?: "") } }
+        val spec =
+            try {
+                JobSpec.parse(o)
+            } catch (e: WireError) {
+                return knownOr(ref) {
+                    errorResponse(
+                        400,
+                        e.message ?: "",
+                    )
+                }
+            }
         if (machines.flavors.isEmpty()) return knownOr(ref) { later("the machine types are not known yet") }
         impossible(spec)?.let { why -> return knownOr(ref) { errorResponse(422, why) } }
         // The previous version would run a gang's tasks as if they were independent.
-        if (spec.isGang && !upgrade.isUniform) return knownOr(ref) { later("gangs are served once all controllers are upgraded") }
+        if (spec.isGang &&
+            !upgrade.isUniform
+        ) {
+            return knownOr(ref) { later("gangs are served once all controllers are upgraded") }
+        }
         val ledger = owner.own()
-        if (ledger == null || !stateReachable || !membership.leaseHolds()) return later("no contact with the state service")
+        if (ledger == null || !stateReachable ||
+            !membership.leaseHolds()
+        ) {
+            return later("no contact with the state service")
+        }
         if (reach.isCutOff && owner.job(ref) == null) return knownOr(ref) { later("no contact with the workers") }
         if (state.waitingWrites > settings.stateWriteRps) return later("too many submissions at once")
         owner.job(ref)?.let {
@@ -85,13 +131,22 @@
         return waitFor(job, 201)
     }
 
-    private suspend fun waitFor(job: Job, status: Int): HttpResponse {
+    private suspend fun waitFor(
+        job: Job,
+        status: Int,
+    ): HttpResponse {
         val durable = withTimeoutOrNull(durableMs) { store.durable(job) } ?: return later("not stored yet")
         if (!durable) return knownOr(job.ref) { later("not stored") }
         if (!owner.withdrawals.mayConfirm(job)) return later("a cancellation is under way")
         // Its end may have come and be on its way since.
         if (job.endUnderWay || !membership.leaseHolds()) return knownOr(job.ref) { later("not stored yet") }
-        return if (status == 201 && job.durableState == JobState.OPEN) HttpResponse(201, JobAnswer(job.ref, JobAnswer.PENDING, 0, 0).brief().bytes()) else ok(job.answer())
+        return if (status == 201 &&
+            job.durableState == JobState.OPEN
+        ) {
+            HttpResponse(201, JobAnswer(job.ref, JobAnswer.PENDING, 0, 0).brief().bytes())
+        } else {
+            ok(job.answer())
+        }
     }
 
     /** 422 exactly where the protocol says so. */
@@ -99,18 +154,28 @@
         val team = settings.teams[spec.team] ?: return "unknown team ${spec.team}"
         if (!Placement.possible(spec, machines.flavors.values)) return "a task fits no allowed machine type"
         val n = if (spec.format == Format.ARRAY) 1 else spec.taskCount
-        if (team.coresMax > 0 && spec.amount.cores * n > team.coresMax + 1e-6 || team.cardsMax > 0 && spec.amount.cards * n > team.cardsMax + 1e-6) {
+        if (team.coresMax > 0 && spec.amount.cores * n > team.coresMax + 1e-6 ||
+            team.cardsMax > 0 && spec.amount.cards * n > team.cardsMax + 1e-6
+        ) {
             return "the job needs more than the limit of team ${spec.team}"
         }
-        if (spec.isGang && !Placement.fitsZones(spec, settings.zones.size)) return "the gang's tasks may not all be in the allowed zones at once"
+        if (spec.isGang &&
+            !Placement.fitsZones(spec, settings.zones.size)
+        ) {
+            return "the gang's tasks may not all be in the allowed zones at once"
+        }
         return null
     }
 
-    private suspend fun knownOr(ref: String, otherwise: () -> HttpResponse): HttpResponse = when (val r = look(ref)) {
-        is Look.Known -> ok(r.answer)
-        Look.Missing -> otherwise()
-        Look.Unclear -> later("the job can't be looked up now")
-    }
+    private suspend fun knownOr(
+        ref: String,
+        otherwise: () -> HttpResponse,
+    ): HttpResponse =
+        when (val r = look(ref)) {
+            is Look.Known -> ok(r.answer)
+            Look.Missing -> otherwise()
+            Look.Unclear -> later("the job can't be looked up now")
+        }
 
     suspend fun query(ref: String): HttpResponse {
         if (!JobSpec.validRef(ref)) return errorResponse(404, "no such job")
@@ -135,12 +200,21 @@
     }
 
     private sealed interface Look {
-        class Known(val answer: JobAnswer) : Look
+        class Known(
+            val answer: JobAnswer,
+        ) : Look
+
         data object Missing : Look
+
         data object Unclear : Look
     }
 
-    private suspend fun look(ref: String, read: suspend () -> ReadResult = { state.get(Keys.job(ref), Urgency.ACCEPTANCE) }): Look {
+    private suspend fun look(
+        ref: String,
+        read: suspend () -> ReadResult = {
+            state.get(Keys.job(ref), Urgency.ACCEPTANCE)
+        },
+    ): Look {
         val cached = ledgerOf.getIfPresent(ref)
         if (cached != null) askHolder(cached, Peers.QUERY, ref)?.let { return Look.Known(it) }
         if (!stateReachable) return Look.Unclear
@@ -156,17 +230,36 @@
         }
     }
 
-    private fun fromRecord(ref: String, o: JsonObject): JobAnswer {
+    private fun fromRecord(
+        ref: String,
+        o: JsonObject,
+    ): JobAnswer {
         val tasks = JobRecord.attemptCount(o)
-        val status = when (JobRecord.state(o)) {
-            JobState.DONE -> JobAnswer.DONE
-            JobState.WITHDRAWN -> JobAnswer.WITHDRAWN
-            else -> if (tasks > 0) JobAnswer.RUNNING else JobAnswer.PENDING
-        }
-        return JobAnswer(ref, status, JobRecord.doneCount(o), if (status == JobAnswer.RUNNING) tasks else 0).also { owner.rememberFinal(it) }
+        val status =
+            when (JobRecord.state(o)) {
+                JobState.DONE -> JobAnswer.DONE
+                JobState.WITHDRAWN -> JobAnswer.WITHDRAWN
+                else -> if (tasks > 0) JobAnswer.RUNNING else JobAnswer.PENDING
+            }
+        return JobAnswer(
+            ref,
+            status,
+            JobRecord.doneCount(o),
+            if (status ==
+                JobAnswer.RUNNING
+            ) {
+                tasks
+            } else {
+                0
+            },
+        ).also { owner.rememberFinal(it) }
     }
 
-    private suspend fun askHolder(ledger: String, what: String, ref: String): JobAnswer? {
+    private suspend fun askHolder(
+        ledger: String,
+        what: String,
+        ref: String,
+    ): JobAnswer? {
         val host = membership.cluster.holder(ledger)?.host ?: return null
         if (host == settings.host || !membership.cluster.isLive(host) || !peers.reaches(host)) return null
         val a = peers.ask(host, what, ref, askMs) ?: return null
@@ -179,10 +272,17 @@
         withdrawHere(ref)?.let { return brief(it) }
         if (owner.job(ref) != null) return later("the cancellation is not known everywhere yet")
         val cached = ledgerOf.getIfPresent(ref)
-        if (cached == null) when (val r = look(ref)) {
-            Look.Missing -> return errorResponse(404, "no such job")
-            Look.Unclear -> return later("the job can't be looked up now")
-            is Look.Known -> if (r.answer.status == JobAnswer.DONE || r.answer.status == JobAnswer.WITHDRAWN) return brief(r.answer)
+        if (cached == null) {
+            when (val r = look(ref)) {
+                Look.Missing -> return errorResponse(404, "no such job")
+                Look.Unclear -> return later("the job can't be looked up now")
+                is Look.Known ->
+                    if (r.answer.status == JobAnswer.DONE ||
+                        r.answer.status == JobAnswer.WITHDRAWN
+                    ) {
+                        return brief(r.answer)
+                    }
+            }
         }
         val ledger = ledgerOf.getIfPresent(ref) ?: return later("the job's owner is not known")
         withdrawHere(ref)?.let { return brief(it) }
@@ -207,7 +307,10 @@
 
     // The same for other controllers
 
-    fun peerQuery(ref: String): PeerAnswer = local(ref)?.let { PeerAnswer(true, it.status, it.done, it.running) } ?: PeerAnswer()
+    fun peerQuery(ref: String): PeerAnswer =
+        local(ref)?.let { PeerAnswer(true, it.status, it.done, it.running) } ?: PeerAnswer()
+
     suspend fun peerCancel(ref: String): PeerAnswer =
-        (owner.final(ref) ?: withdrawHere(ref))?.let { PeerAnswer(true, it.status, it.done, it.running) } ?: PeerAnswer()
+        (owner.final(ref) ?: withdrawHere(ref))?.let { PeerAnswer(true, it.status, it.done, it.running) }
+            ?: PeerAnswer()
 }
--- a/src/main/kotlin/micatally/api/WorkerApi.kt
+++ b/src/main/kotlin/micatally/api/WorkerApi.kt
@@ -5,8 +5,8 @@
 import micatally.http.HttpRequest
 import micatally.http.HttpResponse
 import micatally.http.errorResponse
-import micatally.ledger.Membership
 import micatally.ledger.Authority
+import micatally.ledger.Membership
 import micatally.peer.Peers
 import micatally.settings.Settings
 import micatally.wire.Command
@@ -17,18 +17,30 @@
 import micatally.wire.parseObject
 import micatally.wire.reportAnswer
 import micatally.worker.AttemptId
-import micatally.worker.WithdrawnTasks
 import micatally.worker.Machines
+import micatally.worker.WithdrawnTasks
 
 /** Workers' reports. A 200 keeps a worker's tasks alive, so it is given only while this node is entitled to. */
 class WorkerApi(
-    private val settings: Settings, private val membership: Membership, private val machines: Machines,
-    private val peers: Peers, private val kills: WithdrawnTasks, private val nowMs: () -> Long,
+    private val settings: Settings,
+    private val membership: Membership,
+    private val machines: Machines,
+    private val peers: Peers,
+    private val kills: WithdrawnTasks,
+    private val nowMs: () -> Long,
 ) {
     private val redirects = WorkerRedirects(settings, machines, nowMs) { peers.bestFor(it) }
 
     fun report(request: HttpRequest): HttpResponse {
-        val report = try { Report.parse(parseObject(request.body)) } catch (e: WireError) { return errorResponse(400, e.message ?: "") }
+        val report =
+            try {
+                Report.parse(parseObject(request.body))
+            } catch (e: WireError) {
+                return errorResponse(
+                    400,
+                    e.message ?: "",
+                )
+            }
         val m = machines.of(report.machine)
         val before = m?.tasks
         val news = machines.absorb(report, false)
@@ -43,22 +55,37 @@
         // Others reach the state service and this node does not: they know of cancellations that it can't hear of.
         if (membership.viewAgeMs > settings.leaseMs * 3 / 10 && peers.somePeerHasState()) return refuse()
         if (known.deleted) return refuse()
-        redirects.targetFor(known, report)?.let { return HttpResponse(421, buildJsonObject { put("marshal", it) }.bytes()) }
+        redirects
+            .targetFor(
+                known,
+                report,
+            )?.let { return HttpResponse(421, buildJsonObject { put("marshal", it) }.bytes()) }
         known.heardHereAt = nowMs()
         return HttpResponse(200, reportAnswer(membership.cluster.epoch, killsFor(report)).bytes())
     }
 
-    private fun differs(before: List<micatally.wire.ListedTask>, r: Report) =
-        before.size != r.tasks.size || r.noticeS != null || before.zip(r.tasks).any { (a, b) -> a.ref != b.ref || a.taskIndex != b.taskIndex || a.attempt != b.attempt || a.status != b.status }
+    private fun differs(
+        before: List<micatally.wire.ListedTask>,
+        r: Report,
+    ) = before.size != r.tasks.size || r.noticeS != null ||
+        before.zip(r.tasks).any { (a, b) ->
+            a.ref != b.ref || a.taskIndex != b.taskIndex || a.attempt != b.attempt ||
+                a.status != b.status
+        }
 
     /** Tasks of withdrawn jobs whose owner can't reach the machine. */
     private fun killsFor(r: Report): List<Command> =
-        r.tasks.filter { !it.ended && kills.has(r.machine, AttemptId(it.ref, it.taskIndex, it.attempt)) }.map { Command(Verb.KILL, it.ref, it.taskIndex, it.attempt, 0.0) }
+        r.tasks
+            .filter {
+                !it.ended && kills.has(r.machine, AttemptId(it.ref, it.taskIndex, it.attempt))
+            }.map { Command(Verb.KILL, it.ref, it.taskIndex, it.attempt, 0.0) }
 
     private fun refuse(): HttpResponse {
         val other = peers.entitledPeer()
         return HttpResponse(421, buildJsonObject { if (other != null) put("marshal", other) }.bytes())
     }
 
-    private companion object { val NOTHING_MORE = {} }
+    private companion object {
+        val NOTHING_MORE = {}
+    }
 }
--- a/src/main/kotlin/micatally/api/WorkerRedirects.kt
+++ b/src/main/kotlin/micatally/api/WorkerRedirects.kt
@@ -22,7 +22,10 @@
     private val triedAt = HashMap<String, Long>()
 
     /** The controller that the worker is to report to instead of this one; null: it stays here. */
-    fun targetFor(machine: Machine, report: Report): String? {
+    fun targetFor(
+        machine: Machine,
+        report: Report,
+    ): String? {
         val now = nowMs()
         // Once in a while only, so that two controllers that see the others differently don't toss it about.
         if (now - (redirectedAt[machine.name] ?: LONG_AGO) <= settings.leaseMs * PAUSE_LEASES) return null
@@ -34,13 +37,22 @@
         return target
     }
 
-    private fun isHeardAt(host: String, zone: String, now: Long) = machines.byName.values.any { m ->
+    private fun isHeardAt(
+        host: String,
+        zone: String,
+        now: Long,
+    ) = machines.byName.values.any { m ->
         m.zone == zone && !m.deleted && m.heardByAt(host)?.let { now - it < settings.leaseMs / 2 } ?: false
     }
 
     /** One worker at a time, and only one that would be back in time if it got no answer there. */
-    private fun mayTry(host: String, report: Report, now: Long): Boolean {
-        val isBackInTime = settings.reportMs * LONGEST_REPORT_GAP + REPORT_TIMEOUT_MS + NEXT_NODE_MS < settings.leaseMs * SAFE_SHARE
+    private fun mayTry(
+        host: String,
+        report: Report,
+        now: Long,
+    ): Boolean {
+        val isBackInTime =
+            settings.reportMs * LONGEST_REPORT_GAP + REPORT_TIMEOUT_MS + NEXT_NODE_MS < settings.leaseMs * SAFE_SHARE
         if (report.tasks.isNotEmpty() && !isBackInTime) return false
         if (now - (triedAt[host] ?: LONG_AGO) < settings.leaseMs) return false
         triedAt[host] = now
--- a/src/main/kotlin/micatally/cli/Main.kt
+++ b/src/main/kotlin/micatally/cli/Main.kt
@@ -37,17 +37,33 @@
 /** Runs one thing at a time, on whichever thread brings it: the one that waits for the kernel or the one that keeps the timers.
  * Handing each event to a thread of its own cost more system calls than the event itself. */
 @OptIn(InternalCoroutinesApi::class)
-private class Serial(private val timers: ScheduledThreadPoolExecutor) : CoroutineDispatcher(), Delay {
+private class Serial(
+    private val timers: ScheduledThreadPoolExecutor,
+) : CoroutineDispatcher(),
+    Delay {
     private val inTurn = MoreExecutors.newSequentialExecutor(MoreExecutors.directExecutor())
 
-    override fun dispatch(context: CoroutineContext, block: Runnable) = inTurn.execute(block)
+    override fun dispatch(
+        context: CoroutineContext,
+        block: Runnable,
+    ) = inTurn.execute(block)
 
-    override fun scheduleResumeAfterDelay(timeMillis: Long, continuation: CancellableContinuation<Unit>) {
-        val timer = timers.schedule({ inTurn.execute { with(continuation) { resumeUndispatched(Unit) } } }, timeMillis, TimeUnit.MILLISECONDS)
+    override fun scheduleResumeAfterDelay(
+        timeMillis: Long,
+        continuation: CancellableContinuation<Unit>,
+    ) {
+        val timer =
+            timers.schedule({
+                inTurn.execute { with(continuation) { resumeUndispatched(Unit) } }
+            }, timeMillis, TimeUnit.MILLISECONDS)
         continuation.invokeOnCancellation { timer.cancel(false) }
     }
 
-    override fun invokeOnTimeout(timeMillis: Long, block: Runnable, context: CoroutineContext): DisposableHandle {
+    override fun invokeOnTimeout(
+        timeMillis: Long,
+        block: Runnable,
+        context: CoroutineContext,
+    ): DisposableHandle {
         val timer = timers.schedule({ inTurn.execute(block) }, timeMillis, TimeUnit.MILLISECONDS)
         return DisposableHandle { timer.cancel(false) }
     }
@@ -56,45 +72,92 @@
 /** The event loop and its channel group: what one thread reads and another one times is decided in turn. */
 class Loop {
     private val timers = ScheduledThreadPoolExecutor(1) { Thread(it, "timers") }.apply { removeOnCancelPolicy = true }
-    val group: AsynchronousChannelGroup = AsynchronousChannelGroup.withFixedThreadPool(1) { Thread(it, "io").apply { isDaemon = true } }
+    val group: AsynchronousChannelGroup =
+        AsynchronousChannelGroup.withFixedThreadPool(1) {
+            Thread(it, "io").apply {
+                isDaemon =
+                    true
+            }
+        }
     private val log = LoggerFactory.getLogger("micatally.node")
-    val scope = CoroutineScope(
-        SupervisorJob() + Serial(timers) +
-            kotlinx.coroutines.CoroutineExceptionHandler { _, e -> log.error("a task of the event loop failed", e) },
-    )
+    val scope =
+        CoroutineScope(
+            SupervisorJob() + Serial(timers) +
+                kotlinx.coroutines.CoroutineExceptionHandler {
+                    _,
+                    e,
+                    ->
+                    log.error("a task of the event loop failed", e)
+                },
+        )
 
     fun nowMs() = System.nanoTime() / 1_000_000
 }
 
 /** Starts a controller on the loop; returns its two servers. */
-fun startController(loop: Loop, settings: Settings, operator: Operator = Operator.DEFAULT): Pair<Server, Server> {
+fun startController(
+    loop: Loop,
+    settings: Settings,
+    operator: Operator = Operator.DEFAULT,
+): Pair<Server, Server> {
     val client = Client(loop.group, settings.maxSockets * 42 / 100, loop::nowMs)
-    val controller = Controller(loop.scope, settings, client, Random(System.nanoTime()), loop::nowMs, System::currentTimeMillis, operator, System::nanoTime)
+    val controller =
+        Controller(
+            loop.scope,
+            settings,
+            client,
+            Random(System.nanoTime()),
+            loop::nowMs,
+            System::currentTimeMillis,
+            operator,
+            System::nanoTime,
+        )
     val front = Server(loop.scope, loop.group, settings.listen, settings.maxSockets / 2, 64 * 1024L, controller::handle)
-    val back = Server(loop.scope, loop.group, settings.back, settings.maxSockets / 20 + 4, 4L * 1024 * 1024, controller::handlePeer)
+    val back =
+        Server(
+            loop.scope,
+            loop.group,
+            settings.back,
+            settings.maxSockets / 20 + 4,
+            4L * 1024 * 1024,
+            controller::handlePeer,
+        )
     loop.scope.launch {
         controller.start()
         front.start()
         back.start()
-        while (true) { delay(settings.leaseMs); client.sweep() }
+        while (true) {
+            delay(settings.leaseMs)
+            client.sweep()
+        }
     }
     return front to back
 }
 
-private fun readSettings(file: String): Settings = try {
-    Settings.parse(Files.readAllBytes(Path.of(file)))
-} catch (e: java.io.IOException) {
-    throw SettingsError("settings file $file can't be read")
-}
+private fun readSettings(file: String): Settings =
+    try {
+        Settings.parse(Files.readAllBytes(Path.of(file)))
+    } catch (e: java.io.IOException) {
+        throw SettingsError("settings file $file can't be read")
+    }
 
 private fun readOperator(file: String?): Operator {
     if (file == null) return Operator.DEFAULT
     val p = java.util.Properties()
-    try { Files.newBufferedReader(Path.of(file)).use { p.load(it) } } catch (e: java.io.IOException) { throw SettingsError("properties file $file can't be read") }
+    try {
+        Files.newBufferedReader(Path.of(file)).use { p.load(it) }
+    } catch (
+        e: java.io.IOException,
+    ) {
+        throw SettingsError("properties file $file can't be read")
+    }
     return Operator.parse(p)
 }
 
-private fun serve(file: String, properties: String?): Int {
+private fun serve(
+    file: String,
+    properties: String?,
+): Int {
     val settings = readSettings(file)
     val operator = readOperator(properties)
     val loop = Loop()
@@ -106,22 +169,67 @@
 
 /** Options are described to picocli in code, not by annotations: reading those costs a start more than the parsing. */
 fun main(args: Array<String>) {
-    val level = System.getenv("LOG_LEVEL")?.lowercase()?.takeIf { it in setOf("error", "info", "debug", "warn", "trace") } ?: "info"
+    val level =
+        System.getenv("LOG_LEVEL")?.lowercase()?.takeIf { it in setOf("error", "info", "debug", "warn", "trace") }
+            ?: "info"
     System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level)
     System.setProperty("org.slf4j.simpleLogger.showThreadName", "false")
     System.setProperty("org.slf4j.simpleLogger.showLogName", "true")
     System.setProperty("java.net.preferIPv4Stack", "true")
     // A read that is tried at once finds nothing: requests come seconds apart, answers after a round trip.
     System.setProperty("sun.nio.ch.disableSynchronousRead", "true")
-    val spec = CommandSpec.create().name("micatally").version("micatally $VERSION").mixinStandardHelpOptions(true)
+    val spec =
+        CommandSpec
+            .create()
+            .name("micatally")
+            .version("micatally $VERSION")
+            .mixinStandardHelpOptions(true)
     spec.usageMessage().description("A scheduler for fleets that serve language models.")
-    spec.addOption(OptionSpec.builder("--config").paramLabel("FILE").type(String::class.java).description("the platform's settings file (JSON); starts a controller").build())
-    val properties = { OptionSpec.builder("--properties").paramLabel("FILE").type(String::class.java).description("operators' own settings (Java properties)").build() }
+    spec.addOption(
+        OptionSpec
+            .builder(
+                "--config",
+            ).paramLabel(
+                "FILE",
+            ).type(String::class.java)
+            .description("the platform's settings file (JSON); starts a controller")
+            .build(),
+    )
+    val properties = {
+        OptionSpec
+            .builder(
+                "--properties",
+            ).paramLabel("FILE")
+            .type(String::class.java)
+            .description("operators' own settings (Java properties)")
+            .build()
+    }
     spec.addOption(properties())
-    spec.addSubcommand("check-config", CommandSpec.create().addOption(
-        OptionSpec.builder("--config").paramLabel("FILE").type(String::class.java).required(true).description("the settings file to check").build(),
-    ).addOption(properties()).apply { usageMessage().description("Checks a settings file and says what is wrong with it.") })
-    spec.addSubcommand("rehearse", CommandSpec.create().apply { usageMessage().description("Runs a controller against stand-ins for a few seconds, for the build's class archive.") })
+    spec.addSubcommand(
+        "check-config",
+        CommandSpec
+            .create()
+            .addOption(
+                OptionSpec
+                    .builder(
+                        "--config",
+                    ).paramLabel("FILE")
+                    .type(String::class.java)
+                    .required(true)
+                    .description("the settings file to check")
+                    .build(),
+            ).addOption(
+                properties(),
+            ).apply { usageMessage().description("Checks a settings file and says what is wrong with it.") },
+    )
+    spec.addSubcommand(
+        "rehearse",
+        CommandSpec.create().apply {
+            usageMessage().description(
+                "Runs a controller against stand-ins for a few seconds, for the build's class archive.",
+            )
+        },
+    )
     val line = CommandLine(spec)
     line.setExecutionStrategy { parsed ->
         CommandLine.executeHelpRequest(parsed) ?: run {
@@ -134,9 +242,26 @@
                         println("ok")
                         0
                     }
-                    sub != null -> runBlocking { if (Rehearsal.run()) 0 else { System.err.println("micatally: the rehearsal failed"); 1 } }
-                    parsed.hasMatchedOption("--config") -> serve(parsed.matchedOptionValue("--config", ""), parsed.matchedOptionValue("--properties", null as String?))
-                    else -> { line.usage(System.err); 2 }
+                    sub != null ->
+                        runBlocking {
+                            if (Rehearsal.run()) {
+                                0
+                            } else {
+                                System.err.println("micatally: the rehearsal failed")
+                                1
+                            }
+                        }
+                    parsed.hasMatchedOption(
+                        "--config",
+                    ) ->
+                        serve(
+                            parsed.matchedOptionValue("--config", ""),
+                            parsed.matchedOptionValue("--properties", null as String?),
+                        )
+                    else -> {
+                        line.usage(System.err)
+                        2
+                    }
                 }
             } catch (e: SettingsError) {
                 System.err.println("micatally: ${e.message}")
@@ -146,5 +271,12 @@
     }
     // An Error is nobody's to catch inside, and the loop's threads would keep a process without a main thread alive: a build
     // hung for minutes on its rehearsal.
-    exitProcess(try { line.execute(*args) } catch (e: Throwable) { System.err.println("micatally: $e"); 1 })
+    exitProcess(
+        try {
+            line.execute(*args)
+        } catch (e: Throwable) {
+            System.err.println("micatally: $e")
+            1
+        },
+    )
 }
--- a/src/main/kotlin/micatally/fleet/Booking.kt
+++ b/src/main/kotlin/micatally/fleet/Booking.kt
@@ -17,16 +17,22 @@
  * @property name never used again, since the cloud answers a repeated request as before
  * @property machines what the cloud gave, once it has answered; versions that don't know the field ask the cloud again
  */
-data class Booking(val name: String, val offer: Offer, val count: Int, val machines: List<String> = emptyList()) {
+data class Booking(
+    val name: String,
+    val offer: Offer,
+    val count: Int,
+    val machines: List<String> = emptyList(),
+) {
     fun answered(names: List<String>) = copy(machines = names)
 
-    fun toJson(): JsonObject = buildJsonObject {
-        put(TYPE, offer.type)
-        put(ZONE, offer.zone)
-        put(SPOT, offer.spot)
-        put(COUNT, count)
-        if (machines.isNotEmpty()) put(MACHINES, JsonArray(machines.map { JsonPrimitive(it) }))
-    }
+    fun toJson(): JsonObject =
+        buildJsonObject {
+            put(TYPE, offer.type)
+            put(ZONE, offer.zone)
+            put(SPOT, offer.spot)
+            put(COUNT, count)
+            if (machines.isNotEmpty()) put(MACHINES, JsonArray(machines.map { JsonPrimitive(it) }))
+        }
 
     companion object {
         private const val TYPE = "rig"
@@ -35,7 +41,10 @@
         private const val COUNT = "count"
         private const val MACHINES = "cars"
 
-        fun parse(name: String, stored: JsonObject) = Booking(
+        fun parse(
+            name: String,
+            stored: JsonObject,
+        ) = Booking(
             name,
             Offer(stored.text(TYPE), stored.text(ZONE), stored.flag(SPOT)),
             stored.long(COUNT).toInt(),
--- a/src/main/kotlin/micatally/fleet/BootTimes.kt
+++ b/src/main/kotlin/micatally/fleet/BootTimes.kt
@@ -8,23 +8,38 @@
  * once: when most machines of a type and zone are late, all of them are waited for longer, or the same room would be ordered again
  * and again.
  */
-class BootTimes(private val nominalMs: (String) -> Long) {
-    private data class Place(val type: String, val zone: String)
+class BootTimes(
+    private val nominalMs: (String) -> Long,
+) {
+    private data class Place(
+        val type: String,
+        val zone: String,
+    )
 
-    private class Boot(val tookMs: Long, val atMs: Long)
+    private class Boot(
+        val tookMs: Long,
+        val atMs: Long,
+    )
 
     private val seen = HashMap<Place, ArrayDeque<Boot>>()
     private var ages: Map<Place, List<Long>> = emptyMap()
 
     /** A machine came up. */
-    fun cameUp(offer: Offer, tookMs: Long, nowMs: Long) {
+    fun cameUp(
+        offer: Offer,
+        tookMs: Long,
+        nowMs: Long,
+    ) {
         val recent = seen.getOrPut(place(offer)) { ArrayDeque() }
         recent.addLast(Boot(tookMs, nowMs))
         if (recent.size > REMEMBERED) recent.removeFirst()
     }
 
     /** Takes note of the machines that are still out, by offer and age, and forgets what is long past. */
-    fun observe(waitingFor: List<Pair<Offer, Long>>, nowMs: Long) {
+    fun observe(
+        waitingFor: List<Pair<Offer, Long>>,
+        nowMs: Long,
+    ) {
         ages = waitingFor.groupBy({ place(it.first) }, { it.second })
         for ((place, boots) in seen) boots.removeIf { nowMs - it.atMs > nominalMs(place.type) * REMEMBERED_NOMINAL }
     }
--- a/src/main/kotlin/micatally/fleet/CloudClient.kt
+++ b/src/main/kotlin/micatally/fleet/CloudClient.kt
@@ -18,17 +18,32 @@
 import micatally.wire.parseObject
 
 sealed interface RentResult {
-    class Rented(val names: List<String>) : RentResult
+    class Rented(
+        val names: List<String>,
+    ) : RentResult
+
     data object NoCapacity : RentResult
+
     /** Not carried out: an outage or a refused request. */
     data object Refused : RentResult
+
     /** Perhaps carried out; the same booking must be asked for again. */
     data object Unknown : RentResult
 }
 
 /** The cloud's protocol, within its limit of requests. */
-class CloudClient(private val http: HttpCaller, private val addr: String, private val budget: RateBudget, private val timeoutMs: Long) {
-    private suspend fun send(method: String, target: String, body: JsonObject?, urgency: Urgency): Outcome {
+class CloudClient(
+    private val http: HttpCaller,
+    private val addr: String,
+    private val budget: RateBudget,
+    private val timeoutMs: Long,
+) {
+    private suspend fun send(
+        method: String,
+        target: String,
+        body: JsonObject?,
+        urgency: Urgency,
+    ): Outcome {
         budget.take(1, urgency)
         val out = http.call(addr, method, target, body?.bytes(), timeoutMs)
         if (out is Outcome.Answer && out.status == 429) budget.drained()
@@ -40,23 +55,48 @@
         return if (out is Outcome.Answer && out.status == 200) parseObject(out.body) else null
     }
 
-    suspend fun rent(booking: String, type: String, zone: String, spot: Boolean, count: Int): RentResult {
-        val body = buildJsonObject { put("booking", booking); put("rig", type); put("circuit", zone); put("loaners", spot); put("count", count) }
+    suspend fun rent(
+        booking: String,
+        type: String,
+        zone: String,
+        spot: Boolean,
+        count: Int,
+    ): RentResult {
+        val body =
+            buildJsonObject {
+                put("booking", booking)
+                put("rig", type)
+                put("circuit", zone)
+                put("loaners", spot)
+                put("count", count)
+            }
         return when (val out = send("POST", "/machines", body, Urgency.ACCEPTANCE)) {
             is Outcome.NotSent -> RentResult.Refused
             is Outcome.Silence -> RentResult.Unknown
-            is Outcome.Answer -> when {
-                out.status == 200 -> RentResult.Rented((parseObject(out.body).listOrNull("cars") ?: emptyList()).map { it.asText() })
-                out.status == 503 && out.body.decodeToString().contains("no capacity") -> RentResult.NoCapacity
-                out.status == 503 || out.status == 429 || out.status == 400 -> RentResult.Refused
-                else -> RentResult.Unknown
-            }
+            is Outcome.Answer ->
+                when {
+                    out.status == 200 ->
+                        RentResult.Rented(
+                            (parseObject(out.body).listOrNull("cars") ?: emptyList()).map { it.asText() },
+                        )
+                    out.status == 503 && out.body.decodeToString().contains("no capacity") -> RentResult.NoCapacity
+                    out.status == 503 || out.status == 429 || out.status == 400 -> RentResult.Refused
+                    else -> RentResult.Unknown
+                }
         }
     }
 
     /** True when the machines and all on them are gone. */
     suspend fun delete(names: List<String>): Boolean {
-        val out = send("POST", "/machines/delete", buildJsonObject { put("cars", JsonArray(names.map { JsonPrimitive(it) })) }, Urgency.LEASE)
+        val out =
+            send(
+                "POST",
+                "/machines/delete",
+                buildJsonObject {
+                    put("cars", JsonArray(names.map { JsonPrimitive(it) }))
+                },
+                Urgency.LEASE,
+            )
         return out is Outcome.Answer && out.status == 200
     }
 
--- a/src/main/kotlin/micatally/fleet/Drains.kt
+++ b/src/main/kotlin/micatally/fleet/Drains.kt
@@ -38,14 +38,20 @@
 ) {
     private val log = LoggerFactory.getLogger("micatally.fleet")
 
-    private class Drain(val since: Long, state: DrainState) {
+    private class Drain(
+        val since: Long,
+        state: DrainState,
+    ) {
         var state = state
             private set
         var stateSince = since
             private set
 
         /** The one place where a drain changes its state. */
-        fun become(next: DrainState, now: Long) {
+        fun become(
+            next: DrainState,
+            now: Long,
+        ) {
             if (next == state) return
             state = next
             stateSince = now
@@ -62,11 +68,17 @@
     fun beginTerm() {
         since = nowMs()
         drains.clear()
-        for (item in cluster.under(Keys.DRAIN)) drains[item.key.removePrefix(Keys.DRAIN)] = Drain(since, DrainState.EMPTYING)
+        for (item in cluster.under(Keys.DRAIN)) {
+            drains[item.key.removePrefix(Keys.DRAIN)] =
+                Drain(since, DrainState.EMPTYING)
+        }
     }
 
     /** Looks at all machines, given what finds no room at present. */
-    fun review(demands: List<Demand>, now: Long) {
+    fun review(
+        demands: List<Demand>,
+        now: Long,
+    ) {
         for (m in machines.byName.values) if (!m.deleted && m.session != 0L) review(m, demands, now)
         drains.keys.removeIf { it in machines.deletedNames }
         reconcile(now)
@@ -77,7 +89,11 @@
         }
     }
 
-    private fun review(m: Machine, demands: List<Demand>, now: Long) {
+    private fun review(
+        m: Machine,
+        demands: List<Demand>,
+        now: Long,
+    ) {
         val drain = drains[m.name]
         if (!isEmpty(m)) {
             m.busyAt = now
@@ -92,7 +108,8 @@
         }
         if (drain != null) {
             drain.become(DrainState.EMPTY, now)
-            val isKnown = now - drain.stateSince > settings.reportMs + settings.leaseMs / 10 && cluster.has(Keys.DRAIN + m.name)
+            val isKnown =
+                now - drain.stateSince > settings.reportMs + settings.leaseMs / 10 && cluster.has(Keys.DRAIN + m.name)
             if (isKnown) deletions.want(m.name)
             return
         }
@@ -102,41 +119,68 @@
 
     private fun isEmpty(m: Machine): Boolean {
         val u = m.used
-        return m.tasks.all { it.ended } && m.attempts.isEmpty() && u.cores < EPSILON && u.cards < EPSILON && u.ram < EPSILON
+        return m.tasks.all { it.ended } && m.attempts.isEmpty() && u.cores < EPSILON && u.cards < EPSILON &&
+            u.ram < EPSILON
     }
 
-    private fun isAllowedOn(d: Demand, m: Machine): Boolean {
+    private fun isAllowedOn(
+        d: Demand,
+        m: Machine,
+    ): Boolean {
         val isType = d.types.isEmpty() || m.type in d.types
         val isZone = d.zones.isEmpty() || m.zone in d.zones
         return isType && isZone && (!m.spot || d.spot)
     }
 
     private fun emptySome(now: Long) {
-        val up = machines.byName.values.filter { m ->
-            val isInService = !m.deleted && !m.recalled && m.session > 0 && m.name !in drains
-            isInService && now - m.heardAt < settings.leaseMs / 2
-        }
-        val leaving = drains.filterValues { it.state == DrainState.EMPTYING }.keys.mapNotNull { machines.of(it) }.filter { !it.deleted }
+        val up =
+            machines.byName.values.filter { m ->
+                val isInService = !m.deleted && !m.recalled && m.session > 0 && m.name !in drains
+                isInService && now - m.heardAt < settings.leaseMs / 2
+            }
+        val leaving =
+            drains
+                .filterValues {
+                    it.state == DrainState.EMPTYING
+                }.keys
+                .mapNotNull { machines.of(it) }
+                .filter { !it.deleted }
         val most = maxOf(EMPTYING_AT_ONCE, (up.size * EMPTYING_SHARE).toInt()) - leaving.size
         if (most <= 0) return
         val plan = EmptyingPlan(up, leaving, machines.flavors, recentServices(), operator.fleetHeadroom)
-        for (choice in plan.choose(most) { mayEmpty(it, now) }) drain(choice.machine, now, DrainState.EMPTYING, choice.reason)
+        for (choice in plan.choose(
+            most,
+        ) { mayEmpty(it, now) }) {
+            drain(choice.machine, now, DrainState.EMPTYING, choice.reason)
+        }
     }
 
-    private fun mayEmpty(m: Machine, now: Long): Boolean {
+    private fun mayEmpty(
+        m: Machine,
+        now: Long,
+    ): Boolean {
         val isPaidFor = now - (rentals.of(m.name)?.rentedAtMs ?: 0L) > MIN_CHARGE_MS
         return isPaidFor && (keptUntil[m.name] ?: 0L) < now
     }
 
     private fun drainOf(name: String) = Put(Keys.DRAIN + name, buildJsonObject { put("by", settings.host) })
 
-    private fun drain(m: Machine, now: Long, to: DrainState, reason: String) {
+    private fun drain(
+        m: Machine,
+        now: Long,
+        to: DrainState,
+        reason: String,
+    ) {
         drains[m.name] = Drain(now, to)
         log.info("machine {} drained: {}", m.name, reason)
         write { Txn(emptyList(), listOf(drainOf(m.name))) }
     }
 
-    private fun keep(m: Machine, now: Long, reason: String) {
+    private fun keep(
+        m: Machine,
+        now: Long,
+        reason: String,
+    ) {
         drains.remove(m.name)
         keptUntil[m.name] = now + machines.bootMs(m.type) * KEPT_BOOTS
         log.info("machine {} kept: {}", m.name, reason)
@@ -167,7 +211,11 @@
         keysOff = surplus.mapTo(HashSet()) { it.key } + missing.map { Keys.DRAIN + it }
     }
 
-    private fun conditional(key: String, mark: Long, change: Change) = Txn(listOf(Condition(key, mark)), listOf(change))
+    private fun conditional(
+        key: String,
+        mark: Long,
+        change: Change,
+    ) = Txn(listOf(Condition(key, mark)), listOf(change))
 
     private companion object {
         const val EPSILON = 1e-6
--- a/src/main/kotlin/micatally/fleet/EmptyingPlan.kt
+++ b/src/main/kotlin/micatally/fleet/EmptyingPlan.kt
@@ -20,7 +20,10 @@
     private val recent: List<Demand>,
     private val headroom: Double,
 ) {
-    class Choice(val machine: Machine, val reason: String)
+    class Choice(
+        val machine: Machine,
+        val reason: String,
+    )
 
     private val chosen = LinkedHashSet<Machine>()
 
@@ -31,29 +34,45 @@
      *
      * @param mayEmpty whether a machine may be chosen at all
      */
-    fun choose(most: Int, mayEmpty: (Machine) -> Boolean): List<Choice> {
+    fun choose(
+        most: Int,
+        mayEmpty: (Machine) -> Boolean,
+    ): List<Choice> {
         val choices = ArrayList<Choice>()
         for (type in types.values.sortedByDescending { it.hourly }) {
-            val candidates = up.filter { it.type == type.label && mayEmpty(it) }
-                .sortedWith(compareBy({ it.used.cards }, { share(type, it.used) }, { it.name }))
+            val candidates =
+                up
+                    .filter { it.type == type.label && mayEmpty(it) }
+                    .sortedWith(compareBy({ it.used.cards }, { share(type, it.used) }, { it.name }))
             for (machine in candidates) {
                 if (choices.size >= most) return choices
                 val free = freeElsewhere(type, machine) ?: break
                 val used = share(type, machine.used)
-                choices.add(Choice(machine, "%.2f used, %.0f cores and %.0f cards free elsewhere".format(used, free.cores, free.cards)))
+                choices.add(
+                    Choice(
+                        machine,
+                        "%.2f used, %.0f cores and %.0f cards free elsewhere".format(used, free.cores, free.cards),
+                    ),
+                )
                 chosen.add(machine)
             }
         }
         return choices
     }
 
-    private fun share(type: Flavor, used: Amount): Double {
+    private fun share(
+        type: Flavor,
+        used: Amount,
+    ): Double {
         val cards = if (type.amount.cards > 0) used.cards / type.amount.cards else 0.0
         return maxOf(cards, used.cores / type.amount.cores)
     }
 
     /** What is free on machines that could take what is on this one; null if that is not enough, or this one is used too much. */
-    private fun freeElsewhere(type: Flavor, machine: Machine): Amount? {
+    private fun freeElsewhere(
+        type: Flavor,
+        machine: Machine,
+    ): Amount? {
         val moved = machine.used
         if (share(type, moved) > MOSTLY_USED) return null
         val hasNoCards = moved.cards <= 0.0 && type.amount.cards > 0
@@ -70,8 +89,15 @@
         return free.takeIf { it.cores >= moved.cores + spare.cores && it.cards >= moved.cards + spare.cards }
     }
 
-    private fun spare(type: Flavor, used: Amount): Amount {
-        val next = recent.filter { (it.types.isEmpty() || type.label in it.types) && (it.cards > 0) == (type.amount.cards > 0) }
+    private fun spare(
+        type: Flavor,
+        used: Amount,
+    ): Amount {
+        val next =
+            recent.filter {
+                (it.types.isEmpty() || type.label in it.types) &&
+                    (it.cards > 0) == (type.amount.cards > 0)
+            }
         val cores = maxOf(type.amount.cores, used.cores * headroom, next.sumOf { it.cores * it.count })
         val cards = maxOf(type.amount.cards, used.cards * headroom, next.sumOf { it.cards * it.count })
         return Amount(cores, cards, 0.0)
--- a/src/main/kotlin/micatally/fleet/FleetManager.kt
+++ b/src/main/kotlin/micatally/fleet/FleetManager.kt
@@ -58,11 +58,23 @@
     private val unknownStates = HashSet<String>()
 
     private val rentals = Rentals { machines.bootMs(it) }
-    private val deletions = Deletions(scope, settings, state, cloud, cluster, { isLeader && membership.leaseHolds() }, nowMs)
+    private val deletions =
+        Deletions(scope, settings, state, cloud, cluster, { isLeader && membership.leaseHolds() }, nowMs)
     private val renting = Renting(scope, settings, state, cloud, cluster, machines, rentals, { isLeader }, nowMs)
     private val silence = SilentMachines(scope, http, settings, machines, rentals, fleetDemand::silentZones, nowMs)
     private val drains =
-        Drains(scope, settings, state, cluster, machines, rentals, deletions, fleetDemand::recentServices, operator, nowMs)
+        Drains(
+            scope,
+            settings,
+            state,
+            cluster,
+            machines,
+            rentals,
+            deletions,
+            fleetDemand::recentServices,
+            operator,
+            nowMs,
+        )
     private val types = MachineTypes(settings, state, cloud, machines, { isLeader }, { onFlavors() })
 
     /** The machine types have become known. */
@@ -94,20 +106,26 @@
             if (lease == null || isLeader || cluster.revision < 0) continue
             // The answer that gave it the key was lost: nobody else can take it while this node lives.
             val isOwn = cluster.value(Keys.FLEET)?.textOrNull("process") == membership.process
-            if (isOwn) begin(cluster.mark(Keys.FLEET)) else if (!cluster.has(Keys.FLEET)) acquire(lease)
+            if (isOwn) {
+                begin(cluster.mark(Keys.FLEET))
+            } else if (!cluster.has(Keys.FLEET)) {
+                acquire(lease)
+            }
         }
     }
 
     private suspend fun acquire(lease: Long) {
         val live = Keys.live(settings.host)
-        val holder = buildJsonObject {
-            put("host", settings.host)
-            put("process", membership.process)
-        }
-        val result = state.txn(1, Urgency.SUMMARY) {
-            val conditions = listOf(Condition(Keys.FLEET, 0), Condition(live, cluster.mark(live)))
-            Txn(conditions, listOf(Put(Keys.FLEET, holder, lease)))
-        }
+        val holder =
+            buildJsonObject {
+                put("host", settings.host)
+                put("process", membership.process)
+            }
+        val result =
+            state.txn(1, Urgency.SUMMARY) {
+                val conditions = listOf(Condition(Keys.FLEET, 0), Condition(live, cluster.mark(live)))
+                Txn(conditions, listOf(Put(Keys.FLEET, holder, lease)))
+            }
         if (result !is TxnResult.Applied) {
             delay(settings.liveMs / TRIES_A_LIFE)
             return
@@ -138,7 +156,10 @@
         }
     }
 
-    private fun take(line: ListedMachine, now: Long) {
+    private fun take(
+        line: ListedMachine,
+        now: Long,
+    ) {
         if (cluster.has(Keys.GONE + line.name) || line.name in machines.deletedNames) return
         when (line.status) {
             ListedMachine.FAILED -> deletions.want(line.name)
@@ -147,9 +168,10 @@
                 rentals.listed(line, now)
                 machines.known(line.name, line.addr, line.type, line.zone, line.spot)
             }
-            else -> if (unknownStates.add(line.status)) {
-                log.warn("machine {} is listed in an unknown state: {}", line.name, line.status)
-            }
+            else ->
+                if (unknownStates.add(line.status)) {
+                    log.warn("machine {} is listed in an unknown state: {}", line.name, line.status)
+                }
         }
     }
 
--- a/src/main/kotlin/micatally/fleet/MachineTypes.kt
+++ b/src/main/kotlin/micatally/fleet/MachineTypes.kt
@@ -54,12 +54,13 @@
     }
 
     private fun take(answer: JsonObject) {
-        val types = try {
-            Flavor.parseAll(answer)
-        } catch (e: WireError) {
-            log.error("machine types: {}", e.message)
-            return
-        }
+        val types =
+            try {
+                Flavor.parseAll(answer)
+            } catch (e: WireError) {
+                log.error("machine types: {}", e.message)
+                return
+            }
         val isFirst = machines.flavors.isEmpty()
         machines.flavors = types.associateBy { it.label }
         if (isFirst) onFirstKnown()
--- a/src/main/kotlin/micatally/fleet/RentPlan.kt
+++ b/src/main/kotlin/micatally/fleet/RentPlan.kt
@@ -5,7 +5,11 @@
 import micatally.wire.Flavor
 
 /** A machine type in a zone, spot or ordinary: what the cloud is asked for. */
-data class Offer(val type: String, val zone: String, val spot: Boolean)
+data class Offer(
+    val type: String,
+    val zone: String,
+    val spot: Boolean,
+)
 
 /**
  * What is known of offers besides their prices.
@@ -13,32 +17,64 @@
  * @property isRefused the cloud turned the offer down lately
  * @property slowness how many times slower than nominal its machines come now
  */
-class Market(val isRefused: (Offer) -> Boolean, val slowness: (Offer) -> Double)
+class Market(
+    val isRefused: (Offer) -> Boolean,
+    val slowness: (Offer) -> Double,
+)
 
 /** What to rent for tasks that find no room. Decisions only. */
 object RentPlan {
-    class Room(val type: String, val zone: String, val spot: Boolean, var free: Amount)
+    class Room(
+        val type: String,
+        val zone: String,
+        val spot: Boolean,
+        var free: Amount,
+    )
 
-    private fun allowed(d: Demand, type: String, zone: String, spot: Boolean) =
-        (d.types.isEmpty() || type in d.types) && (d.zones.isEmpty() || zone in d.zones) && (!spot || d.spot)
+    private fun allowed(
+        d: Demand,
+        type: String,
+        zone: String,
+        spot: Boolean,
+    ) = (d.types.isEmpty() || type in d.types) && (d.zones.isEmpty() || zone in d.zones) && (!spot || d.spot)
 
     /** What tasks without cards may use of a room: not the cores that the cards in it will need. */
-    private fun open(task: Amount, free: Amount, machine: Amount) =
-        if (task.cards > 0 || machine.cards <= 0) free else Amount(free.cores - free.cards * machine.cores / machine.cards * CORES_KEPT, 0.0, free.ram)
+    private fun open(
+        task: Amount,
+        free: Amount,
+        machine: Amount,
+    ) = if (task.cards > 0 ||
+        machine.cards <= 0
+    ) {
+        free
+    } else {
+        Amount(free.cores - free.cards * machine.cores / machine.cards * CORES_KEPT, 0.0, free.ram)
+    }
 
     /** How many such tasks an empty machine takes. */
-    fun perMachine(task: Amount, machine: Amount): Int {
-        return task.countIn(open(task, machine, machine))
-    }
+    fun perMachine(
+        task: Amount,
+        machine: Amount,
+    ): Int = task.countIn(open(task, machine, machine))
 
     /** Tasks of one shape, of whichever job: together they may fill a machine that would be too large for one job's. */
-    private data class Shape(val task: Amount, val types: List<String>, val spot: Boolean)
+    private data class Shape(
+        val task: Amount,
+        val types: List<String>,
+        val spot: Boolean,
+    )
+
     private fun shape(d: Demand) = Shape(Amount(d.cores, d.cards, d.ram), d.types, d.spot)
 
     /** Fills the rooms that are coming first, then picks offers for the rest, by the cost of what each would carry.
      * [coming] is changed. */
     fun plan(
-        demands: List<Demand>, coming: MutableList<Room>, flavors: Collection<Flavor>, market: Market, owned: Map<String, Int>, most: Int,
+        demands: List<Demand>,
+        coming: MutableList<Room>,
+        flavors: Collection<Flavor>,
+        market: Market,
+        owned: Map<String, Int>,
+        most: Int,
     ): Map<Offer, Int> {
         val out = LinkedHashMap<Offer, Int>()
         val perZone = HashMap(owned)
@@ -50,7 +86,9 @@
             val task = Amount(d.cores, d.cards, d.ram)
             var left = d.count
             val zoneRoom = if (d.zoneRoom.isEmpty()) null else d.zones.zip(d.zoneRoom).toMap(HashMap())
+
             fun roomIn(zone: String) = zoneRoom == null || (zoneRoom[zone] ?: 0) > 0
+
             fun fill(r: Room) {
                 if (!allowed(d, r.type, r.zone, r.spot)) return
                 val machine = amounts[r.type] ?: return
@@ -60,19 +98,30 @@
                     zoneRoom?.merge(r.zone, -1, Int::plus)
                 }
             }
-            for (r in coming) { if (left == 0) break; fill(r) }
+            for (r in coming) {
+                if (left == 0) break
+                fill(r)
+            }
             while (left > 0 && out.values.sum() < most) {
                 var best: Offer? = null
                 var bestCost = Double.MAX_VALUE
                 for (f in flavors) {
                     val n = perMachine(task, f.amount)
                     if (n == 0) continue
-                    for (z in f.zones) for (spot in if (d.spot) listOf(true, false) else listOf(false)) {
-                        val o = Offer(f.label, z, spot)
-                        if (!allowed(d, f.label, z, spot) || market.isRefused(o) || !roomIn(z)) continue
-                        val many = maxOf(left, bulk[shape(d)] ?: 0)
-                        val cost = f.price(spot) * Math.ceil(many.toDouble() / n) / many * (1 + (perZone["${f.label}/$z"] ?: 0) * ZONE_BALANCE) * (1 + (market.slowness(o) - 1) * SLOWNESS_WEIGHT)
-                        if (cost < bestCost) { best = o; bestCost = cost }
+                    for (z in f.zones) {
+                        for (spot in if (d.spot) listOf(true, false) else listOf(false)) {
+                            val o = Offer(f.label, z, spot)
+                            if (!allowed(d, f.label, z, spot) || market.isRefused(o) || !roomIn(z)) continue
+                            val many = maxOf(left, bulk[shape(d)] ?: 0)
+                            val cost =
+                                f.price(spot) * Math.ceil(many.toDouble() / n) / many *
+                                    (1 + (perZone["${f.label}/$z"] ?: 0) * ZONE_BALANCE) *
+                                    (1 + (market.slowness(o) - 1) * SLOWNESS_WEIGHT)
+                            if (cost < bestCost) {
+                                best = o
+                                bestCost = cost
+                            }
+                        }
                     }
                 }
                 val o = best ?: break
@@ -90,6 +139,7 @@
 
     /** Ties between zones go to the one with fewer machines of the type. */
     private const val ZONE_BALANCE = 1e-3
+
     /** An offer that comes so many times slower than nominal costs so much more, for each of them beyond the first. */
     private const val SLOWNESS_WEIGHT = 0.25
 
--- a/src/main/kotlin/micatally/fleet/Rentals.kt
+++ b/src/main/kotlin/micatally/fleet/Rentals.kt
@@ -3,7 +3,11 @@
 import micatally.wire.ListedMachine
 
 /** A machine that was rented and has not ended, as far as the fleet manager knows. */
-class Rental(val name: String, val offer: Offer, var rentedAtMs: Long) {
+class Rental(
+    val name: String,
+    val offer: Offer,
+    var rentedAtMs: Long,
+) {
     var isUp = false
         private set
 
@@ -16,7 +20,9 @@
 }
 
 /** All machines that are paid for: which are up, which are on their way, and which are waited for in vain. */
-class Rentals(private val nominalBootMs: (String) -> Long) {
+class Rentals(
+    private val nominalBootMs: (String) -> Long,
+) {
     private val byName = HashMap<String, Rental>()
     val bootTimes = BootTimes(nominalBootMs)
     val all: Collection<Rental> get() = byName.values
@@ -30,14 +36,24 @@
     }
 
     /** Machines that the cloud has just rented, or had rented to the former fleet manager. */
-    fun rented(names: List<String>, offer: Offer, atMs: Long) {
+    fun rented(
+        names: List<String>,
+        offer: Offer,
+        atMs: Long,
+    ) {
         for (name in names) byName.getOrPut(name) { Rental(name, offer, atMs) }
     }
 
     /** A line of the cloud's list; it knows the age, also of machines that somebody else has rented. */
-    fun listed(line: ListedMachine, nowMs: Long) {
+    fun listed(
+        line: ListedMachine,
+        nowMs: Long,
+    ) {
         val rentedAtMs = nowMs - (maxOf(0.0, line.ageS) * 1000).toLong()
-        val rental = byName.getOrPut(line.name) { Rental(line.name, Offer(line.type, line.zone, line.spot), rentedAtMs) }
+        val rental =
+            byName.getOrPut(
+                line.name,
+            ) { Rental(line.name, Offer(line.type, line.zone, line.spot), rentedAtMs) }
         rental.rentedAtMs = minOf(rental.rentedAtMs, rentedAtMs)
         if (line.status == ListedMachine.RUNNING) rental.cameUp()
     }
@@ -47,9 +63,17 @@
      *
      * @param firstHeardMs when its worker reported first
      */
-    fun reports(name: String, offer: Offer, firstHeardMs: Long) {
+    fun reports(
+        name: String,
+        offer: Offer,
+        firstHeardMs: Long,
+    ) {
         val rental = byName.getOrPut(name) { Rental(name, offer, firstHeardMs) }
-        if (!rental.isUp && firstHeardMs > rental.rentedAtMs) bootTimes.cameUp(offer, rental.ageMs(firstHeardMs), firstHeardMs)
+        if (!rental.isUp &&
+            firstHeardMs > rental.rentedAtMs
+        ) {
+            bootTimes.cameUp(offer, rental.ageMs(firstHeardMs), firstHeardMs)
+        }
         rental.cameUp()
     }
 
@@ -63,9 +87,13 @@
         byName.values.filter { !it.isUp && it.ageMs(nowMs) <= bootTimes.plausibleMs(it.offer) }
 
     /** Machines that are not worth waiting for: hopeless ones, and late ones for which there is no need any more. */
-    fun givenUp(nowMs: Long, isNeeded: Boolean): List<Rental> = byName.values.filter { rental ->
-        val age = rental.ageMs(nowMs)
-        val isLate = age > bootTimes.plausibleMs(rental.offer)
-        !rental.isUp && (age > bootTimes.hopelessMs(rental.offer) || isLate && !isNeeded)
-    }
+    fun givenUp(
+        nowMs: Long,
+        isNeeded: Boolean,
+    ): List<Rental> =
+        byName.values.filter { rental ->
+            val age = rental.ageMs(nowMs)
+            val isLate = age > bootTimes.plausibleMs(rental.offer)
+            !rental.isUp && (age > bootTimes.hopelessMs(rental.offer) || isLate && !isNeeded)
+        }
 }
--- a/src/main/kotlin/micatally/fleet/Renting.kt
+++ b/src/main/kotlin/micatally/fleet/Renting.kt
@@ -61,15 +61,19 @@
         answered[booking.name] = booking
     }
 
-    fun rentFor(demands: List<Demand>, now: Long) {
+    fun rentFor(
+        demands: List<Demand>,
+        now: Long,
+    ) {
         if (machines.flavors.isEmpty() || underWay.isNotEmpty()) return
         val owned = HashMap<String, Int>()
         for (rental in rentals.all) owned.merge("${rental.offer.type}/${rental.offer.zone}", 1, Int::plus)
-        val coming = rentals.coming(now).mapNotNullTo(ArrayList()) { rental ->
-            machines.flavors[rental.offer.type]?.let { type ->
-                RentPlan.Room(rental.offer.type, rental.offer.zone, rental.offer.spot, type.amount)
+        val coming =
+            rentals.coming(now).mapNotNullTo(ArrayList()) { rental ->
+                machines.flavors[rental.offer.type]?.let { type ->
+                    RentPlan.Room(rental.offer.type, rental.offer.zone, rental.offer.spot, type.amount)
+                }
             }
-        }
         val market = Market({ (refusedUntil[it] ?: 0L) > now }, { rentals.bootTimes.slowness(it) })
         val plan = RentPlan.plan(demands, coming, machines.flavors.values, market, owned, MOST_AT_ONCE)
         for ((offer, count) in plan) {
@@ -80,14 +84,19 @@
     }
 
     /** A booking is stored before the cloud hears of it, so that its name is used for nothing else. */
-    private fun decide(booking: Booking) = carryOut(booking) {
-        val stored = state.txn(1, Urgency.INTENT) {
-            Txn(listOf(Condition(Keys.FLEET, term)), listOf(Put(Keys.RENT + booking.name, booking.toJson())))
+    private fun decide(booking: Booking) =
+        carryOut(booking) {
+            val stored =
+                state.txn(1, Urgency.INTENT) {
+                    Txn(listOf(Condition(Keys.FLEET, term)), listOf(Put(Keys.RENT + booking.name, booking.toJson())))
+                }
+            if (stored is TxnResult.Applied) book(booking)
         }
-        if (stored is TxnResult.Applied) book(booking)
-    }
 
-    private fun carryOut(booking: Booking, action: suspend () -> Unit) {
+    private fun carryOut(
+        booking: Booking,
+        action: suspend () -> Unit,
+    ) {
         underWay.add(booking.name)
         scope.launch {
             try {
@@ -114,10 +123,11 @@
                     refuse(offer)
                     break
                 }
-                RentResult.Refused -> if (!isUnclear) {
-                    refusedUntil[offer] = nowMs() + settings.leaseMs / REFUSED_SHARE
-                    break
-                }
+                RentResult.Refused ->
+                    if (!isUnclear) {
+                        refusedUntil[offer] = nowMs() + settings.leaseMs / REFUSED_SHARE
+                        break
+                    }
                 RentResult.Unknown -> isUnclear = true
             }
             if (!isLeader()) return
@@ -126,9 +136,21 @@
         dropNote(booking.name)
     }
 
-    private suspend fun rented(booking: Booking, names: List<String>, at: Long) {
+    private suspend fun rented(
+        booking: Booking,
+        names: List<String>,
+        at: Long,
+    ) {
         val offer = booking.offer
-        log.info("rented {} of {} {} in {} spot={}: {}", names.size, booking.count, offer.type, offer.zone, offer.spot, names)
+        log.info(
+            "rented {} of {} {} in {} spot={}: {}",
+            names.size,
+            booking.count,
+            offer.type,
+            offer.zone,
+            offer.spot,
+            names,
+        )
         rentals.rented(names.filter { it !in machines.deletedNames }, offer, at)
         if (names.size < booking.count) refuse(offer) else refusals.remove(offer)
         if (names.isEmpty()) dropNote(booking.name) else keepNote(booking.answered(names))
@@ -154,9 +176,10 @@
      */
     fun dropSettledNotes() {
         if (answered.isEmpty()) return
-        val settled = answered.values.filter { booking ->
-            booking.machines.all { it in machines.deletedNames || rentals.of(it)?.isUp == true }
-        }
+        val settled =
+            answered.values.filter { booking ->
+                booking.machines.all { it in machines.deletedNames || rentals.of(it)?.isUp == true }
+            }
         for (booking in settled) {
             answered.remove(booking.name)
             scope.launch { dropNote(booking.name) }
--- a/src/main/kotlin/micatally/fleet/SilentMachines.kt
+++ b/src/main/kotlin/micatally/fleet/SilentMachines.kt
@@ -41,7 +41,10 @@
     }
 
     /** Names of the machines to delete. [since] is when this node began to look after the fleet. */
-    fun find(now: Long, since: Long): List<String> {
+    fun find(
+        now: Long,
+        since: Long,
+    ): List<String> {
         // While a node can't be heard, its workers may be looking for another, or it may hear them and can't say so.
         val zonesOfSilentNodes = silentZones()
         if (zonesOfSilentNodes.isNotEmpty()) contactLostAt = now
@@ -49,8 +52,18 @@
         return withoutPower(zones, now) + silentOnes(zones, zonesOfSilentNodes, now, since)
     }
 
-    private fun look(now: Long, since: Long): Map<String, ZoneView> {
-        val silentMs = if (now - contactLostAt < settings.leaseMs * 3 / 2) settings.leaseMs * 5 / 2 else settings.leaseMs
+    private fun look(
+        now: Long,
+        since: Long,
+    ): Map<String, ZoneView> {
+        val silentMs =
+            if (now - contactLostAt <
+                settings.leaseMs * 3 / 2
+            ) {
+                settings.leaseMs * 5 / 2
+            } else {
+                settings.leaseMs
+            }
         val hungMs = settings.leaseMs * 2
         val zones = HashMap<String, ZoneView>()
         for (m in machines.byName.values) {
@@ -77,29 +90,42 @@
      * lose each other, the other one's machines look just the same, but none of them is reached. Waiting for the lease to end
      * would only keep the replicas away for longer.
      */
-    private fun withoutPower(zones: Map<String, ZoneView>, now: Long): List<String> {
+    private fun withoutPower(
+        zones: Map<String, ZoneView>,
+        now: Long,
+    ): List<String> {
         val dark = machines.byName.values.filter { it.dark > 0 && !it.deleted }
         for (zone in dark.mapTo(HashSet()) { it.zone }) probeHealthyOne(zone, now)
-        val lost = dark.filter { m ->
-            val zone = zones[m.zone]
-            val isZoneReached = now - machines.reachedAt(m.zone) < settings.reportMs
-            val isZoneHeard = (zone?.quiet ?: 0) <= (zone?.heard ?: 0)
-            m.dark >= DARK && isZoneReached && isZoneHeard && now - m.heardAt > probeAfterMs
-        }
+        val lost =
+            dark.filter { m ->
+                val zone = zones[m.zone]
+                val isZoneReached = now - machines.reachedAt(m.zone) < settings.reportMs
+                val isZoneHeard = (zone?.quiet ?: 0) <= (zone?.heard ?: 0)
+                m.dark >= DARK && isZoneReached && isZoneHeard && now - m.heardAt > probeAfterMs
+            }
         for (m in lost) log.info("machine {} has no power", m.name)
         return lost.map { it.name }
     }
 
     /** With few workers here nothing may have come for a while: one that is heard is asked, to see whether this node reaches any. */
-    private fun probeHealthyOne(zone: String, now: Long) {
+    private fun probeHealthyOne(
+        zone: String,
+        now: Long,
+    ) {
         if (now - machines.reachedAt(zone) <= settings.reportMs / 2) return
-        val healthy = machines.byName.values.firstOrNull {
-            it.zone == zone && !it.deleted && it.dark == 0 && now - it.heardAt < probeAfterMs
-        }
+        val healthy =
+            machines.byName.values.firstOrNull {
+                it.zone == zone && !it.deleted && it.dark == 0 && now - it.heardAt < probeAfterMs
+            }
         if (healthy != null) probe(healthy, now)
     }
 
-    private fun silentOnes(zones: Map<String, ZoneView>, zonesOfSilentNodes: Set<String>, now: Long, since: Long): List<String> =
+    private fun silentOnes(
+        zones: Map<String, ZoneView>,
+        zonesOfSilentNodes: Set<String>,
+        now: Long,
+        since: Long,
+    ): List<String> =
         zones.flatMap { (name, zone) ->
             // Few machines tell little, but when the zone's controller is silent with them, that is a cut too.
             val isCut = zone.silent.size >= zone.heard && (zone.silent.size >= MANY || name in zonesOfSilentNodes)
@@ -108,7 +134,10 @@
         }
 
     /** Asks a silent machine itself. What it answers counts as heard. */
-    private fun probe(m: Machine, now: Long) {
+    private fun probe(
+        m: Machine,
+        now: Long,
+    ) {
         val isTooSoon = m.addr.isEmpty() || probing.size >= settings.maxSockets / 8 || now - m.probedAt < probeMs
         if (isTooSoon || !probing.add(m.name)) return
         m.probedAt = now
@@ -123,13 +152,18 @@
         }
     }
 
-    private fun probed(m: Machine, out: Outcome, tookMs: Long) {
+    private fun probed(
+        m: Machine,
+        out: Outcome,
+        tookMs: Long,
+    ) {
         when (out) {
-            is Outcome.Answer -> if (out.status == 200) {
-                m.mute = 0
-                m.dark = 0
-                machines.absorb(Report.parse(parseObject(out.body)), false)
-            }
+            is Outcome.Answer ->
+                if (out.status == 200) {
+                    m.mute = 0
+                    m.dark = 0
+                    machines.absorb(Report.parse(parseObject(out.body)), false)
+                }
             // The first one may have gone into a connection from before; the second has made one.
             Outcome.Silence -> {
                 m.dark = 0
--- a/src/main/kotlin/micatally/gang/Gang.kt
+++ b/src/main/kotlin/micatally/gang/Gang.kt
@@ -58,19 +58,26 @@
         if (phase != GangPhase.PLACING) become(GangPhase.PLACING)
     }
 
-    fun tried(task: Int, machine: String) {
+    fun tried(
+        task: Int,
+        machine: String,
+    ) {
         triedMachines.getOrPut(task) { HashSet() }.add(machine)
     }
 
-    fun wasTried(task: Int, machine: String) = triedMachines[task]?.contains(machine) == true
+    fun wasTried(
+        task: Int,
+        machine: String,
+    ) = triedMachines[task]?.contains(machine) == true
 
     private companion object {
-        val ALLOWED = mapOf(
-            GangPhase.PLACING to setOf(GangPhase.WAITING),
-            GangPhase.WAITING to setOf(GangPhase.RUNNING, GangPhase.STOPPING, GangPhase.ENDING, GangPhase.PLACING),
-            GangPhase.RUNNING to setOf(GangPhase.STOPPING, GangPhase.ENDING, GangPhase.PLACING),
-            GangPhase.STOPPING to setOf(GangPhase.PLACING),
-            GangPhase.ENDING to setOf(GangPhase.PLACING),
-        )
+        val ALLOWED =
+            mapOf(
+                GangPhase.PLACING to setOf(GangPhase.WAITING),
+                GangPhase.WAITING to setOf(GangPhase.RUNNING, GangPhase.STOPPING, GangPhase.ENDING, GangPhase.PLACING),
+                GangPhase.RUNNING to setOf(GangPhase.STOPPING, GangPhase.ENDING, GangPhase.PLACING),
+                GangPhase.STOPPING to setOf(GangPhase.PLACING),
+                GangPhase.ENDING to setOf(GangPhase.PLACING),
+            )
     }
 }
--- a/src/main/kotlin/micatally/gang/GangPlacement.kt
+++ b/src/main/kotlin/micatally/gang/GangPlacement.kt
@@ -7,10 +7,18 @@
  * @property fetchS how long the image takes there
  * @property cost what the machine costs the gang, in seconds; the image's time is part of it
  */
-class GangCandidate<M>(val machine: M, val zone: String, val capacity: Int, val fetchS: Double, val cost: Double)
+class GangCandidate<M>(
+    val machine: M,
+    val zone: String,
+    val capacity: Int,
+    val fetchS: Double,
+    val cost: Double,
+)
 
 /** Where all tasks of a gang go: one machine for each task. */
-class GangAssignment<M>(val machines: List<GangCandidate<M>>) {
+class GangAssignment<M>(
+    val machines: List<GangCandidate<M>>,
+) {
     /** The gang starts when the last machine has the image; every further machine is one more that may be late. */
     val cost = machines.maxOf { it.cost } + machines.distinct().size * MACHINE_COST
     val fetchS = machines.maxOf { it.fetchS }
@@ -28,19 +36,32 @@
      * @param together whether all go to one zone
      * @param zoneRoom how many more tasks a zone may take
      */
-    fun <M> choose(candidates: List<GangCandidate<M>>, tasks: Int, together: Boolean, zoneRoom: (String) -> Int): GangAssignment<M>? {
+    fun <M> choose(
+        candidates: List<GangCandidate<M>>,
+        tasks: Int,
+        together: Boolean,
+        zoneRoom: (String) -> Int,
+    ): GangAssignment<M>? {
         val groups = if (together) candidates.groupBy { it.zone }.values else listOf(candidates)
         return groups.mapNotNull { fill(it, tasks, zoneRoom) }.minByOrNull { it.cost }
     }
 
-    private fun <M> fill(candidates: List<GangCandidate<M>>, tasks: Int, zoneRoom: (String) -> Int): GangAssignment<M>? {
+    private fun <M> fill(
+        candidates: List<GangCandidate<M>>,
+        tasks: Int,
+        zoneRoom: (String) -> Int,
+    ): GangAssignment<M>? {
         val whole = candidates.filter { it.capacity >= tasks && zoneRoom(it.zone) >= tasks }.minByOrNull { it.cost }
         val onOne = whole?.let { machine -> GangAssignment(List(tasks) { machine }) }
         val onSeveral = spread(candidates, tasks, zoneRoom)
         return listOfNotNull(onOne, onSeveral).minByOrNull { it.cost }
     }
 
-    private fun <M> spread(candidates: List<GangCandidate<M>>, tasks: Int, zoneRoom: (String) -> Int): GangAssignment<M>? {
+    private fun <M> spread(
+        candidates: List<GangCandidate<M>>,
+        tasks: Int,
+        zoneRoom: (String) -> Int,
+    ): GangAssignment<M>? {
         val left = HashMap<String, Int>()
         val chosen = ArrayList<GangCandidate<M>>(tasks)
         for (candidate in candidates.sortedWith(compareBy({ it.cost }, { -it.capacity }))) {
--- a/src/main/kotlin/micatally/gang/GangSupervisor.kt
+++ b/src/main/kotlin/micatally/gang/GangSupervisor.kt
@@ -13,12 +13,20 @@
 /** What the supervisor needs of the owner of the jobs. */
 interface GangOwner {
     /** Ends an attempt of which nothing was sent. */
-    fun gone(attempt: Attempt, end: AttemptEnd)
+    fun gone(
+        attempt: Attempt,
+        end: AttemptEnd,
+    )
+
     fun poke(machine: Machine)
 }
 
 /** Carries out what [GangPolicy] decides for the gangs of this node. Attempts end as everywhere, through their owner. */
-class GangSupervisor(private val owner: GangOwner, private val timing: GangTiming, private val nowMs: () -> Long) {
+class GangSupervisor(
+    private val owner: GangOwner,
+    private val timing: GangTiming,
+    private val nowMs: () -> Long,
+) {
     private val log = LoggerFactory.getLogger("micatally.gang")
 
     /** After a takeover: the record shows the run, and reports will show whether it has started. */
@@ -41,7 +49,10 @@
     }
 
     /** An attempt of the job has just ended. */
-    fun taskGone(attempt: Attempt, end: AttemptEnd) {
+    fun taskGone(
+        attempt: Attempt,
+        end: AttemptEnd,
+    ) {
         val job = attempt.job
         val gang = job.gang ?: return
         if (job.wantsTasks && GangPolicy.endsRun(gang.phase, end)) {
@@ -51,23 +62,37 @@
     }
 
     /** Looks at what time alone changes. */
-    fun review(job: Job, nowMs: Long) {
+    fun review(
+        job: Job,
+        nowMs: Long,
+    ) {
         val gang = job.gang ?: return
         if (!job.wantsTasks) return
         if (GangPolicy.hasLostTask(job, gang)) endRun(job, gang, "it runs without all of its tasks")
         if (GangPolicy.isOverdue(job, gang, timing, nowMs)) endRun(job, gang, "it can't be whole in time")
     }
 
-    fun mayReplace(job: Job, gang: Gang, nowMs: Long) = GangPolicy.mayReplace(job, gang, timing, nowMs)
+    fun mayReplace(
+        job: Job,
+        gang: Gang,
+        nowMs: Long,
+    ) = GangPolicy.mayReplace(job, gang, timing, nowMs)
 
     /** Gives a run up that waits for a task which would come too late. */
-    fun giveUp(job: Job, why: String) {
+    fun giveUp(
+        job: Job,
+        why: String,
+    ) {
         val gang = job.gang ?: return
         if (gang.phase == GangPhase.WAITING) endRun(job, gang, why)
     }
 
     /** One of the machines will be taken back: all tasks save, if each of them can be told. */
-    fun stopOrderly(job: Job, why: String, isReachable: (Machine) -> Boolean) {
+    fun stopOrderly(
+        job: Job,
+        why: String,
+        isReachable: (Machine) -> Boolean,
+    ) {
         val gang = job.gang ?: return
         if (job.state != JobState.OPEN || !GangPolicy.mayStopOrderly(job, gang) { isReachable(it.machine) }) return
         gang.beginStop()
@@ -75,7 +100,11 @@
         stopAll(job, StopReason.DRAIN)
     }
 
-    private fun endRun(job: Job, gang: Gang, why: String) {
+    private fun endRun(
+        job: Job,
+        gang: Gang,
+        why: String,
+    ) {
         gang.beginEnd()
         log.info("gang {}#{} ends: {}", job.ref, gang.number, why)
         stopAll(job, StopReason.GANG_ENDED)
@@ -83,7 +112,10 @@
     }
 
     /** Stops every task of the present run; those of which nothing was sent end at once. */
-    fun stopAll(job: Job, reason: StopReason) {
+    fun stopAll(
+        job: Job,
+        reason: StopReason,
+    ) {
         val now = nowMs()
         val machines = LinkedHashSet<Machine>()
         for (attempt in job.attempts.values.toList()) {
--- a/src/main/kotlin/micatally/http/Channels.kt
+++ b/src/main/kotlin/micatally/http/Channels.kt
@@ -12,17 +12,25 @@
 
 /** One handler serves all operations: the attachment is the continuation to resume. */
 private object Resume : CompletionHandler<Any?, CancellableContinuation<Any?>> {
-    override fun completed(result: Any?, c: CancellableContinuation<Any?>) = c.resume(result)
-    override fun failed(e: Throwable, c: CancellableContinuation<Any?>) = c.resumeWithException(e)
+    override fun completed(
+        result: Any?,
+        c: CancellableContinuation<Any?>,
+    ) = c.resume(result)
+
+    override fun failed(
+        e: Throwable,
+        c: CancellableContinuation<Any?>,
+    ) = c.resumeWithException(e)
 }
 
 @Suppress("UNCHECKED_CAST")
 private fun <T> handler() = Resume as CompletionHandler<T, CancellableContinuation<Any?>>
 
-suspend fun AsynchronousSocketChannel.readInto(buffer: ByteBuffer): Int = suspendCancellableCoroutine<Any?> { c ->
-    c.invokeOnCancellation { closeQuietly() }
-    read(buffer, c, handler<Int>())
-} as Int
+suspend fun AsynchronousSocketChannel.readInto(buffer: ByteBuffer): Int =
+    suspendCancellableCoroutine<Any?> { c ->
+        c.invokeOnCancellation { closeQuietly() }
+        read(buffer, c, handler<Int>())
+    } as Int
 
 suspend fun AsynchronousSocketChannel.writeAll(buffer: ByteBuffer) {
     while (buffer.hasRemaining()) {
@@ -40,13 +48,18 @@
     }
 }
 
-suspend fun AsynchronousServerSocketChannel.acceptOne(): AsynchronousSocketChannel = suspendCancellableCoroutine<Any?> { c ->
-    c.invokeOnCancellation { runCatching { close() } }
-    accept(c, handler<AsynchronousSocketChannel>())
-} as AsynchronousSocketChannel
+suspend fun AsynchronousServerSocketChannel.acceptOne(): AsynchronousSocketChannel =
+    suspendCancellableCoroutine<Any?> { c ->
+        c.invokeOnCancellation { runCatching { close() } }
+        accept(c, handler<AsynchronousSocketChannel>())
+    } as AsynchronousSocketChannel
 
 fun AsynchronousSocketChannel.closeQuietly() {
-    try { close() } catch (e: Exception) { /* it is over either way */ }
+    try {
+        close()
+    } catch (e: Exception) {
+        // it is over either way
+    }
 }
 
 fun socketAddress(addr: String): InetSocketAddress {
--- a/src/main/kotlin/micatally/http/Client.kt
+++ b/src/main/kotlin/micatally/http/Client.kt
@@ -8,30 +8,62 @@
 
 /** An HTTP/1.1 client: one request at a time on a connection, kept-open connections used again, no waiting of one
  * address for another. Used from the event loop only. */
-class Client(private val group: AsynchronousChannelGroup, private val maxSockets: Int, private val nowMs: () -> Long) : HttpCaller {
-    private class Link(val channel: AsynchronousSocketChannel, val parser: Parser) { var idleSince = 0L }
+class Client(
+    private val group: AsynchronousChannelGroup,
+    private val maxSockets: Int,
+    private val nowMs: () -> Long,
+) : HttpCaller {
+    private class Link(
+        val channel: AsynchronousSocketChannel,
+        val parser: Parser,
+    ) {
+        var idleSince = 0L
+    }
 
     private val idle = HashMap<String, ArrayDeque<Link>>()
     private var sockets = 0
 
-    override suspend fun call(addr: String, method: String, target: String, body: ByteArray?, timeoutMs: Long): Outcome {
+    override suspend fun call(
+        addr: String,
+        method: String,
+        target: String,
+        body: ByteArray?,
+        timeoutMs: Long,
+    ): Outcome {
         var sent = false
         var link: Link? = null
         var answer: Outcome? = null
         try {
-            answer = withTimeoutOrNull(timeoutMs) {
-                val l = takeIdle(addr) ?: open(addr) ?: return@withTimeoutOrNull Outcome.NotSent
-                link = l
-                val head = StringBuilder(128).append(method).append(' ').append(target).append(" HTTP/1.1\r\nHost: ").append(addr)
-                    .append("\r\nContent-Length: ").append(body?.size ?: 0).append("\r\n\r\n")
-                sent = true
-                l.channel.writeAll(joined(head, body ?: NOTHING))
-                val h = l.parser.head()
-                val status = h.startLine.split(' ').getOrNull(1)?.toIntOrNull() ?: throw HttpError(400, "bad status line")
-                val bytes = l.parser.body(h, MAX_RESPONSE)
-                if (!h.close && !l.parser.pending) { link = null; keep(addr, l) }
-                Outcome.Answer(status, bytes)
-            }
+            answer =
+                withTimeoutOrNull(timeoutMs) {
+                    val l = takeIdle(addr) ?: open(addr) ?: return@withTimeoutOrNull Outcome.NotSent
+                    link = l
+                    val head =
+                        StringBuilder(
+                            128,
+                        ).append(method)
+                            .append(' ')
+                            .append(target)
+                            .append(" HTTP/1.1\r\nHost: ")
+                            .append(addr)
+                            .append("\r\nContent-Length: ")
+                            .append(body?.size ?: 0)
+                            .append("\r\n\r\n")
+                    sent = true
+                    l.channel.writeAll(joined(head, body ?: NOTHING))
+                    val h = l.parser.head()
+                    val status =
+                        h.startLine
+                            .split(' ')
+                            .getOrNull(1)
+                            ?.toIntOrNull() ?: throw HttpError(400, "bad status line")
+                    val bytes = l.parser.body(h, MAX_RESPONSE)
+                    if (!h.close && !l.parser.pending) {
+                        link = null
+                        keep(addr, l)
+                    }
+                    Outcome.Answer(status, bytes)
+                }
         } catch (e: CancellationException) {
             throw e
         } catch (e: Exception) {
@@ -51,7 +83,10 @@
         }
     }
 
-    private fun keep(addr: String, l: Link) {
+    private fun keep(
+        addr: String,
+        l: Link,
+    ) {
         l.idleSince = nowMs()
         idle.getOrPut(addr) { ArrayDeque() }.addLast(l)
     }
@@ -59,10 +94,24 @@
     private suspend fun open(addr: String): Link? {
         if (sockets >= maxSockets) sweep()
         // A kept connection is worth less than one that is needed now.
-        if (sockets >= maxSockets) idle.values.filter { it.isNotEmpty() }.minByOrNull { it.first().idleSince }?.let { discard(it.removeFirst()) }
+        if (sockets >=
+            maxSockets
+        ) {
+            idle.values.filter { it.isNotEmpty() }.minByOrNull { it.first().idleSince }?.let {
+                discard(
+                    it.removeFirst(),
+                )
+            }
+        }
         if (sockets >= maxSockets) return null
         sockets++
-        val channel = try { AsynchronousSocketChannel.open(group) } catch (e: Exception) { sockets--; throw e }
+        val channel =
+            try {
+                AsynchronousSocketChannel.open(group)
+            } catch (e: Exception) {
+                sockets--
+                throw e
+            }
         try {
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
             channel.connectTo(socketAddress(addr))
--- a/src/main/kotlin/micatally/http/Parser.kt
+++ b/src/main/kotlin/micatally/http/Parser.kt
@@ -3,7 +3,10 @@
 import java.nio.ByteBuffer
 
 /** A message that is not HTTP/1.1 as this project speaks it; [status] is what a server answers. */
-class HttpError(val status: Int, message: String) : Exception(message)
+class HttpError(
+    val status: Int,
+    message: String,
+) : Exception(message)
 
 /** Where the bytes come from: fills the buffer with at least one more byte, false at the end of the stream. */
 fun interface ByteSource {
@@ -11,11 +14,20 @@
 }
 
 /** The start line and what matters of the header. */
-class Head(val startLine: String, val length: Long?, val chunked: Boolean, val close: Boolean, val keepAlive: Boolean)
+class Head(
+    val startLine: String,
+    val length: Long?,
+    val chunked: Boolean,
+    val close: Boolean,
+    val keepAlive: Boolean,
+)
 
 /** An incremental HTTP/1.1 parser over one connection. Limits: [MAX_LINE] bytes a line, [MAX_LINES] header lines,
  * and the given number of body bytes. */
-class Parser(private val source: ByteSource, size: Int = 4096) {
+class Parser(
+    private val source: ByteSource,
+    size: Int = 4096,
+) {
     private var buffer: ByteBuffer = ByteBuffer.allocate(size).flip()
 
     /** True when bytes of a next message are already here, which peers that don't pipeline never cause. */
@@ -68,7 +80,14 @@
                 if (n == null || n < 0 || (length != null && length != n)) throw HttpError(400, "bad content-length")
                 length = n
             } else if (name.equals("transfer-encoding", true)) {
-                if (!l.substring(colon + 1).trim().equals("chunked", true)) throw HttpError(501, "unknown transfer-encoding")
+                if (!l
+                        .substring(
+                            colon + 1,
+                        ).trim()
+                        .equals("chunked", true)
+                ) {
+                    throw HttpError(501, "unknown transfer-encoding")
+                }
                 chunked = true
             } else if (name.equals("connection", true)) {
                 val v = l.substring(colon + 1).trim()
@@ -80,7 +99,10 @@
         return Head(start, length, chunked, close, keep)
     }
 
-    suspend fun body(head: Head, max: Long): ByteArray {
+    suspend fun body(
+        head: Head,
+        max: Long,
+    ): ByteArray {
         if (head.chunked) return chunks(max)
         val length = head.length ?: return NOTHING
         if (length > max) throw HttpError(413, "body too large")
@@ -115,7 +137,10 @@
         while (readLine().isNotEmpty()) if (++trailers > MAX_LINES) throw HttpError(431, "too many trailers")
         val out = ByteArray(total.toInt())
         var at = 0
-        for (p in parts) { p.copyInto(out, at); at += p.size }
+        for (p in parts) {
+            p.copyInto(out, at)
+            at += p.size
+        }
         return out
     }
 
--- a/src/main/kotlin/micatally/job/Attempt.kt
+++ b/src/main/kotlin/micatally/job/Attempt.kt
@@ -20,14 +20,27 @@
  *
  * @property reason what the worker said, if it said anything
  */
-class AttemptEnd(val proof: GoneProof, val detail: String, val reason: ExitReason? = null, val isSaved: Boolean = false) {
+class AttemptEnd(
+    val proof: GoneProof,
+    val detail: String,
+    val reason: ExitReason? = null,
+    val isSaved: Boolean = false,
+) {
     override fun toString() = "$proof $detail" + if (isSaved) " saved" else ""
 }
 
 /** Why an attempt is to be stopped; an earlier reason replaces a later one. */
 enum class StopReason { WITHDRAWN, DRAIN, PREEMPTED, GANG_ENDED, STRAY }
 
-class Attempt(val job: Job, val taskIndex: Int, val number: Long, val machine: Machine, val session: Long, val inherited: Double, startState: AttemptState) {
+class Attempt(
+    val job: Job,
+    val taskIndex: Int,
+    val number: Long,
+    val machine: Machine,
+    val session: Long,
+    val inherited: Double,
+    startState: AttemptState,
+) {
     var state = startState
         private set
     var stop: StopReason? = null
@@ -38,14 +51,20 @@
     var sentAt: Long? = null
 
     /** The one place where an attempt changes its state. */
-    fun become(next: AttemptState, nowMs: Long) {
+    fun become(
+        next: AttemptState,
+        nowMs: Long,
+    ) {
         if (next == state) return
         check(next.ordinal > state.ordinal) { "attempt ${job.ref}/$taskIndex#$number may not go from $state to $next" }
         state = next
         if (next == AttemptState.RUNNING && runningSince == null) runningSince = nowMs
     }
 
-    fun stop(reason: StopReason, nowMs: Long): Boolean {
+    fun stop(
+        reason: StopReason,
+        nowMs: Long,
+    ): Boolean {
         if (stop != null && stop!!.ordinal <= reason.ordinal) return false
         if (stop == null) stopSinceMs = nowMs
         stop = reason
@@ -54,5 +73,6 @@
 
     val maySend get() = state >= AttemptState.RECORDED && state != AttemptState.GONE
     val live get() = state != AttemptState.GONE
+
     override fun toString() = "${job.ref}/$taskIndex#$number@${machine.name}"
 }
--- a/src/main/kotlin/micatally/job/FaultJudgement.kt
+++ b/src/main/kotlin/micatally/job/FaultJudgement.kt
@@ -6,12 +6,19 @@
 import org.slf4j.LoggerFactory
 
 /** Tells jobs with a mistake from faulty machines, by which jobs failed where and by what succeeds beside them. */
-class FaultJudgement(private val settings: Settings, private val machines: Machines) {
+class FaultJudgement(
+    private val settings: Settings,
+    private val machines: Machines,
+) {
     private val log = LoggerFactory.getLogger("micatally.job")
     private val memoryMs = settings.leaseMs * MEMORY_LEASES
 
     /** A task exited with an error after it had run for so long. */
-    fun taskFailed(attempt: Attempt, ranMs: Long, nowMs: Long) {
+    fun taskFailed(
+        attempt: Attempt,
+        ranMs: Long,
+        nowMs: Long,
+    ) {
         val job = attempt.job
         val health = job.health
         lookForSuccess(job, nowMs)
@@ -25,35 +32,71 @@
             return
         }
         val runsElsewhere = health.hasSucceeded && !isProven
-        if (attempt.machine.health.accuse(job.ref, runsElsewhere, nowMs, memoryMs)) log.info("machine {} fails what it starts", attempt.machine.name)
+        if (attempt.machine.health.accuse(
+                job.ref,
+                runsElsewhere,
+                nowMs,
+                memoryMs,
+            )
+        ) {
+            log.info("machine {} fails what it starts", attempt.machine.name)
+        }
     }
 
-    fun taskCompleted(attempt: Attempt, nowMs: Long) = attempt.machine.health.succeeded(nowMs)
+    fun taskCompleted(
+        attempt: Attempt,
+        nowMs: Long,
+    ) = attempt.machine.health.succeeded(nowMs)
 
     /** A suspected service proves itself by running on; nothing else would tell. */
-    fun review(jobs: List<Job>, nowMs: Long) {
+    fun review(
+        jobs: List<Job>,
+        nowMs: Long,
+    ) {
         for (job in jobs) if (job.health.isSuspect) lookForSuccess(job, nowMs)
     }
 
-    private fun lookForSuccess(job: Job, nowMs: Long) {
+    private fun lookForSuccess(
+        job: Job,
+        nowMs: Long,
+    ) {
         val isProven = job.attempts.values.any { a -> job.health.isProvenBy(ranMs(a, nowMs), settings.leaseMs) }
         if (!isProven) return
         if (job.health.isSuspect) log.info("job {} runs after all", job.ref)
         job.health.succeeded()
     }
 
-    private fun ranMs(attempt: Attempt, nowMs: Long) =
-        if (attempt.state == AttemptState.RUNNING) attempt.runningSince?.let { nowMs - it } ?: 0L else 0L
+    private fun ranMs(
+        attempt: Attempt,
+        nowMs: Long,
+    ) = if (attempt.state == AttemptState.RUNNING) attempt.runningSince?.let { nowMs - it } ?: 0L else 0L
 
     /** A task of another job that runs on there speaks for the machine as one that completed does. */
-    private fun isProven(machine: Machine, job: Job, nowMs: Long) =
-        machine.health.hasSucceeded(nowMs, memoryMs) || machine.attempts.any { it.job !== job && ranMs(it, nowMs) > settings.leaseMs }
+    private fun isProven(
+        machine: Machine,
+        job: Job,
+        nowMs: Long,
+    ) = machine.health.hasSucceeded(nowMs, memoryMs) ||
+        machine.attempts.any { it.job !== job && ranMs(it, nowMs) > settings.leaseMs }
 
-    private fun suspect(job: Job, nowMs: Long) {
-        log.warn("job {} fails wherever it starts: {} failures on {} machines; tried with one task at a time", job.ref, job.health.failures, job.health.machines.size)
+    private fun suspect(
+        job: Job,
+        nowMs: Long,
+    ) {
+        log.warn(
+            "job {} fails wherever it starts: {} failures on {} machines; tried with one task at a time",
+            job.ref,
+            job.health.failures,
+            job.health.machines.size,
+        )
         for (name in job.health.machines) {
             val machine = machines.of(name) ?: continue
-            if (machine.health.withdraw(job.ref)) log.info("machine {} is used again: it was {} that failed", name, job.ref)
+            if (machine.health.withdraw(
+                    job.ref,
+                )
+            ) {
+                log.info("machine {} is used again: it was {} that failed", name, job.ref)
+            }
         }
     }
 
--- a/src/main/kotlin/micatally/job/Job.kt
+++ b/src/main/kotlin/micatally/job/Job.kt
@@ -11,7 +11,14 @@
 /** NEW: not yet durable. OPEN: accepted. DONE and WITHDRAWN are final. DROPPED: this node does not own it any more. */
 enum class JobState { NEW, OPEN, DONE, WITHDRAWN, DROPPED }
 
-class Job(val ref: String, val spec: JobSpec?, val ledger: Ledger, val taskCount: Int, val submittedAt: Long, startState: JobState) {
+class Job(
+    val ref: String,
+    val spec: JobSpec?,
+    val ledger: Ledger,
+    val taskCount: Int,
+    val submittedAt: Long,
+    startState: JobState,
+) {
     var state = startState
         private set
 
@@ -45,9 +52,11 @@
 
     // What the store keeps about writing the record.
     var mark = 0L
+
     /** Further values that the stored record and its kill list take. */
     var storedOverflow = 0
     var storedKillOverflow = 0
+
     /** How many attempts the record is known to have room for. */
     var attemptLimit = Int.MAX_VALUE
     var version = 0L
@@ -60,13 +69,14 @@
     /** The one place where a job changes its state. */
     fun become(next: JobState) {
         if (next == state) return
-        val ok = when (next) {
-            JobState.OPEN -> state == JobState.NEW
-            JobState.DONE -> state == JobState.OPEN && doneCount == taskCount
-            JobState.WITHDRAWN -> state == JobState.OPEN || state == JobState.NEW
-            JobState.DROPPED -> true
-            JobState.NEW -> false
-        }
+        val ok =
+            when (next) {
+                JobState.OPEN -> state == JobState.NEW
+                JobState.DONE -> state == JobState.OPEN && doneCount == taskCount
+                JobState.WITHDRAWN -> state == JobState.OPEN || state == JobState.NEW
+                JobState.DROPPED -> true
+                JobState.NEW -> false
+            }
         check(ok) { "job $ref may not go from $state to $next" }
         state = next
     }
@@ -100,11 +110,12 @@
 
     fun answer(): JobAnswer {
         val running = attempts.values.count { it.state == AttemptState.RUNNING || it.state == AttemptState.SAVING }
-        val status = when (durableState) {
-            JobState.DONE -> JobAnswer.DONE
-            JobState.WITHDRAWN -> JobAnswer.WITHDRAWN
-            else -> if (running > 0) JobAnswer.RUNNING else JobAnswer.PENDING
-        }
+        val status =
+            when (durableState) {
+                JobState.DONE -> JobAnswer.DONE
+                JobState.WITHDRAWN -> JobAnswer.WITHDRAWN
+                else -> if (running > 0) JobAnswer.RUNNING else JobAnswer.PENDING
+            }
         return JobAnswer(ref, status, doneCount, running)
     }
 }
--- a/src/main/kotlin/micatally/job/JobHealth.kt
+++ b/src/main/kotlin/micatally/job/JobHealth.kt
@@ -27,7 +27,11 @@
     val isSuspect get() = !hasSucceeded && evidence >= EVIDENCE_TO_SUSPECT
 
     /** @param isMachineProven tasks of other jobs succeed on the machine */
-    fun failed(machine: String, ranMs: Long, isMachineProven: Boolean) {
+    fun failed(
+        machine: String,
+        ranMs: Long,
+        isMachineProven: Boolean,
+    ) {
         failures++
         failuresInRow++
         longestFailedRunMs = maxOf(longestFailedRunMs, ranMs)
@@ -41,7 +45,10 @@
     }
 
     /** Whether a task that has run for so long shows that the job can run. */
-    fun isProvenBy(ranMs: Long, leastMs: Long) = ranMs > maxOf(longestFailedRunMs * LONGER_THAN_FAILURES, leastMs)
+    fun isProvenBy(
+        ranMs: Long,
+        leastMs: Long,
+    ) = ranMs > maxOf(longestFailedRunMs * LONGER_THAN_FAILURES, leastMs)
 
     /**
      * Whether the next task is better tried elsewhere. Once the job itself is suspected its failures say nothing of machines; it may
@@ -50,7 +57,10 @@
     fun avoids(machine: String) = !isSuspect && failedOn.size <= FEW_MACHINES && machine in failedOn
 
     /** How long to wait before the next try. */
-    fun pauseMs(reportMs: Long, mostMs: Long): Long {
+    fun pauseMs(
+        reportMs: Long,
+        mostMs: Long,
+    ): Long {
         if (failuresInRow <= FAILURES_TO_PAUSE) return 0L
         return minOf(mostMs, reportMs shl minOf(failuresInRow - FAILURES_TO_PAUSE, MOST_DOUBLINGS))
     }
--- a/src/main/kotlin/micatally/job/JobRecord.kt
+++ b/src/main/kotlin/micatally/job/JobRecord.kt
@@ -25,64 +25,116 @@
     private const val WITHDRAWN = "w"
 
     /** The tasks of a withdrawn job that are not proven gone, as all nodes watch them. */
-    fun encodeTasks(job: Job): JsonObject = KillListValue.of(
-        JsonArray(job.attempts.values.map { JsonArray(listOf(JsonPrimitive(it.machine.name), JsonPrimitive(it.taskIndex), JsonPrimitive(it.number))) }),
-    )
+    fun encodeTasks(job: Job): JsonObject =
+        KillListValue.of(
+            JsonArray(
+                job.attempts.values.map {
+                    JsonArray(
+                        listOf(JsonPrimitive(it.machine.name), JsonPrimitive(it.taskIndex), JsonPrimitive(it.number)),
+                    )
+                },
+            ),
+        )
 
-    fun encode(job: Job): JsonObject = buildJsonObject {
-        put("l", job.ledger.name)
-        put("e", when (job.state) { JobState.DONE -> DONE; JobState.WITHDRAWN -> WITHDRAWN; else -> OPEN })
-        put("k", job.taskCount)
-        // Under which hold on the ledger it was written: the record of a new job that is found there is this node's own only then.
-        put("c", job.ledger.hold)
-        val final = job.state == JobState.DONE || job.state == JobState.WITHDRAWN
-        if (job.spec != null && !(final && job.attempts.isEmpty())) put("s", job.spec.source)
-        if (job.doneCount > 0) put("d", ranges(job.done))
-        if (final && job.attempts.isEmpty()) return@buildJsonObject
-        // Withdrawn, and the user may have been told: any node may say so.
-        if (final && job.withdrawalConfirmable) put("x", 1)
-        put("n", job.nextAttempt)
-        put("t", job.submittedAt)
-        if (job.service > 0) { put("v", Math.round(job.service)); put("q", job.queue) }
-        if (job.attempts.isNotEmpty()) put("a", buildJsonArray {
-            for ((place, list) in job.attempts.values.groupBy { it.machine to it.session }) add(buildJsonArray {
-                val m = place.first
-                add(JsonPrimitive(m.name))
-                add(JsonPrimitive(place.second))
-                add(JsonPrimitive(m.addr))
-                add(JsonPrimitive(m.type))
-                add(JsonPrimitive(m.zone))
-                add(JsonPrimitive(if (m.spot) 1 else 0))
-                for (a in list) { add(JsonPrimitive(a.taskIndex)); add(JsonPrimitive(a.number)) }
-            })
-        })
-    }
+    fun encode(job: Job): JsonObject =
+        buildJsonObject {
+            put("l", job.ledger.name)
+            put(
+                "e",
+                when (job.state) {
+                    JobState.DONE -> DONE
+                    JobState.WITHDRAWN -> WITHDRAWN
+                    else -> OPEN
+                },
+            )
+            put("k", job.taskCount)
+            // Under which hold on the ledger it was written: the record of a new job that is found there is this node's own only then.
+            put("c", job.ledger.hold)
+            val final = job.state == JobState.DONE || job.state == JobState.WITHDRAWN
+            if (job.spec != null && !(final && job.attempts.isEmpty())) put("s", job.spec.source)
+            if (job.doneCount > 0) put("d", ranges(job.done))
+            if (final && job.attempts.isEmpty()) return@buildJsonObject
+            // Withdrawn, and the user may have been told: any node may say so.
+            if (final && job.withdrawalConfirmable) put("x", 1)
+            put("n", job.nextAttempt)
+            put("t", job.submittedAt)
+            if (job.service > 0) {
+                put("v", Math.round(job.service))
+                put("q", job.queue)
+            }
+            if (job.attempts.isNotEmpty()) {
+                put(
+                    "a",
+                    buildJsonArray {
+                        for ((place, list) in job.attempts.values.groupBy { it.machine to it.session }) {
+                            add(
+                                buildJsonArray {
+                                    val m = place.first
+                                    add(JsonPrimitive(m.name))
+                                    add(JsonPrimitive(place.second))
+                                    add(JsonPrimitive(m.addr))
+                                    add(JsonPrimitive(m.type))
+                                    add(JsonPrimitive(m.zone))
+                                    add(JsonPrimitive(if (m.spot) 1 else 0))
+                                    for (a in list) {
+                                        add(JsonPrimitive(a.taskIndex))
+                                        add(JsonPrimitive(a.number))
+                                    }
+                                },
+                            )
+                        }
+                    },
+                )
+            }
+        }
 
     /** The fields of a compressed record that are read without the rest, with the counts that users are told. */
-    fun summary(job: Job, plain: JsonObject): JsonObject = buildJsonObject {
-        for (name in SUMMARY_FIELDS) plain[name]?.let { put(name, it) }
-        put(COUNTS, JsonArray(listOf(JsonPrimitive(job.doneCount), JsonPrimitive(job.attempts.size))))
-    }
+    fun summary(
+        job: Job,
+        plain: JsonObject,
+    ): JsonObject =
+        buildJsonObject {
+            for (name in SUMMARY_FIELDS) plain[name]?.let { put(name, it) }
+            put(COUNTS, JsonArray(listOf(JsonPrimitive(job.doneCount), JsonPrimitive(job.attempts.size))))
+        }
 
     private val SUMMARY_FIELDS = listOf("l", "e", "k", "c", "x")
     private const val COUNTS = "m"
 
-    private fun ranges(bits: BitSet): JsonArray = buildJsonArray {
-        var from = bits.nextSetBit(0)
-        while (from >= 0) {
-            val to = bits.nextClearBit(from)
-            add(JsonPrimitive(from))
-            add(JsonPrimitive(to))
-            from = bits.nextSetBit(to)
+    private fun ranges(bits: BitSet): JsonArray =
+        buildJsonArray {
+            var from = bits.nextSetBit(0)
+            while (from >= 0) {
+                val to = bits.nextClearBit(from)
+                add(JsonPrimitive(from))
+                add(JsonPrimitive(to))
+                from = bits.nextSetBit(to)
+            }
         }
-    }
 
     /** A machine's description stands in each row, so that a new holder can ask it before it reports. */
-    class Placed(val machine: String, val session: Long, val addr: String, val type: String, val zone: String, val spot: Boolean, val taskIndex: Int, val number: Long)
+    class Placed(
+        val machine: String,
+        val session: Long,
+        val addr: String,
+        val type: String,
+        val zone: String,
+        val spot: Boolean,
+        val taskIndex: Int,
+        val number: Long,
+    )
 
     fun ledgerOf(o: JsonObject) = o.text("l")
+
     fun holdOf(o: JsonObject) = (o["c"])?.asText() ?: ""
-    fun state(o: JsonObject) = when (o.text("e")) { DONE -> JobState.DONE; WITHDRAWN -> JobState.WITHDRAWN; else -> JobState.OPEN }
+
+    fun state(o: JsonObject) =
+        when (o.text("e")) {
+            DONE -> JobState.DONE
+            WITHDRAWN -> JobState.WITHDRAWN
+            else -> JobState.OPEN
+        }
+
     fun isSettled(o: JsonObject) = state(o) != JobState.OPEN && !mayHaveAttempts(o)
 
     private fun mayHaveAttempts(o: JsonObject) = o["a"] != null || RecordPacking.isPacked(o)
@@ -90,20 +142,42 @@
     /** Whether a user may hear of the end that the record has. */
     fun isWithdrawalConfirmable(o: JsonObject) = state(o) != JobState.WITHDRAWN || !mayHaveAttempts(o) || o["x"] != null
 
-    fun placed(o: JsonObject): List<Placed> = (o.listOrNull("a") ?: emptyList()).flatMap { e ->
-        val row = e as JsonArray
-        (6 until row.size step 2).map {
-            Placed(row[0].asText(), row[1].asLong(), row[2].asText(), row[3].asText(), row[4].asText(), row[5].asLong() == 1L, row[it].asLong().toInt(), row[it + 1].asLong())
+    fun placed(o: JsonObject): List<Placed> =
+        (o.listOrNull("a") ?: emptyList()).flatMap { e ->
+            val row = e as JsonArray
+            (6 until row.size step 2).map {
+                Placed(
+                    row[0].asText(),
+                    row[1].asLong(),
+                    row[2].asText(),
+                    row[3].asText(),
+                    row[4].asText(),
+                    row[5].asLong() == 1L,
+                    row[it].asLong().toInt(),
+                    row[it + 1].asLong(),
+                )
+            }
         }
-    }
 
     /** The job without its attempts, which need machines. */
-    fun decode(ref: String, o: JsonObject, ledger: Ledger, mark: Long): Job {
+    fun decode(
+        ref: String,
+        o: JsonObject,
+        ledger: Ledger,
+        mark: Long,
+    ): Job {
         val spec = o.child("s")?.let { JobSpec.parse(it) }
         val state = state(o)
         val job = Job(ref, spec, ledger, o.long("k").toInt(), o.longOrNull("t") ?: 0L, state)
         val d = o.listOrNull("d") ?: emptyList()
-        for (i in d.indices step 2) for (taskIndex in d[i].asLong().toInt() until d[i + 1].asLong().toInt()) job.markDone(taskIndex)
+        for (i in d.indices step 2) {
+            for (taskIndex in d[i].asLong().toInt() until d[i + 1].asLong().toInt()) {
+                job
+                    .markDone(
+                        taskIndex,
+                    )
+            }
+        }
         job.nextAttempt = o.longOrNull("n") ?: 1L
         job.service = o.numberOrNull("v") ?: 0.0
         job.queue = (o.longOrNull("q") ?: 0L).toInt()
--- a/src/main/kotlin/micatally/job/Owner.kt
+++ b/src/main/kotlin/micatally/job/Owner.kt
@@ -21,8 +21,8 @@
 import micatally.wire.ExitReason
 import micatally.wire.JobAnswer
 import micatally.wire.JobSpec
-import micatally.wire.WithdrawnTask
 import micatally.wire.ListedTask
+import micatally.wire.WithdrawnTask
 import micatally.worker.Machine
 import micatally.worker.Machines
 import micatally.worker.OrderBook
@@ -31,9 +31,16 @@
 
 /** The jobs of the ledgers that this node holds, and all that happens to their tasks. */
 class Owner(
-    private val scope: CoroutineScope, private val settings: Settings, private val state: StateClient, private val membership: Membership,
-    private val machines: Machines, private val store: JobStore, private val nowMs: () -> Long, private val wallMs: () -> Long,
-) : OrderBook, GangOwner {
+    private val scope: CoroutineScope,
+    private val settings: Settings,
+    private val state: StateClient,
+    private val membership: Membership,
+    private val machines: Machines,
+    private val store: JobStore,
+    private val nowMs: () -> Long,
+    private val wallMs: () -> Long,
+) : OrderBook,
+    GangOwner {
     private val log = LoggerFactory.getLogger("micatally.job")
     val ledgers = HashMap<String, Ledger>()
     lateinit var orders: Orders
@@ -49,22 +56,53 @@
     private val finals = CacheBuilder.newBuilder().maximumSize(FINALS).build<String, JobAnswer>()
 
     fun final(ref: String): JobAnswer? = finals.getIfPresent(ref)
-    fun rememberFinal(a: JobAnswer) { if (a.status == JobAnswer.DONE || a.status == JobAnswer.WITHDRAWN) finals.put(a.ref, a) }
+
+    fun rememberFinal(a: JobAnswer) {
+        if (a.status == JobAnswer.DONE ||
+            a.status == JobAnswer.WITHDRAWN
+        ) {
+            finals.put(a.ref, a)
+        }
+    }
 
     fun own(): Ledger? = ledgers[settings.host]?.takeIf { it.mine }
 
     fun job(ref: String): Job? {
         var unstored: Job? = null
-        for (l in ledgers.values) if (l.mine) l.jobs[ref]?.let { if (it.durableState != JobState.NEW) return it else unstored = it }
+        for (l in ledgers.values) {
+            if (l.mine) {
+                l.jobs[ref]?.let {
+                    if (it.durableState !=
+                        JobState.NEW
+                    ) {
+                        return it
+                    } else {
+                        unstored = it
+                    }
+                }
+            }
+        }
         return unstored
     }
 
-    fun openJobs(): List<Job> = ledgers.values.filter { it.state == LedgerState.ACTIVE }.flatMap { l -> l.jobs.values.filter { it.wantsTasks } }
+    fun openJobs(): List<Job> =
+        ledgers.values
+            .filter {
+                it.state == LedgerState.ACTIVE
+            }.flatMap { l -> l.jobs.values.filter { it.wantsTasks } }
 
     /** A job that is not stored yet may turn out to be another owner's, whose tasks are then no strays: it was submitted there
      * before, and repeated here. */
-    override fun mine(ref: String) = ledgers.values.any { l -> l.state == LedgerState.ACTIVE && l.jobs[ref]?.let { it.durableState != JobState.NEW } == true }
-    override fun attempt(ref: String, taskIndex: Int) = job(ref)?.attempts?.get(taskIndex)
+    override fun mine(ref: String) =
+        ledgers.values.any { l ->
+            l.state == LedgerState.ACTIVE &&
+                l.jobs[ref]?.let { it.durableState != JobState.NEW } == true
+        }
+
+    override fun attempt(
+        ref: String,
+        taskIndex: Int,
+    ) = job(ref)?.attempts?.get(taskIndex)
 
     /** Whether all jobs of this node's ledgers are known here. */
     val settled get() = own() != null && ledgers.values.all { it.state == LedgerState.ACTIVE }
@@ -74,7 +112,10 @@
 
     // Ledgers
 
-    fun acquired(name: String, holder: Holder) {
+    fun acquired(
+        name: String,
+        holder: Holder,
+    ) {
         ledgers[name]?.let { if (it.mine) lose(it) }
         val l = Ledger(name, holder)
         ledgers[name] = l
@@ -90,7 +131,11 @@
         }
         for (name in membership.cluster.ledgers()) {
             val h = membership.cluster.holder(name) ?: continue
-            if (h.host == settings.host && h.process == membership.process && ledgers[name]?.mine != true) acquired(name, h)
+            if (h.host == settings.host && h.process == membership.process &&
+                ledgers[name]?.mine != true
+            ) {
+                acquired(name, h)
+            }
         }
     }
 
@@ -122,7 +167,13 @@
             if (!l.mine) return
             for (record in records) adopt(l, record)
             l.become(LedgerState.ACTIVE)
-            log.info("ledger {} loaded at epoch {}: {} jobs in {} ms", l.name, l.holder.epoch, l.jobs.size, nowMs() - began)
+            log.info(
+                "ledger {} loaded at epoch {}: {} jobs in {} ms",
+                l.name,
+                l.holder.epoch,
+                l.jobs.size,
+                nowMs() - began,
+            )
             reconcileMachines()
             wake()
             return
@@ -130,7 +181,12 @@
     }
 
     /** A job's record as it was read; [plain] is null for open and done jobs of other ledgers, which nobody asks for here. */
-    private class ReadRecord(val ref: String, val stored: JsonObject, val plain: JsonObject?, val mark: Long)
+    private class ReadRecord(
+        val ref: String,
+        val stored: JsonObject,
+        val plain: JsonObject?,
+        val mark: Long,
+    )
 
     /**
      * All records, whoever owns them; null if they could not be read. A record's further values have its revision, since one
@@ -153,17 +209,30 @@
         }
     }
 
-    private fun adopt(l: Ledger, record: ReadRecord) {
+    private fun adopt(
+        l: Ledger,
+        record: ReadRecord,
+    ) {
         val ref = record.ref
         // Whoever's job it is: a node that has just started must stop its tasks where it hears them.
         if (record.plain != null && JobRecord.state(record.stored) == JobState.WITHDRAWN) {
-            withdrawals.stopList.take(JobRecord.placed(record.plain).map { WithdrawnTask(it.machine, ref, it.taskIndex, it.number) })
+            withdrawals.stopList.take(
+                JobRecord.placed(record.plain).map {
+                    WithdrawnTask(it.machine, ref, it.taskIndex, it.number)
+                },
+            )
         }
         if (JobRecord.ledgerOf(record.stored) != l.name) return
         // Accepted here while the list was on its way; or it was accepted before, and its user has just repeated the
         // submission here: then the record counts, or nobody would own the job.
         val present = l.jobs[ref]
-        if (present?.durableState == JobState.NEW && JobRecord.holdOf(record.stored) != l.hold) store.drop(present) else if (present != null) return
+        if (present?.durableState == JobState.NEW &&
+            JobRecord.holdOf(record.stored) != l.hold
+        ) {
+            store.drop(present)
+        } else if (present != null) {
+            return
+        }
         val plain = record.plain ?: return
         val job = JobRecord.decode(ref, plain, l, record.mark)
         if (JobRecord.isSettled(plain)) {
@@ -179,10 +248,14 @@
         }
     }
 
-    private fun adoptAttempt(job: Job, placed: JobRecord.Placed) {
+    private fun adoptAttempt(
+        job: Job,
+        placed: JobRecord.Placed,
+    ) {
         val machine = machines.known(placed.machine, placed.addr, placed.type, placed.zone, placed.spot)
         if (machine.session == 0L) machine.session = placed.session
-        val attempt = Attempt(job, placed.taskIndex, placed.number, machine, placed.session, job.service, AttemptState.ORDERED)
+        val attempt =
+            Attempt(job, placed.taskIndex, placed.number, machine, placed.session, job.service, AttemptState.ORDERED)
         job.attempts[placed.taskIndex] = attempt
         attach(attempt)
     }
@@ -207,7 +280,12 @@
     // Attempts
 
     /** Numbers are the job's, each used once for a task; the members of a gang, which find each other by it, share one. */
-    fun place(job: Job, taskIndex: Int, m: Machine, number: Long = job.nextAttempt++): Attempt {
+    fun place(
+        job: Job,
+        taskIndex: Int,
+        m: Machine,
+        number: Long = job.nextAttempt++,
+    ): Attempt {
         val a = Attempt(job, taskIndex, number, m, m.session, job.service, AttemptState.INTENDED)
         job.gang?.tried(taskIndex, m.name)
         job.attempts[taskIndex] = a
@@ -216,11 +294,16 @@
         return a
     }
 
-    fun durable(job: Job, written: List<Attempt>) {
+    fun durable(
+        job: Job,
+        written: List<Attempt>,
+    ) {
         val touched = LinkedHashSet<Machine>()
-        for (a in written) if (a.live && a.state == AttemptState.INTENDED) {
-            a.become(AttemptState.RECORDED, nowMs())
-            touched.add(a.machine)
+        for (a in written) {
+            if (a.live && a.state == AttemptState.INTENDED) {
+                a.become(AttemptState.RECORDED, nowMs())
+                touched.add(a.machine)
+            }
         }
         for (m in touched) orders.poke(m)
         if (job.durableState == JobState.DONE || job.durableState == JobState.WITHDRAWN) {
@@ -228,20 +311,29 @@
             if (job.attempts.isEmpty() && job.durableVersion == job.version) {
                 // Kept in memory for a while so that its ended entries are still cleared from the machines.
                 val l = job.ledger
-                scope.launch { delay(settings.leaseMs * 2); if (job.attempts.isEmpty()) l.jobs.remove(job.ref, job) }
+                scope.launch {
+                    delay(settings.leaseMs * 2)
+                    if (job.attempts.isEmpty()) l.jobs.remove(job.ref, job)
+                }
             }
         }
     }
 
     /** Attempts that are not stored yet and for which their job's record has no room. */
-    fun giveUp(job: Job, attempts: List<Attempt>) {
+    fun giveUp(
+        job: Job,
+        attempts: List<Attempt>,
+    ) {
         val all = if (job.gang == null) attempts else job.attempts.values.filter { it.state == AttemptState.INTENDED }
         for (a in all) gone(a, AttemptEnd(GoneProof.NEVER_SENT, "no room in the job's record"))
         job.attemptLimit = job.attempts.size
     }
 
     /** The one place where an attempt ends. A task may start elsewhere only after it. */
-    override fun gone(attempt: Attempt, end: AttemptEnd) {
+    override fun gone(
+        attempt: Attempt,
+        end: AttemptEnd,
+    ) {
         if (!attempt.live) return
         val job = attempt.job
         val now = nowMs()
@@ -262,13 +354,19 @@
         learn(attempt, end, ranMs, now)
         gangs.taskGone(attempt, end)
         // The end of a job that is done is known already: that its last attempts are gone may wait a little.
-        val isUrgent = job.state == JobState.WITHDRAWN || job.state == JobState.OPEN && attempt.stop != null || job.endUnderWay
+        val isUrgent =
+            job.state == JobState.WITHDRAWN || job.state == JobState.OPEN && attempt.stop != null || job.endUnderWay
         store.touch(job, isUrgent)
         wake()
     }
 
     /** What an exit tells of the machine and of when to try again. */
-    private fun learn(attempt: Attempt, end: AttemptEnd, ranMs: Long, now: Long) {
+    private fun learn(
+        attempt: Attempt,
+        end: AttemptEnd,
+        ranMs: Long,
+        now: Long,
+    ) {
         val job = attempt.job
         when (end.reason) {
             ExitReason.ERROR -> faults.taskFailed(attempt, ranMs, now)
@@ -278,7 +376,10 @@
         }
     }
 
-    private fun finished(a: Attempt, ranMs: Long) {
+    private fun finished(
+        a: Attempt,
+        ranMs: Long,
+    ) {
         val job = a.job
         if (!markDone(job, a.taskIndex)) return
         faults.taskCompleted(a, nowMs())
@@ -287,7 +388,10 @@
     }
 
     /** False if that was known. The tasks of a gang complete together: if one is done, all are. */
-    private fun markDone(job: Job, task: Int): Boolean {
+    private fun markDone(
+        job: Job,
+        task: Int,
+    ): Boolean {
         if (!job.markDone(task)) return false
         if (job.gang != null) for (other in 0 until job.taskCount) job.markDone(other)
         if (job.doneCount == job.taskCount && job.state == JobState.OPEN) {
@@ -297,10 +401,21 @@
         return true
     }
 
-    private fun lift(job: Job, to: Double) { if (to > job.service) job.service = to }
+    private fun lift(
+        job: Job,
+        to: Double,
+    ) {
+        if (to > job.service) job.service = to
+    }
 
     fun newSession(m: Machine) {
-        for (a in m.attempts.toList()) if (a.session < m.session) gone(a, AttemptEnd(GoneProof.NEWER_SESSION, "session ${m.session}"))
+        for (a in m.attempts.toList()) {
+            if (a.session <
+                m.session
+            ) {
+                gone(a, AttemptEnd(GoneProof.NEWER_SESSION, "session ${m.session}"))
+            }
+        }
     }
 
     fun deleted(m: Machine) {
@@ -310,7 +425,10 @@
     }
 
     /** A newer task list of a machine. Without an answer to our own request it proves only what can't change any more. */
-    fun listed(m: Machine, own: Boolean) {
+    fun listed(
+        m: Machine,
+        own: Boolean,
+    ) {
         var poke = false
         for (t in m.tasks) {
             val job = job(t.ref) ?: continue
@@ -323,7 +441,12 @@
             }
         }
         // What was there and is missing proves nothing, since nobody knows who took it away; but the machine is asked.
-        if (!own && m.attempts.any { it.state >= AttemptState.PULLING && it.session == m.session && m.tasks.none { t -> t.ref == it.job.ref && t.taskIndex == it.taskIndex && t.attempt == it.number } }) {
+        if (!own &&
+            m.attempts.any {
+                it.state >= AttemptState.PULLING && it.session == m.session &&
+                    m.tasks.none { t -> t.ref == it.job.ref && t.taskIndex == it.taskIndex && t.attempt == it.number }
+            }
+        ) {
             m.mustAsk = true
             poke = true
         }
@@ -331,7 +454,10 @@
     }
 
     /** Completed under an attempt that was given up for good reasons: the result counts all the same. */
-    private fun doneUnderFormerAttempt(job: Job, task: Int) {
+    private fun doneUnderFormerAttempt(
+        job: Job,
+        task: Int,
+    ) {
         if (job.state != JobState.OPEN) return
         val isRestarted = task in job.attempts
         if (isRestarted && job.gang == null || !markDone(job, task)) return
@@ -341,7 +467,11 @@
     }
 
     /** True if the machine has to hear of something. */
-    private fun listedAttempt(a: Attempt, t: ListedTask, own: Boolean): Boolean {
+    private fun listedAttempt(
+        a: Attempt,
+        t: ListedTask,
+        own: Boolean,
+    ): Boolean {
         when (t.status) {
             ListedTask.PULLING -> reached(a, AttemptState.PULLING)
             ListedTask.WAITING -> reached(a, AttemptState.WAITING)
@@ -363,7 +493,10 @@
     }
 
     /** What is listed takes an attempt forward only. */
-    private fun reached(a: Attempt, state: AttemptState): Boolean {
+    private fun reached(
+        a: Attempt,
+        state: AttemptState,
+    ): Boolean {
         if (a.state < AttemptState.ORDERED || a.state >= state) return false
         a.become(state, nowMs())
         gangs.taskSeen(a)
@@ -392,18 +525,40 @@
         val since = nowMs() - machines.bootMs(null) * RECENT_BOOTS / 3
         while (recent.isNotEmpty() && recent.first().first < since) recent.removeFirst()
         return recent.groupBy { (_, s) -> s.amount to s.types }.map { (shape, list) ->
-            Demand(shape.first.cores, shape.first.cards, shape.first.ram, shape.second?.toList() ?: emptyList(), count = list.sumOf { it.second.taskCount }, service = true)
+            Demand(
+                shape.first.cores,
+                shape.first.cards,
+                shape.first.ram,
+                shape.second?.toList() ?: emptyList(),
+                count =
+                    list
+                        .sumOf {
+                            it.second.taskCount
+                        },
+                service = true,
+            )
         }
     }
 
     // What users ask for
 
     /** Creates a job of this node's own ledger; the caller waits for the store. */
-    fun create(spec: JobSpec, ledger: Ledger): Job {
+    fun create(
+        spec: JobSpec,
+        ledger: Ledger,
+    ): Job {
         val job = Job(spec.ref, spec, ledger, spec.taskCount, wallMs(), JobState.NEW)
         ledger.jobs[spec.ref] = job
         if (spec.isService) recent.addLast(nowMs() to spec)
-        log.info("job {} of {} lane {}: {} tasks of {} cores {} cards", spec.ref, spec.team, spec.jobClass, spec.taskCount, spec.amount.cores, spec.amount.cards)
+        log.info(
+            "job {} of {} lane {}: {} tasks of {} cores {} cards",
+            spec.ref,
+            spec.team,
+            spec.jobClass,
+            spec.taskCount,
+            spec.amount.cores,
+            spec.amount.cards,
+        )
         return job
     }
 
@@ -421,7 +576,10 @@
         val now = nowMs()
         val touched = LinkedHashSet<Machine>()
         for (a in job.attempts.values.toList()) {
-            if (a.state == AttemptState.INTENDED) { gone(a, AttemptEnd(GoneProof.NEVER_SENT, "withdrawn")); continue }
+            if (a.state == AttemptState.INTENDED) {
+                gone(a, AttemptEnd(GoneProof.NEVER_SENT, "withdrawn"))
+                continue
+            }
             a.stop(StopReason.WITHDRAWN, now)
             touched.add(a.machine)
         }
@@ -432,17 +590,33 @@
     /** Adopted after a takeover: a withdrawn job's tasks must still go. */
     fun sweep() {
         val now = nowMs()
-        for (j in withdrawals.unfinished) if (j.ledger.state == LedgerState.ACTIVE) for (a in j.attempts.values) a.stop(StopReason.WITHDRAWN, now)
+        for (j in withdrawals.unfinished) {
+            if (j.ledger.state ==
+                LedgerState.ACTIVE
+            ) {
+                for (a in j.attempts.values) a.stop(StopReason.WITHDRAWN, now)
+            }
+        }
         for (m in machines.byName.values) {
             if (m.deleted || m.attempts.isEmpty() && m.tasks.none { it.ended && mine(it.ref) }) continue
             if (m.flushing) continue
-            if (m.attempts.any { it.stop != null || it.state == AttemptState.RECORDED || it.state == AttemptState.ORDERED || m.confirmedToken < it.job.ledger.holder.epoch } || m.mustAsk || m.tasks.any { it.ended && mine(it.ref) }) orders.poke(m)
+            if (m.attempts.any {
+                    it.stop != null || it.state == AttemptState.RECORDED ||
+                        it.state == AttemptState.ORDERED ||
+                        m.confirmedToken < it.job.ledger.holder.epoch
+                } ||
+                m.mustAsk ||
+                m.tasks.any { it.ended && mine(it.ref) }
+            ) {
+                orders.poke(m)
+            }
         }
     }
 
     private companion object {
         const val FINALS = 20_000L
         const val MOST_LOGGED_ONCE = 100
+
         /** Services of so many thirds of a boot may come while a machine boots. */
         const val RECENT_BOOTS = 4
     }
--- a/src/main/kotlin/micatally/job/RecordPacking.kt
+++ b/src/main/kotlin/micatally/job/RecordPacking.kt
@@ -15,7 +15,10 @@
 import java.util.zip.InflaterInputStream
 
 /** A value that was too large for the state service, compressed into one value and, if need be, some more. */
-class PackedValue(val main: JsonObject, val overflow: List<JsonObject>)
+class PackedValue(
+    val main: JsonObject,
+    val overflow: List<JsonObject>,
+)
 
 /**
  * Compresses values beyond the limit of the state service. The main value keeps the fields that are read without the
@@ -37,23 +40,32 @@
     fun overflowCount(value: JsonObject): Int = value.longOrNull(OVERFLOW_COUNT)?.toInt() ?: 0
 
     /** Null if the value does not fit in one value and [most] further ones. */
-    fun pack(value: JsonObject, plainFields: JsonObject, valueBytes: Int, most: Int): PackedValue? {
+    fun pack(
+        value: JsonObject,
+        plainFields: JsonObject,
+        valueBytes: Int,
+        most: Int,
+    ): PackedValue? {
         val text = Base64.getEncoder().encodeToString(deflate(value.toString()))
         val firstLength = valueBytes - FIELD_BYTES - size(plainFields)
         val chunkLength = valueBytes - FIELD_BYTES
         if (firstLength <= 0) return null
         val rest = text.drop(firstLength).chunked(chunkLength)
         if (rest.size > most) return null
-        val main = buildJsonObject {
-            for ((name, field) in plainFields) put(name, field)
-            put(DATA, JsonPrimitive(text.take(firstLength)))
-            if (rest.isNotEmpty()) put(OVERFLOW_COUNT, JsonPrimitive(rest.size))
-        }
+        val main =
+            buildJsonObject {
+                for ((name, field) in plainFields) put(name, field)
+                put(DATA, JsonPrimitive(text.take(firstLength)))
+                if (rest.isNotEmpty()) put(OVERFLOW_COUNT, JsonPrimitive(rest.size))
+            }
         return PackedValue(main, rest.map { chunk -> buildJsonObject { put(CHUNK, JsonPrimitive(chunk)) } })
     }
 
     /** The value that was packed; [main] itself if it was not. */
-    fun unpack(main: JsonObject, overflow: List<JsonObject>): JsonObject {
+    fun unpack(
+        main: JsonObject,
+        overflow: List<JsonObject>,
+    ): JsonObject {
         val first = main.textOrNull(DATA) ?: return main
         val text = overflow.fold(StringBuilder(first)) { all, part -> all.append(part.textOrNull(CHUNK) ?: "") }
         return Json.parseToJsonElement(inflate(Base64.getDecoder().decode(text.toString()))) as JsonObject
--- a/src/main/kotlin/micatally/job/RecordWrite.kt
+++ b/src/main/kotlin/micatally/job/RecordWrite.kt
@@ -14,11 +14,18 @@
  * @property killOverflow how many further values the kill list takes
  * @property listsTasks whether the transaction holds a kill list
  */
-class RecordWrite(val changes: List<Change>, val overflow: Int, val killOverflow: Int, val listsTasks: Boolean)
+class RecordWrite(
+    val changes: List<Change>,
+    val overflow: Int,
+    val killOverflow: Int,
+    val listsTasks: Boolean,
+)
 
 /** Whether a job fits in the state service as it is. */
 sealed interface RecordFit {
-    class Fits(val write: RecordWrite) : RecordFit
+    class Fits(
+        val write: RecordWrite,
+    ) : RecordFit
 
     /** Too large even so; fewer attempts have to be on machines. */
     data object TooLarge : RecordFit
@@ -29,28 +36,40 @@
  * split beyond that, once all controllers understand it. Until then a record that an older program has made larger
  * keeps its form, which the service still takes.
  */
-class RecordForms(val limits: StateLimits, private val mayPack: () -> Boolean) {
+class RecordForms(
+    val limits: StateLimits,
+    private val mayPack: () -> Boolean,
+) {
     fun fit(job: Job): RecordFit {
         val record = JobRecord.encode(job)
         val listsTasks = job.state == JobState.WITHDRAWN && job.attempts.isNotEmpty()
         val main = form(record) { JobRecord.summary(job, record) } ?: return RecordFit.TooLarge
-        val kills = if (listsTasks) {
-            form(JobRecord.encodeTasks(job)) { EMPTY } ?: return RecordFit.TooLarge
-        } else {
-            null
-        }
+        val kills =
+            if (listsTasks) {
+                form(JobRecord.encodeTasks(job)) { EMPTY } ?: return RecordFit.TooLarge
+            } else {
+                null
+            }
         return RecordFit.Fits(write(job, main, kills))
     }
 
     /** Whether new attempts have to wait: the plain form is kept within the limits to come, also while it need not be. */
     fun isFull(job: Job): Boolean = !mayPack() && RecordPacking.size(JobRecord.encode(job)) > limits.valueBytes
 
-    private fun form(value: JsonObject, plainFields: () -> JsonObject): PackedValue? = when {
-        RecordPacking.size(value) <= limits.valueBytes || !mayPack() -> PackedValue(value, emptyList())
-        else -> RecordPacking.pack(value, plainFields(), limits.valueBytes, limits.overflowValues)
-    }
+    private fun form(
+        value: JsonObject,
+        plainFields: () -> JsonObject,
+    ): PackedValue? =
+        when {
+            RecordPacking.size(value) <= limits.valueBytes || !mayPack() -> PackedValue(value, emptyList())
+            else -> RecordPacking.pack(value, plainFields(), limits.valueBytes, limits.overflowValues)
+        }
 
-    private fun write(job: Job, main: PackedValue, kills: PackedValue?): RecordWrite {
+    private fun write(
+        job: Job,
+        main: PackedValue,
+        kills: PackedValue?,
+    ): RecordWrite {
         val changes = ArrayList<Change>()
         changes += Put(Keys.job(job.ref), main.main)
         changes += overflowChanges(main, job.storedOverflow) { Keys.jobPart(job.ref, it) }
@@ -64,7 +83,11 @@
         return RecordWrite(changes, main.overflow.size, kills?.overflow?.size ?: 0, kills != null)
     }
 
-    private fun overflowChanges(value: PackedValue, stored: Int, key: (Int) -> String): List<Change> {
+    private fun overflowChanges(
+        value: PackedValue,
+        stored: Int,
+        key: (Int) -> String,
+    ): List<Change> {
         val puts = value.overflow.mapIndexed { index, part -> Put(key(index), part) }
         val deletes = (value.overflow.size until stored).map { Delete(key(it)) }
         return puts + deletes
--- a/src/main/kotlin/micatally/job/Withdrawals.kt
+++ b/src/main/kotlin/micatally/job/Withdrawals.kt
@@ -30,7 +30,11 @@
     val unfinished: Collection<Job> get() = pending
 
     /** Tasks that may still be on their machines. */
-    fun unfinishedTasks(): List<WithdrawnTask> = pending.filter { it.durableState == JobState.WITHDRAWN }.flatMap { tasksOf(it) }
+    fun unfinishedTasks(): List<WithdrawnTask> =
+        pending
+            .filter {
+                it.durableState == JobState.WITHDRAWN
+            }.flatMap { tasksOf(it) }
 
     fun tasksOf(job: Job): List<WithdrawnTask> =
         job.attempts.values.map { WithdrawnTask(it.machine.name, job.ref, it.taskIndex, it.number) }
@@ -85,10 +89,14 @@
         stopList.prune { cluster.has(Keys.kill(it)) }
     }
 
-    private fun isOverdue(job: Job, now: Long): Boolean {
+    private fun isOverdue(
+        job: Job,
+        now: Long,
+    ): Boolean {
         val isOwn = job.ledger.state == LedgerState.ACTIVE && job.durableState == JobState.WITHDRAWN
         val since = now - settings.leaseMs / OVERDUE_SHARE
-        return isOwn && !job.confirmableRecorded && job.attempts.values.any { it.stop == StopReason.WITHDRAWN && it.stopSinceMs < since }
+        return isOwn && !job.confirmableRecorded &&
+            job.attempts.values.any { it.stop == StopReason.WITHDRAWN && it.stopSinceMs < since }
     }
 
     private fun confirm(job: Job) {
@@ -99,7 +107,13 @@
         }
         if (job.spreading) return
         job.spreading = true
-        scope.launch { try { askPeers(job) } finally { job.spreading = false } }
+        scope.launch {
+            try {
+                askPeers(job)
+            } finally {
+                job.spreading = false
+            }
+        }
     }
 
     private companion object {
--- a/src/main/kotlin/micatally/ledger/Cluster.kt
+++ b/src/main/kotlin/micatally/ledger/Cluster.kt
@@ -12,12 +12,14 @@
     const val PREFIX = "c/"
     const val EPOCH = "c/epoch"
     const val FLEET = "c/fleet"
+
     /** The version of the stored forms that may be written, and the version that each host has come up with. */
     const val FORMAT = "c/format"
     const val VERSION = "c/version/"
     const val LEDGER = "c/ledger/"
     const val LIVE = "c/live/"
     const val TEAM = "c/team/"
+
     /** Summaries lie under a prefix of their own: they are by far the larger part, and a node that has only just started
      * can answer workers without them. */
     const val SUMMARIES = "s/"
@@ -29,19 +31,39 @@
     const val DRAIN = "c/drain/"
     const val JOB = "job/"
     const val FLAVORS = "flavors"
+
     /** What does not fit in the value of a job's record. Not under [JOB], or the previous program would read it as a record. */
     const val JOB_PART = "part/"
+
     fun job(ref: String) = JOB + ref
-    fun jobPart(ref: String, index: Int) = "$JOB_PART$ref/$index"
-    fun killPart(ref: String, index: Int) = "$KILL$ref/$index"
+
+    fun jobPart(
+        ref: String,
+        index: Int,
+    ) = "$JOB_PART$ref/$index"
+
+    fun killPart(
+        ref: String,
+        index: Int,
+    ) = "$KILL$ref/$index"
+
     fun ledger(name: String) = LEDGER + name
+
     fun live(host: String) = LIVE + host
+
     fun kill(ref: String) = KILL + ref
+
     fun team(name: String) = TEAM + name
+
     fun version(host: String) = VERSION + host
 }
 
-class Holder(val host: String, val process: String, val epoch: Long, val mark: Long)
+class Holder(
+    val host: String,
+    val process: String,
+    val epoch: Long,
+    val mark: Long,
+)
 
 /** This node's copy of the shared keys, always as of one revision. */
 class Cluster {
@@ -50,17 +72,27 @@
         private set
 
     val epoch get() = items[Keys.EPOCH]?.value?.longOrNull("n") ?: 0L
+
     fun mark(key: String) = items[key]?.mark ?: 0L
+
     fun value(key: String): JsonObject? = items[key]?.value
+
     fun under(prefix: String): List<Item> = items.values.filter { it.key.startsWith(prefix) }
+
     fun has(key: String) = items.containsKey(key)
 
     fun holder(ledger: String): Holder? {
         val i = items[Keys.ledger(ledger)] ?: return null
-        return Holder(i.value.textOrNull("host") ?: "", i.value.textOrNull("process") ?: "", i.value.longOrNull("epoch") ?: 0, i.mark)
+        return Holder(
+            i.value.textOrNull("host") ?: "",
+            i.value.textOrNull("process") ?: "",
+            i.value.longOrNull("epoch") ?: 0,
+            i.mark,
+        )
     }
 
     fun ledgers(): List<String> = under(Keys.LEDGER).map { it.key.removePrefix(Keys.LEDGER) }
+
     fun isLive(host: String) = has(Keys.live(host))
 
     /** Takes a full listing; returns the keys that differ. */
--- a/src/main/kotlin/micatally/ledger/Ledger.kt
+++ b/src/main/kotlin/micatally/ledger/Ledger.kt
@@ -6,7 +6,10 @@
 enum class LedgerState { LOADING, ACTIVE, LOST }
 
 /** A ledger in this node's hands: the jobs accepted by one controller. */
-class Ledger(val name: String, val holder: Holder) {
+class Ledger(
+    val name: String,
+    val holder: Holder,
+) {
     var state = LedgerState.LOADING
         private set
     val jobs = HashMap<String, Job>()
--- a/src/main/kotlin/micatally/ledger/Membership.kt
+++ b/src/main/kotlin/micatally/ledger/Membership.kt
@@ -23,8 +23,12 @@
 
 /** Life of this node as the state service sees it: its lease, the shared keys, the ledgers that it holds. */
 class Membership(
-    private val scope: CoroutineScope, private val settings: Settings, private val state: StateClient, val cluster: Cluster,
-    private val random: Random, private val nowMs: () -> Long,
+    private val scope: CoroutineScope,
+    private val settings: Settings,
+    private val state: StateClient,
+    val cluster: Cluster,
+    private val random: Random,
+    private val nowMs: () -> Long,
 ) {
     private val log = LoggerFactory.getLogger("micatally.ledger")
 
@@ -33,6 +37,7 @@
     var lease: Long? = null
         private set
     private var leaseProvenAt = Long.MIN_VALUE / 2
+
     /** The mark of this node's own live key; it goes with its lease and changes with nothing else. */
     private var liveMark = 0L
     private var viewProvenAt = Long.MIN_VALUE / 2
@@ -57,7 +62,10 @@
         private set
 
     /** The one place where the node's right changes. */
-    private fun become(next: Authority, why: String) {
+    private fun become(
+        next: Authority,
+        why: String,
+    ) {
         if (authority == next) return
         log.info("right {} -> {}: {} epoch={}", authority, next, why, cluster.epoch)
         authority = next
@@ -76,7 +84,11 @@
     fun checkAuthority(): Authority {
         when {
             !started -> {}
-            nowMs() - toldAt > settings.authorityMs -> become(Authority.LAPSED, "no proof of state contact for ${settings.authorityMs} ms")
+            nowMs() - toldAt > settings.authorityMs ->
+                become(
+                    Authority.LAPSED,
+                    "no proof of state contact for ${settings.authorityMs} ms",
+                )
             authority != Authority.ENTITLED -> become(Authority.ENTITLED, "state contact")
         }
         return authority
@@ -85,7 +97,8 @@
     /** True while no other node can have taken this node's ledgers: its lease at the state service cannot have ended. */
     fun leaseHolds(): Boolean = lease != null && nowMs() < leaseProvenAt + settings.liveMs * 97 / 100
 
-    fun holds(ledger: String): Boolean = cluster.holder(ledger)?.let { it.host == settings.host && it.process == process } == true
+    fun holds(ledger: String): Boolean =
+        cluster.holder(ledger)?.let { it.host == settings.host && it.process == process } == true
 
     fun start() {
         scope.launch { leaseLoop() }
@@ -103,15 +116,34 @@
                 continue
             }
             if (held == null) {
-                if (cluster.revision < 0) { delay(settings.liveMs / 200); continue }
+                if (cluster.revision < 0) {
+                    delay(settings.liveMs / 200)
+                    continue
+                }
                 val l = state.grant(settings.liveMs)
-                if (l == null) { delay(pause()); continue }
+                if (l == null) {
+                    delay(pause())
+                    continue
+                }
                 // Conditional, or a copy that is carried out late, also one of a former process, would tie the key to a lease that
                 // nobody renews: it would go while this node believes in its newer one. When the outcome is not known the lease
                 // is given up, and what comes late then has none.
-                val r = state.txn(1, Urgency.LEASE) {
-                    Txn(listOf(Condition(Keys.live(settings.host), cluster.mark(Keys.live(settings.host)))), listOf(Put(Keys.live(settings.host), buildJsonObject { put("process", process); put(UpgradePlan.FORMAT_FIELD, FormatVersion.CURRENT) }, l)))
-                }
+                val r =
+                    state.txn(1, Urgency.LEASE) {
+                        Txn(
+                            listOf(Condition(Keys.live(settings.host), cluster.mark(Keys.live(settings.host)))),
+                            listOf(
+                                Put(
+                                    Keys.live(settings.host),
+                                    buildJsonObject {
+                                        put("process", process)
+                                        put(UpgradePlan.FORMAT_FIELD, FormatVersion.CURRENT)
+                                    },
+                                    l,
+                                ),
+                            ),
+                        )
+                    }
                 if (r is TxnResult.Applied) {
                     lease = l
                     leaseProvenAt = sent
@@ -125,8 +157,14 @@
                 continue
             }
             when (state.renew(held)) {
-                true -> { leaseProvenAt = sent; delay(settings.liveMs / 4) }
-                false -> { log.info("lease {} has ended", held); lease = null }
+                true -> {
+                    leaseProvenAt = sent
+                    delay(settings.liveMs / 4)
+                }
+                false -> {
+                    log.info("lease {} has ended", held)
+                    lease = null
+                }
                 null -> delay(pause())
             }
         }
@@ -145,14 +183,23 @@
     private suspend fun viewLoop() = follow(Keys.PREFIX, cluster, settings.leaseMs / 10, Urgency.LEASE, ::seen)
 
     /** Keeps a copy of the keys under a prefix; [changed] hears which have changed, and when the question left. */
-    private suspend fun follow(prefix: String, copy: Cluster, holdMs: Long, urgency: Urgency, changed: (Set<String>, Long) -> Unit) {
+    private suspend fun follow(
+        prefix: String,
+        copy: Cluster,
+        holdMs: Long,
+        urgency: Urgency,
+        changed: (Set<String>, Long) -> Unit,
+    ) {
         var whole = true
         var watchedAt = Long.MIN_VALUE / 2
         while (true) {
             var sent = nowMs()
             if (whole || copy.revision < 0) {
                 val l = state.list(prefix, urgency)
-                if (l == null) { delay(pause()); continue }
+                if (l == null) {
+                    delay(pause())
+                    continue
+                }
                 whole = false
                 changed(copy.load(l), sent)
                 continue
@@ -174,7 +221,10 @@
         }
     }
 
-    private fun seen(changed: Set<String>, provenAt: Long) {
+    private fun seen(
+        changed: Set<String>,
+        provenAt: Long,
+    ) {
         viewProvenAt = maxOf(viewProvenAt, provenAt)
         if (lease != null && cluster.revision >= liveMark && cluster.mark(Keys.live(settings.host)) != liveMark) {
             log.info("lease {}: the live key is not its own any more", lease)
@@ -191,51 +241,90 @@
         // so that most tries fail; they are repeated soon.
         started = true
         checkAuthority()
-        scope.launch { follow(Keys.SUMMARIES, summaries, settings.leaseMs / 2, Urgency.INTENT) { keys, _ -> if (keys.isNotEmpty()) onSummaries(keys) } }
+        scope.launch {
+            follow(
+                Keys.SUMMARIES,
+                summaries,
+                settings.leaseMs / 2,
+                Urgency.INTENT,
+            ) { keys, _ -> if (keys.isNotEmpty()) onSummaries(keys) }
+        }
         while (!acquire(settings.host, "start")) delay(random.nextLong(settings.liveMs / 50))
         while (true) {
             delay(settings.liveMs / 16)
-            if (!leaseHolds() || viewAgeMs > settings.liveMs / 2) { deadSince.clear(); continue }
+            if (!leaseHolds() || viewAgeMs > settings.liveMs / 2) {
+                deadSince.clear()
+                continue
+            }
             val now = nowMs()
             if (!holds(settings.host)) {
                 // Lost while cut off. Taken back when contact has been steady for a while.
                 val since = ownLostAt ?: now.also { ownLostAt = now }
-                if (now - since > settings.liveMs / 2) { ownLostAt = null; acquire(settings.host, "taken back") }
-            } else ownLostAt = null
+                if (now - since > settings.liveMs / 2) {
+                    ownLostAt = null
+                    acquire(settings.host, "taken back")
+                }
+            } else {
+                ownLostAt = null
+            }
             for (l in cluster.ledgers()) {
                 val h = cluster.holder(l) ?: continue
-                if (!isOrphan(l, h)) { deadSince.remove(l); continue }
+                if (!isOrphan(l, h)) {
+                    deadSince.remove(l)
+                    continue
+                }
                 val since = deadSince.getOrPut(l) { now + random.nextLong(settings.liveMs / 16) }
-                if (now - since > settings.liveMs / 16) { deadSince.remove(l); acquire(l, "its holder ${h.host} is dead", h) }
+                if (now - since >
+                    settings.liveMs / 16
+                ) {
+                    deadSince.remove(l)
+                    acquire(l, "its holder ${h.host} is dead", h)
+                }
             }
         }
     }
 
     /** Whether the holder has ended: its host has no live key, or another process of it has, which does not know that the
      * former one had taken this ledger over. Its own ledger a new process acquires by itself. */
-    private fun isOrphan(ledger: String, h: Holder): Boolean {
+    private fun isOrphan(
+        ledger: String,
+        h: Holder,
+    ): Boolean {
         val process = cluster.value(Keys.live(h.host))?.textOrNull("process") ?: return true
         return process != h.process && ledger != h.host
     }
 
     /** One transaction: the ledger's new holder and a raised epoch, on the condition that neither has changed, and that the
      * [former] holder has not come back meanwhile, however late it is carried out: one that did answers from memory again. */
-    suspend fun acquire(ledger: String, why: String, former: Holder? = null): Boolean {
+    suspend fun acquire(
+        ledger: String,
+        why: String,
+        former: Holder? = null,
+    ): Boolean {
         var epoch = 0L
-        val r = state.txn(2, Urgency.LEASE) {
-            if (former != null && !isOrphan(ledger, former)) return@txn null
-            epoch = cluster.epoch + 1
-            Txn(
-                listOfNotNull(
-                    Condition(Keys.EPOCH, cluster.mark(Keys.EPOCH)), Condition(Keys.ledger(ledger), cluster.mark(Keys.ledger(ledger))),
-                    former?.let { Condition(Keys.live(it.host), cluster.mark(Keys.live(it.host))) },
-                ),
-                listOf(
-                    Put(Keys.EPOCH, buildJsonObject { put("n", epoch) }),
-                    Put(Keys.ledger(ledger), buildJsonObject { put("host", settings.host); put("process", process); put("epoch", epoch) }),
-                ),
-            )
-        }
+        val r =
+            state.txn(2, Urgency.LEASE) {
+                if (former != null && !isOrphan(ledger, former)) return@txn null
+                epoch = cluster.epoch + 1
+                Txn(
+                    listOfNotNull(
+                        Condition(Keys.EPOCH, cluster.mark(Keys.EPOCH)),
+                        Condition(Keys.ledger(ledger), cluster.mark(Keys.ledger(ledger))),
+                        former?.let { Condition(Keys.live(it.host), cluster.mark(Keys.live(it.host))) },
+                    ),
+                    listOf(
+                        Put(Keys.EPOCH, buildJsonObject { put("n", epoch) }),
+                        Put(
+                            Keys.ledger(ledger),
+                            buildJsonObject {
+                                put("host", settings.host)
+                                put("process", process)
+                                put("epoch", epoch)
+                            },
+                        ),
+                    ),
+                )
+            }
         if (r !is TxnResult.Applied) {
             log.info("ledger {} not acquired ({}): {}", ledger, why, r::class.simpleName)
             // The view that the conditions came from was too old, or nobody knows the outcome: look again.
@@ -249,9 +338,23 @@
 
     /** Raises the epoch alone: what was sent with a lower token can no longer be carried out where the new one is known. */
     suspend fun raiseEpoch(why: String): Boolean {
-        val r = state.txn(1, Urgency.LEASE) {
-            Txn(listOf(Condition(Keys.EPOCH, cluster.mark(Keys.EPOCH))), listOf(Put(Keys.EPOCH, buildJsonObject { put("n", cluster.epoch + 1) })))
-        }
+        val r =
+            state.txn(1, Urgency.LEASE) {
+                Txn(
+                    listOf(Condition(Keys.EPOCH, cluster.mark(Keys.EPOCH))),
+                    listOf(
+                        Put(
+                            Keys.EPOCH,
+                            buildJsonObject {
+                                put(
+                                    "n",
+                                    cluster.epoch + 1,
+                                )
+                            },
+                        ),
+                    ),
+                )
+            }
         log.info("epoch raised: {} {}", why, r::class.simpleName)
         return r is TxnResult.Applied
     }
--- a/src/main/kotlin/micatally/node/Controller.kt
+++ b/src/main/kotlin/micatally/node/Controller.kt
@@ -46,18 +46,44 @@
 /** One controller: all parts, put together. Requests leave through [http], time and randomness come from outside, so
  * several controllers can run in one simulation. */
 class Controller(
-    private val scope: CoroutineScope, private val settings: Settings, http: HttpCaller, random: Random,
-    private val nowMs: () -> Long, wallMs: () -> Long, operator: Operator = Operator.DEFAULT, nowNs: () -> Long = { nowMs() * 1_000_000 },
+    private val scope: CoroutineScope,
+    private val settings: Settings,
+    http: HttpCaller,
+    random: Random,
+    private val nowMs: () -> Long,
+    wallMs: () -> Long,
+    operator: Operator = Operator.DEFAULT,
+    nowNs: () -> Long = {
+        nowMs() *
+            1_000_000
+    },
 ) {
     private val effort = Effort(nowNs)
     private val log = LoggerFactory.getLogger("micatally.node")
     private val share = 0.95 / settings.controllers
     private val requestBudget = RateBudget(scope, settings.stateLimits.rps * share, nowMs)
-    private val writeBudget = RateBudget(scope, settings.stateWriteRps * share, nowMs, settings.stateWriteRps * (0.95 - share))
-    private val state = StateClient(
-        http, settings.stateAddr, requestBudget, writeBudget, settings.leaseMs / 8,
-    )
-    private val cloud = CloudClient(http, settings.cloudAddr, RateBudget(scope, settings.cloudRps * 0.9, nowMs), settings.leaseMs / 2)
+    private val writeBudget =
+        RateBudget(
+            scope,
+            settings.stateWriteRps * share,
+            nowMs,
+            settings.stateWriteRps * (0.95 - share),
+        )
+    private val state =
+        StateClient(
+            http,
+            settings.stateAddr,
+            requestBudget,
+            writeBudget,
+            settings.leaseMs / 8,
+        )
+    private val cloud =
+        CloudClient(
+            http,
+            settings.cloudAddr,
+            RateBudget(scope, settings.cloudRps * 0.9, nowMs),
+            settings.leaseMs / 2,
+        )
     val membership = Membership(scope, settings, state, Cluster(), random, nowMs)
     val machines = Machines(nowMs)
     private val upgrade = Upgrade(scope, settings, state, membership.cluster) { uniform() }
@@ -65,23 +91,54 @@
     private val store = JobStore(scope, state, forms, settings.reportMs / 4, settings.leaseMs / 10, nowMs)
     val owner = Owner(scope, settings, state, membership, machines, store, nowMs, wallMs)
     private val orders = Orders(scope, http, settings, membership, machines, owner, owner.withdrawals.stopList, nowMs)
-    private val quota = Quota(scope, state, membership.cluster, settings.teams, { owner.ledgers.values.filter { it.mine } }, settings.controllers) { rounds.wake() }
-    val rounds: Rounds = Rounds(scope, settings, owner, machines, store, quota, orders, Queues(operator.queueBounds.map { it * settings.leaseMs / 1000.0 }, operator.queueLift), effort, nowMs)
+    private val quota =
+        Quota(scope, state, membership.cluster, settings.teams, {
+            owner.ledgers.values.filter { it.mine }
+        }, settings.controllers) { rounds.wake() }
+    val rounds: Rounds =
+        Rounds(
+            scope,
+            settings,
+            owner,
+            machines,
+            store,
+            quota,
+            orders,
+            Queues(
+                operator.queueBounds.map {
+                    it *
+                        settings.leaseMs /
+                        1000.0
+                },
+                operator.queueLift,
+            ),
+            effort,
+            nowMs,
+        )
     private val peers = Peers(scope, http, settings, state, membership, machines, owner, rounds, nowMs)
     private val reach = WorkerReach(scope, http, settings, machines, nowMs)
-    private val fleetManager = FleetManager(scope, http, settings, state, cloud, membership, machines, fleetDemand(), operator, nowMs)
+    private val fleetManager =
+        FleetManager(scope, http, settings, state, cloud, membership, machines, fleetDemand(), operator, nowMs)
     private val questionRps = settings.stateLimits.rps * share * QUESTION_SHARE
-    private val reads = RecordReads(state, RateBudget(scope, questionRps, nowMs), maxOf(1, questionRps.toInt()), settings.leaseMs / 8)
-    private val users = UserApi(settings, state, membership, owner, store, machines, peers, rounds, upgrade, reads, reach, nowMs)
+    private val reads =
+        RecordReads(
+            state,
+            RateBudget(scope, questionRps, nowMs),
+            maxOf(1, questionRps.toInt()),
+            settings.leaseMs / 8,
+        )
+    private val users =
+        UserApi(settings, state, membership, owner, store, machines, peers, rounds, upgrade, reads, reach, nowMs)
     private val workers = WorkerApi(settings, membership, machines, peers, owner.withdrawals.stopList, nowMs)
 
-    private fun fleetDemand() = object : FleetDemand {
-        override fun unplaced() = rounds.unplaced.values.toList() + peers.demandOfPeers()
+    private fun fleetDemand() =
+        object : FleetDemand {
+            override fun unplaced() = rounds.unplaced.values.toList() + peers.demandOfPeers()
 
-        override fun recentServices() = peers.recentServices()
+            override fun recentServices() = peers.recentServices()
 
-        override fun silentZones() = peers.silentZones()
-    }
+            override fun silentZones() = peers.silentZones()
+        }
 
     /** Whether this node rents and returns machines for all. */
     val isFleetManager get() = fleetManager.isLeader
@@ -98,15 +155,30 @@
         store.onDropped = { owner.forget(it) }
         store.onRecordFull = { job, attempts -> owner.giveUp(job, attempts) }
         owner.withdrawals.askPeers = { peers.spread(it) }
-        store.onLedgerLost = { l -> owner.lose(l); scope.launch { membership.refresh() } }
+        store.onLedgerLost = { l ->
+            owner.lose(l)
+            scope.launch { membership.refresh() }
+        }
         machines.onSession = { owner.newSession(it) }
-        machines.onBehind = { m -> if (m.attempts.isNotEmpty()) { m.mustAsk = true; orders.poke(m) } }
-        machines.onTasks = { m, own -> owner.listed(m, own); rounds.wake() }
+        machines.onBehind = { m ->
+            if (m.attempts.isNotEmpty()) {
+                m.mustAsk = true
+                orders.poke(m)
+            }
+        }
+        machines.onTasks = { m, own ->
+            owner.listed(m, own)
+            rounds.wake()
+        }
         fleetManager.onFlavors = { rounds.wake() }
         peers.onRetire = { fleetManager.retire(it) }
         peers.onNews = { rounds.wake() }
         membership.onChange = { keys -> effort.of(Effort.Kind.SHARED) { sharedChanged(keys) } }
-        membership.onSummaries = { keys -> effort.of(Effort.Kind.SHARED) { peers.summariesChanged(keys) }; rounds.wake() }
+        membership.onSummaries =
+            { keys ->
+                effort.of(Effort.Kind.SHARED) { peers.summariesChanged(keys) }
+                rounds.wake()
+            }
         membership.start()
         fleetManager.start()
         peers.start()
@@ -138,8 +210,10 @@
         rounds.wake()
     }
 
-    private fun isReachable(m: Machine, now: Long) =
-        !m.deleted && m.failuresInRow == 0 && now >= m.unreachableUntil && now - m.heardAt < settings.reportMs * 2
+    private fun isReachable(
+        m: Machine,
+        now: Long,
+    ) = !m.deleted && m.failuresInRow == 0 && now >= m.unreachableUntil && now - m.heardAt < settings.reportMs * 2
 
     private suspend fun housekeeping() {
         var round = 0
@@ -158,25 +232,49 @@
                 rounds.moveOff(now)
                 for (m in machines.byName.values) m.releaseOld(now)
             }
-            for (m in machines.byName.values) if (m.recalled && !m.deleted) {
-                var touched = false
-                for (a in m.attempts.toList()) {
-                    if (a.stop != null || a.state < AttemptState.ORDERED) continue
-                    if (a.job.gang != null) owner.gangs.stopOrderly(a.job, "${m.name} is taken back") { isReachable(it, now) }
-                    else if (a.stop(StopReason.DRAIN, now)) touched = true
+            for (m in machines.byName.values) {
+                if (m.recalled && !m.deleted) {
+                    var touched = false
+                    for (a in m.attempts.toList()) {
+                        if (a.stop != null || a.state < AttemptState.ORDERED) continue
+                        if (a.job.gang !=
+                            null
+                        ) {
+                            owner.gangs.stopOrderly(a.job, "${m.name} is taken back") { isReachable(it, now) }
+                        } else if (a.stop(StopReason.DRAIN, now)) {
+                            touched = true
+                        }
+                    }
+                    if (touched) orders.poke(m)
                 }
-                if (touched) orders.poke(m)
             }
             if (orders.wantsHigherToken && now - bumpedAt > settings.leaseMs / 2) {
                 orders.wantsHigherToken = false
                 bumpedAt = now
                 membership.raiseEpoch("a run without an answer must not come late")
             }
-            if (++round % 20 == 0) { quota.handBack(); scope.launch { fleetManager.prune() } }
+            if (++round % 20 == 0) {
+                quota.handBack()
+                scope.launch { fleetManager.prune() }
+            }
             if (round % 4 == 0) owner.withdrawals.follow(now)
-            if (now - effortAt > settings.leaseMs) { effortAt = now; effort.tell(" machines=${machines.byName.size} waiting=${rounds.unplaced.size} writes=${writeBudget.tell()} requests=${requestBudget.tell()}") }
+            if (now - effortAt >
+                settings.leaseMs
+            ) {
+                effortAt = now
+                effort.tell(
+                    " machines=${machines.byName.size} waiting=${rounds.unplaced.size} writes=${writeBudget.tell()} requests=${requestBudget.tell()}",
+                )
+            }
             if (round % 8 == 0) askForEnds(now)
-            if (round % 100 == 0) machines.byName.values.removeIf { it.deleted && it.attempts.isEmpty() && now - it.heardAt > settings.leaseMs * 6 }
+            if (round % 100 ==
+                0
+            ) {
+                machines.byName.values.removeIf {
+                    it.deleted && it.attempts.isEmpty() &&
+                        now - it.heardAt > settings.leaseMs * 6
+                }
+            }
         }
     }
 
@@ -184,7 +282,9 @@
     private fun askForEnds(now: Long) {
         for (m in machines.byName.values) {
             if (m.deleted || m.attempts.isEmpty()) continue
-            if (now - m.heardAt > settings.leaseMs * 2 && m.heardAt == 0L || now - m.heardAt > settings.leaseMs + settings.authorityMs + settings.leaseMs) {
+            if (now - m.heardAt > settings.leaseMs * 2 && m.heardAt == 0L ||
+                now - m.heardAt > settings.leaseMs + settings.authorityMs + settings.leaseMs
+            ) {
                 fleetManager.retire(listOf(m.name))
                 peers.retire(m.name)
             }
@@ -195,14 +295,31 @@
     suspend fun handle(r: HttpRequest): HttpResponse {
         val path = r.path
         return when {
-            path == "/v1/report" -> if (r.method == "POST") effort.of(Effort.Kind.REPORT) { workers.report(r) } else errorResponse(405, "use POST")
+            path == "/v1/report" ->
+                if (r.method ==
+                    "POST"
+                ) {
+                    effort.of(Effort.Kind.REPORT) { workers.report(r) }
+                } else {
+                    errorResponse(405, "use POST")
+                }
             path == "/healthz" -> users.health()
             path == "/work" -> if (r.method == "POST") users.submit(r) else errorResponse(405, "use POST")
             path.startsWith("/work/") -> {
                 val rest = path.removePrefix("/work/")
                 if (rest.endsWith("/cancel")) {
-                    if (r.method == "POST") users.cancel(rest.removeSuffix("/cancel")) else errorResponse(405, "use POST")
-                } else if (r.method == "GET") users.query(rest) else errorResponse(405, "use GET")
+                    if (r.method ==
+                        "POST"
+                    ) {
+                        users.cancel(rest.removeSuffix("/cancel"))
+                    } else {
+                        errorResponse(405, "use POST")
+                    }
+                } else if (r.method == "GET") {
+                    users.query(rest)
+                } else {
+                    errorResponse(405, "use GET")
+                }
             }
             else -> errorResponse(404, "no such resource")
         }
@@ -212,17 +329,24 @@
     @OptIn(kotlinx.serialization.ExperimentalSerializationApi::class)
     suspend fun handlePeer(r: HttpRequest): HttpResponse {
         if (r.method != "POST") return errorResponse(405, "use POST")
-        val bytes = try {
-            when (r.path) {
-                Peers.NEWS -> effort.of(Effort.Kind.NEWS) { peers.takeNews(r.body) }
-                Peers.KILLS -> peers.takeKills(r.body)
-                Peers.QUERY -> ProtoBuf.encodeToByteArray(users.peerQuery(ProtoBuf.decodeFromByteArray<PeerAsk>(r.body).ref))
-                Peers.CANCEL -> ProtoBuf.encodeToByteArray(users.peerCancel(ProtoBuf.decodeFromByteArray<PeerAsk>(r.body).ref))
-                else -> return errorResponse(404, "no such resource")
+        val bytes =
+            try {
+                when (r.path) {
+                    Peers.NEWS -> effort.of(Effort.Kind.NEWS) { peers.takeNews(r.body) }
+                    Peers.KILLS -> peers.takeKills(r.body)
+                    Peers.QUERY ->
+                        ProtoBuf.encodeToByteArray(
+                            users.peerQuery(ProtoBuf.decodeFromByteArray<PeerAsk>(r.body).ref),
+                        )
+                    Peers.CANCEL ->
+                        ProtoBuf.encodeToByteArray(
+                            users.peerCancel(ProtoBuf.decodeFromByteArray<PeerAsk>(r.body).ref),
+                        )
+                    else -> return errorResponse(404, "no such resource")
+                }
+            } catch (e: kotlinx.serialization.SerializationException) {
+                return errorResponse(400, "malformed message")
             }
-        } catch (e: kotlinx.serialization.SerializationException) {
-            return errorResponse(400, "malformed message")
-        }
         return HttpResponse(200, bytes, HttpResponse.BINARY)
     }
 
--- a/src/main/kotlin/micatally/node/Effort.kt
+++ b/src/main/kotlin/micatally/node/Effort.kt
@@ -3,19 +3,43 @@
 import org.slf4j.LoggerFactory
 
 /** What the processor's time goes to, by kind of work. Counted for operators; decides nothing. */
-class Effort(private val nowNs: () -> Long) {
-    enum class Kind(val word: String) { REPORT("reports"), NEWS("news"), ROUND("rounds"), SHARED("shared keys"), ORDERS("orders"), KEEPER("keeper"), HOUSE("housekeeping") }
+class Effort(
+    private val nowNs: () -> Long,
+) {
+    enum class Kind(
+        val word: String,
+    ) {
+        REPORT(
+            "reports",
+        ),
+        NEWS(
+            "news",
+        ),
+        ROUND("rounds"),
+        SHARED("shared keys"),
+        ORDERS("orders"),
+        KEEPER("keeper"),
+        HOUSE("housekeeping"),
+    }
 
     private val log = LoggerFactory.getLogger("micatally.effort")
+
     @PublishedApi internal val times = LongArray(Kind.entries.size)
+
     @PublishedApi internal val counts = IntArray(Kind.entries.size)
+
     @PublishedApi internal val longest = LongArray(Kind.entries.size)
 
     @PublishedApi internal fun now() = nowNs()
 
-    inline fun <T> of(kind: Kind, work: () -> T): T {
+    inline fun <T> of(
+        kind: Kind,
+        work: () -> T,
+    ): T {
         val began = now()
-        try { return work() } finally {
+        try {
+            return work()
+        } finally {
             val t = now() - began
             times[kind.ordinal] += t
             counts[kind.ordinal]++
@@ -25,7 +49,13 @@
 
     /** One line for the time since the last one. */
     fun tell(more: String) {
-        log.info("effort {}{}", Kind.entries.joinToString(" ") { "${it.word}=${counts[it.ordinal]}x/${times[it.ordinal] / 1_000_000}ms/${longest[it.ordinal] / 1_000_000}ms" }, more)
+        log.info(
+            "effort {}{}",
+            Kind.entries.joinToString(" ") {
+                "${it.word}=${counts[it.ordinal]}x/${times[it.ordinal] / 1_000_000}ms/${longest[it.ordinal] / 1_000_000}ms"
+            },
+            more,
+        )
         times.fill(0)
         counts.fill(0)
         longest.fill(0)
--- a/src/main/kotlin/micatally/placement/MachineChoice.kt
+++ b/src/main/kotlin/micatally/placement/MachineChoice.kt
@@ -48,9 +48,10 @@
         }
     }
 
-    private fun isAllowed(machine: Machine, now: Long): Boolean {
-        return view.isUsable(machine, now) && Placement.kindAllowed(spec, machine) && !job.health.avoids(machine.name)
-    }
+    private fun isAllowed(
+        machine: Machine,
+        now: Long,
+    ): Boolean = view.isUsable(machine, now) && Placement.kindAllowed(spec, machine) && !job.health.avoids(machine.name)
 
     /** The best machine for one more task; the one given before has been filled meanwhile. */
     fun next(): Machine? {
@@ -74,9 +75,13 @@
     }
 
     /** All machines, for tasks that are placed at once. */
-    fun forGang(): List<GangCandidate<Machine>> = candidates.filter { rule.allows(it.machine.zone) }.map { it.forGang() }
+    fun forGang(): List<GangCandidate<Machine>> =
+        candidates.filter { rule.allows(it.machine.zone) }.map { it.forGang() }
 
-    private inner class Candidate(val machine: Machine, private val flavor: Flavor) {
+    private inner class Candidate(
+        val machine: Machine,
+        private val flavor: Flavor,
+    ) {
         var score = 0.0
             private set
 
--- a/src/main/kotlin/micatally/placement/Placement.kt
+++ b/src/main/kotlin/micatally/placement/Placement.kt
@@ -10,29 +10,44 @@
 
 /** Where a task may go, and where it goes best. Decisions only; no I/O and no clock of its own. */
 object Placement {
-    fun typeAllowed(spec: JobSpec, f: Flavor) = (spec.types == null || f.label in spec.types) && spec.amount.fitsIn(f.amount)
+    fun typeAllowed(
+        spec: JobSpec,
+        f: Flavor,
+    ) = (spec.types == null || f.label in spec.types) && spec.amount.fitsIn(f.amount)
 
     /** Whether any machine type could ever take one task of the job. */
-    fun possible(spec: JobSpec, flavors: Collection<Flavor>) =
-        flavors.any { typeAllowed(spec, it) && (spec.zone == null || spec.zone in it.zones) }
+    fun possible(
+        spec: JobSpec,
+        flavors: Collection<Flavor>,
+    ) = flavors.any { typeAllowed(spec, it) && (spec.zone == null || spec.zone in it.zones) }
 
     /** At most half of the tasks, rounded up, in one zone. */
     fun zoneCap(spec: JobSpec) = if (spec.scatter) (spec.taskCount + 1) / 2 else spec.taskCount
 
     /** Whether as many tasks as the job has may be in the zones that are allowed to it at the same time. */
-    fun fitsZones(spec: JobSpec, zones: Int): Boolean {
+    fun fitsZones(
+        spec: JobSpec,
+        zones: Int,
+    ): Boolean {
         val allowed = if (spec.together || spec.zone != null) 1 else zones
         return zoneCap(spec).toLong() * allowed >= spec.taskCount
     }
 
     /** The zones in which a further task of the job may start, given its live attempts; null: any. */
-    fun zones(job: Job, spec: JobSpec, without: Attempt? = null): ZoneRule {
+    fun zones(
+        job: Job,
+        spec: JobSpec,
+        without: Attempt? = null,
+    ): ZoneRule {
         val used = HashMap<String, Int>()
         for (a in job.attempts.values) if (a !== without) used.merge(a.machine.zone, 1, Int::plus)
         return ZoneRule(spec, used)
     }
 
-    class ZoneRule(private val spec: JobSpec, val used: Map<String, Int>) {
+    class ZoneRule(
+        private val spec: JobSpec,
+        val used: Map<String, Int>,
+    ) {
         fun allows(zone: String): Boolean {
             if (spec.zone != null && spec.zone != zone) return false
             if (spec.together && used.isNotEmpty() && zone !in used) return false
@@ -41,20 +56,43 @@
     }
 
     /** What so many tasks of the job ask of the fleet. */
-    fun demand(spec: JobSpec, rule: ZoneRule, allZones: List<String>, count: Int): Demand {
+    fun demand(
+        spec: JobSpec,
+        rule: ZoneRule,
+        allZones: List<String>,
+        count: Int,
+    ): Demand {
         val zones = allZones.filter { rule.allows(it) }
         val zoneRoom = if (spec.scatter) zones.map { zoneCap(spec) - (rule.used[it] ?: 0) } else emptyList()
         return Demand(
-            spec.amount.cores, spec.amount.cards, spec.amount.ram, spec.types?.toList() ?: emptyList(), zones, spec.spot, count,
-            spec.priority.ordinal, spec.isService, spec.estimateS, spec.image, zoneRoom, spec.isGang,
+            spec.amount.cores,
+            spec.amount.cards,
+            spec.amount.ram,
+            spec.types?.toList() ?: emptyList(),
+            zones,
+            spec.spot,
+            count,
+            spec.priority.ordinal,
+            spec.isService,
+            spec.estimateS,
+            spec.image,
+            zoneRoom,
+            spec.isGang,
         )
     }
 
-    fun kindAllowed(spec: JobSpec, m: Machine) = (!m.spot || spec.spot) && (spec.types == null || m.type in spec.types)
+    fun kindAllowed(
+        spec: JobSpec,
+        m: Machine,
+    ) = (!m.spot || spec.spot) && (spec.types == null || m.type in spec.types)
 
     /** How long the image will take, by the type's nominal rate; nothing if the machine has it, and part of it if a
      * task of this node waits for it there already. */
-    fun fetchS(spec: JobSpec, m: Machine, f: Flavor): Double {
+    fun fetchS(
+        spec: JobSpec,
+        m: Machine,
+        f: Flavor,
+    ): Double {
         if (spec.image in m.images) return 0.0
         val whole = spec.imageGb / f.pullGbPerS
         return if (m.attempts.any { it.job.spec?.image == spec.image }) whole * COMING else whole
@@ -64,10 +102,25 @@
 
     /** Lower is better. The image counts most, then the tightest fit, so that whole machines stay free for large
      * tasks or can be returned. A task without cards avoids eating the cores that a machine's cards will need. */
-    fun score(spec: JobSpec, m: Machine, f: Flavor, free: Amount): Double {
+    fun score(
+        spec: JobSpec,
+        m: Machine,
+        f: Flavor,
+        free: Amount,
+    ): Double {
         var s = fetchS(spec, m, f)
         val left = free - spec.amount
-        val share = maxOf(left.cards / maxOf(f.amount.cards, 1.0), if (f.amount.cards > 0 && spec.amount.cards > 0) 0.0 else left.cores / f.amount.cores)
+        val share =
+            maxOf(
+                left.cards / maxOf(f.amount.cards, 1.0),
+                if (f.amount.cards > 0 &&
+                    spec.amount.cards > 0
+                ) {
+                    0.0
+                } else {
+                    left.cores / f.amount.cores
+                },
+            )
         s += share * FIT_WEIGHT
         if (spec.amount.cards == 0.0 && f.amount.cards > 0) {
             val perCard = f.amount.cores / f.amount.cards * CORES_KEPT
@@ -78,7 +131,10 @@
     }
 
     /** What a zone adds to the score of its machines, given how many tasks of the job are in it. */
-    fun zoneScore(spec: JobSpec, zoneUse: Int) = if (spec.scatter) zoneUse * SCATTER_WEIGHT else 0.0
+    fun zoneScore(
+        spec: JobSpec,
+        zoneUse: Int,
+    ) = if (spec.scatter) zoneUse * SCATTER_WEIGHT else 0.0
 
     private const val FIT_WEIGHT = 8.0
     private const val STARVES_CARDS = 60.0
--- a/src/main/kotlin/micatally/placement/PlacementView.kt
+++ b/src/main/kotlin/micatally/placement/PlacementView.kt
@@ -8,7 +8,10 @@
 import micatally.worker.Machines
 
 /** The machines as placement looks at them, and what other owners wait for. */
-class PlacementView(private val settings: Settings, val machines: Machines) {
+class PlacementView(
+    private val settings: Settings,
+    val machines: Machines,
+) {
     private val hosts = (settings.peers.map { it.host } + settings.host).sorted()
     private val ownIndex = hosts.indexOf(settings.host)
     private val turnMs = settings.reportMs / TURNS_A_REPORT
@@ -41,7 +44,10 @@
     private var open: List<Machine>? = null
     private var openWithCards: List<Machine> = emptyList()
 
-    fun beginRound(foreign: List<Demand>, now: Long) {
+    fun beginRound(
+        foreign: List<Demand>,
+        now: Long,
+    ) {
         foreignServices = foreign.filter { it.service }
         foreignGangs = foreign.filter { it.isGang }
         val usable = machines.byName.values.filter { isUsable(it, now) && freeOf(it).cores > Amount.SLACK }
@@ -61,10 +67,14 @@
         return if (spec.amount.cards > 0) openWithCards else inRound
     }
 
-    fun isUsable(m: Machine, now: Long): Boolean {
+    fun isUsable(
+        m: Machine,
+        now: Long,
+    ): Boolean {
         val isInService = !m.deleted && !m.draining && !m.recalled && m.session > 0 && m.addr.isNotEmpty()
         val isHeard = now - m.heardAt < settings.leaseMs / 2 + settings.reportMs
-        return isInService && isHeard && now >= m.unreachableUntil && now >= m.fullUntil && now >= m.health.excludedUntil
+        return isInService && isHeard && now >= m.unreachableUntil && now >= m.fullUntil &&
+            now >= m.health.excludedUntil
     }
 
     /**
@@ -77,14 +87,23 @@
         return if (m.freedBy == Machine.NOBODY) order else order + 1
     }
 
-    fun hasTurn(m: Machine, now: Long) = now >= m.freedAt + turn(m) * turnMs
+    fun hasTurn(
+        m: Machine,
+        now: Long,
+    ) = now >= m.freedAt + turn(m) * turnMs
 
     /** Whether it is this owner's turn to do what all of them could do, in turns of this length. */
-    fun isOwnTurn(now: Long, lengthMs: Long) = (now / lengthMs % hosts.size).toInt() == ownIndex
+    fun isOwnTurn(
+        now: Long,
+        lengthMs: Long,
+    ) = (now / lengthMs % hosts.size).toInt() == ownIndex
 
     val owners get() = hosts.size
 
-    fun mayUse(demand: Demand, m: Machine): Boolean {
+    fun mayUse(
+        demand: Demand,
+        m: Machine,
+    ): Boolean {
         val isType = demand.types.isEmpty() || m.type in demand.types
         val isZone = demand.zones.isEmpty() || m.zone in demand.zones
         return isType && isZone && (!m.spot || demand.spot)
--- a/src/main/kotlin/micatally/placement/Preemption.kt
+++ b/src/main/kotlin/micatally/placement/Preemption.kt
@@ -22,7 +22,11 @@
     val score: (Machine, Flavor, Amount) -> Double,
 ) {
     companion object {
-        fun of(spec: JobSpec, rule: Placement.ZoneRule, queue: Int) = Need(
+        fun of(
+            spec: JobSpec,
+            rule: Placement.ZoneRule,
+            queue: Int,
+        ) = Need(
             spec.amount,
             spec.priority.ordinal,
             queue,
@@ -34,7 +38,12 @@
 }
 
 /** Stops array tasks to make room for more important work. Gangs are neither stopped for others, nor are others for them. */
-class Preemption(private val settings: Settings, private val view: PlacementView, private val queues: Queues, private val orders: Orders) {
+class Preemption(
+    private val settings: Settings,
+    private val view: PlacementView,
+    private val queues: Queues,
+    private val orders: Orders,
+) {
     private val log = LoggerFactory.getLogger("micatally.placement")
 
     /** Room that stops under way will leave, as far as it is meant for a waiter already; worked out anew each round. */
@@ -46,7 +55,10 @@
     /** The design's stop: an array task past its queue's bound may be stopped once for a waiter two queues higher that
      * fits nowhere. Of the machines where that helps, the one is taken that the waiter would like best. True if there
      * is room under way now. */
-    fun makeRoom(need: Need, now: Long): Boolean {
+    fun makeRoom(
+        need: Need,
+        now: Long,
+    ): Boolean {
         var best: List<Attempt> = emptyList()
         var bestScore = Double.MAX_VALUE
         for (m in view.machines.byName.values) {
@@ -55,7 +67,10 @@
             var free = f.amount - m.used - (promised[m.name] ?: Amount.NONE)
             // Room that is on its way already.
             for (a in m.attempts) if (a.stop != null) free = free + (a.job.spec?.amount ?: Amount.NONE)
-            if (need.amount.fitsIn(free)) { promised.merge(m.name, need.amount, Amount::plus); return true }
+            if (need.amount.fitsIn(free)) {
+                promised.merge(m.name, need.amount, Amount::plus)
+                return true
+            }
             val victims = ArrayList<Attempt>()
             for (a in m.attempts.filter { mayStop(it, need, f, now) }.sortedByDescending { it.runningSince ?: 0L }) {
                 victims.add(a)
@@ -64,7 +79,10 @@
             }
             if (!need.amount.fitsIn(free) || victims.isEmpty()) continue
             val score = need.score(m, f, free) + victims.size
-            if (score < bestScore) { best = victims; bestScore = score }
+            if (score < bestScore) {
+                best = victims
+                bestScore = score
+            }
         }
         val m = best.firstOrNull()?.machine ?: return false
         stop(best, need, now)
@@ -73,7 +91,12 @@
         return true
     }
 
-    private fun mayStop(a: Attempt, need: Need, flavor: Flavor, now: Long): Boolean {
+    private fun mayStop(
+        a: Attempt,
+        need: Need,
+        flavor: Flavor,
+        now: Long,
+    ): Boolean {
         val spec = a.job.spec ?: return false
         val isArray = !spec.isService && !spec.isGang
         if (!isArray || a.stop != null || a.state != AttemptState.RUNNING) return false
@@ -84,7 +107,11 @@
         return spec.checkpointS > 0 || ranS <= flavor.readyS
     }
 
-    private fun stop(victims: List<Attempt>, need: Need, now: Long) {
+    private fun stop(
+        victims: List<Attempt>,
+        need: Need,
+        now: Long,
+    ) {
         for (a in victims) {
             a.job.stoppedOnce.add(a.taskIndex)
             a.stop(StopReason.PREEMPTED, now)
@@ -102,7 +129,19 @@
             if (now - (stoppedForPeersAt[key] ?: Long.MIN_VALUE / 2) < turnMs * view.owners) continue
             stoppedForPeersAt[key] = now
             val amount = Amount(d.cores, d.cards, d.ram)
-            val need = Need(amount, d.priority, 0, "a peer's ${d.image}", { m -> view.mayUse(d, m) }, { m, f, free -> (if (d.image in m.images) 0.0 else 30.0) + (free - amount).cards / maxOf(1.0, f.amount.cards) })
+            val need =
+                Need(amount, d.priority, 0, "a peer's ${d.image}", { m -> view.mayUse(d, m) }, { m, f, free ->
+                    (
+                        if (d.image in
+                            m.images
+                        ) {
+                            0.0
+                        } else {
+                            30.0
+                        }
+                    ) +
+                        (free - amount).cards / maxOf(1.0, f.amount.cards)
+                })
             for (i in 0 until minOf(d.count, STOPS_A_ROUND)) if (!makeRoom(need, now)) break
         }
     }
