--- a/src/main/kotlin/micatally/placement/Quota.kt
+++ b/src/main/kotlin/micatally/placement/Quota.kt
@@ -22,54 +22,84 @@
 import org.slf4j.LoggerFactory
 
 /** Cores and cards, the two things that teams are limited in. */
-data class Share(val cores: Double, val cards: Double)
+data class Share(
+    val cores: Double,
+    val cards: Double,
+)
 
 /** A team's limit is split among the ledgers. A ledger's holder places within its allotment and changes only that one;
  * an intent is written under the ledger's mark, so a holder that has lost the ledger can't use it up any more. */
 class Quota(
-    private val scope: CoroutineScope, private val state: StateClient, private val cluster: Cluster, private val teams: Map<String, Team>,
-    private val held: () -> Collection<Ledger>, controllers: Int, private val changed: () -> Unit,
+    private val scope: CoroutineScope,
+    private val state: StateClient,
+    private val cluster: Cluster,
+    private val teams: Map<String, Team>,
+    private val held: () -> Collection<Ledger>,
+    controllers: Int,
+    private val changed: () -> Unit,
 ) {
     private val chunk = SLACK / controllers
     private val log = LoggerFactory.getLogger("micatally.quota")
     private val used = HashMap<Pair<String, String>, Share>()
     private val busy = HashSet<String>()
+
     /** What an allotment is about to be lowered to: binding from before the write leaves. */
     private val lowering = HashMap<Pair<String, String>, Share>()
 
     fun limited(team: Team) = team.coresMax > 0 || team.cardsMax > 0
 
-    fun used(ledger: String, team: String) = used[ledger to team] ?: Share(0.0, 0.0)
+    fun used(
+        ledger: String,
+        team: String,
+    ) = used[ledger to team] ?: Share(0.0, 0.0)
 
     fun take(job: Job) = change(job, 1)
+
     fun release(job: Job) = change(job, -1)
 
-    private fun change(job: Job, sign: Int) {
+    private fun change(
+        job: Job,
+        sign: Int,
+    ) {
         val spec = job.spec ?: return
         val key = job.ledger.name to spec.team
         val u = used[key] ?: Share(0.0, 0.0)
         used[key] = Share(u.cores + sign * spec.amount.cores, u.cards + sign * spec.amount.cards)
     }
 
-    fun forget(ledger: String) { used.keys.removeIf { it.first == ledger }; lowering.keys.removeIf { it.first == ledger } }
+    fun forget(ledger: String) {
+        used.keys.removeIf { it.first == ledger }
+        lowering.keys.removeIf { it.first == ledger }
+    }
 
     /** [short]: its holder has tasks that wait for nothing but the team's limit. */
-    private class Allotment(val share: Share, val short: Boolean)
+    private class Allotment(
+        val share: Share,
+        val short: Boolean,
+    )
+
+    private fun allotments(team: String): Map<String, Allotment> =
+        cluster.value(Keys.team(team))?.mapValues { (_, v) ->
+            val a = v as JsonArray
 
-    private fun allotments(team: String): Map<String, Allotment> = cluster.value(Keys.team(team))?.mapValues { (_, v) ->
-        val a = v as JsonArray
-        fun number(i: Int) = (a.getOrNull(i) as? JsonPrimitive)?.doubleOrNull ?: 0.0
-        Allotment(Share(number(0), number(1)), number(2) > 0)
-    } ?: emptyMap()
+            fun number(i: Int) = (a.getOrNull(i) as? JsonPrimitive)?.doubleOrNull ?: 0.0
+            Allotment(Share(number(0), number(1)), number(2) > 0)
+        } ?: emptyMap()
 
-    private fun allotted(ledger: String, team: String): Share {
+    private fun allotted(
+        ledger: String,
+        team: String,
+    ): Share {
         val now = allotments(team)[ledger]?.share ?: Share(0.0, 0.0)
         val low = lowering[ledger to team] ?: return now
         return Share(minOf(now.cores, low.cores), minOf(now.cards, low.cards))
     }
 
     /** Whether the ledger's allotment has room for so many more tasks of this job at once. If not, more is asked for. */
-    fun allows(job: Job, tasks: Int = 1): Boolean {
+    fun allows(
+        job: Job,
+        tasks: Int = 1,
+    ): Boolean {
         val spec = job.spec ?: return false
         val team = teams[spec.team] ?: return false
         if (!limited(team)) return true
@@ -84,10 +114,19 @@
     }
 
     /** Only what the team is limited in counts: the other dimension has no allotment. */
-    private fun covers(team: Team, allotment: Share, use: Share) =
-        (team.coresMax <= 0 || use.cores <= allotment.cores + EPS) && (team.cardsMax <= 0 || use.cards <= allotment.cards + EPS)
+    private fun covers(
+        team: Team,
+        allotment: Share,
+        use: Share,
+    ) = (team.coresMax <= 0 || use.cores <= allotment.cores + EPS) &&
+        (team.cardsMax <= 0 || use.cards <= allotment.cards + EPS)
 
-    private fun raise(ledger: Ledger, team: Team, task: Share, tasks: Int) {
+    private fun raise(
+        ledger: Ledger,
+        team: Team,
+        task: Share,
+        tasks: Int,
+    ) {
         val key = ledger.name to team.name
         if (key in lowering) return
         val all = allotments(team.name)
@@ -99,9 +138,18 @@
         val contested = others.any { it.short }
         val slack = if (contested) 0.0 else chunk
         val atOnce = if (contested) 1 else TASKS_AT_ONCE
-        fun wish(used: Double, one: Double, max: Double, free: Double) =
-            if (max <= 0) 0.0 else minOf(free, maxOf(used + one * maxOf(1, minOf(tasks, atOnce)) + max * slack, 0.0))
-        val want = Share(wish(u.cores, task.cores, team.coresMax, freeCores), wish(u.cards, task.cards, team.cardsMax, freeCards))
+
+        fun wish(
+            used: Double,
+            one: Double,
+            max: Double,
+            free: Double,
+        ) = if (max <= 0) 0.0 else minOf(free, maxOf(used + one * maxOf(1, minOf(tasks, atOnce)) + max * slack, 0.0))
+        val want =
+            Share(
+                wish(u.cores, task.cores, team.coresMax, freeCores),
+                wish(u.cards, task.cards, team.cardsMax, freeCards),
+            )
         val own = all[ledger.name]
         val now = own?.share ?: Share(0.0, 0.0)
         val more = Share(maxOf(want.cores, now.cores), maxOf(want.cards, now.cards))
@@ -113,21 +161,38 @@
         write(ledger, team, to, false, isShort(key))
     }
 
-    private fun write(ledger: Ledger, team: Team, to: Share, lower: Boolean, short: Boolean) {
+    private fun write(
+        ledger: Ledger,
+        team: Team,
+        to: Share,
+        lower: Boolean,
+        short: Boolean,
+    ) {
         if (!busy.add(team.name)) return
         val key = ledger.name to team.name
         if (lower) lowering[key] = to
         scope.launch {
             try {
                 var mark = 0L
-                val r = state.txn(1, if (lower) Urgency.SUMMARY else Urgency.INTENT) {
-                    mark = cluster.mark(Keys.team(team.name))
-                    // What was placed while the write waited stays covered.
-                    if (lower && !covers(team, to, used(ledger.name, team.name))) null else allotment(ledger, team, to, short, mark)
-                }
+                val r =
+                    state.txn(1, if (lower) Urgency.SUMMARY else Urgency.INTENT) {
+                        mark = cluster.mark(Keys.team(team.name))
+                        // What was placed while the write waited stays covered.
+                        if (lower &&
+                            !covers(team, to, used(ledger.name, team.name))
+                        ) {
+                            null
+                        } else {
+                            allotment(ledger, team, to, short, mark)
+                        }
+                    }
                 if (r is TxnResult.Applied) log.debug("team {} ledger {} allotted {}", team.name, ledger.name, to)
                 if (lower && r is TxnResult.Unknown) bindUntilSeen(ledger, team, to, short, mark)
-                if (lower && r is TxnResult.Applied) while (ledger.mine && cluster.revision < r.revision) delay(SEEN_EVERY_MS)
+                if (lower &&
+                    r is TxnResult.Applied
+                ) {
+                    while (ledger.mine && cluster.revision < r.revision) delay(SEEN_EVERY_MS)
+                }
             } finally {
                 busy.remove(team.name)
                 lowering.remove(key)
@@ -137,11 +202,29 @@
     }
 
     /** The write of a ledger's allotment, on the condition that the team's key has this mark; null if it may not be written. */
-    private fun allotment(ledger: Ledger, team: Team, to: Share, short: Boolean, mark: Long): Txn? {
+    private fun allotment(
+        ledger: Ledger,
+        team: Team,
+        to: Share,
+        short: Boolean,
+        mark: Long,
+    ): Txn? {
         if (ledger.state != LedgerState.ACTIVE) return null
         val all = allotments(team.name) + (ledger.name to Allotment(to, short))
-        if (team.coresMax > 0 && all.values.sumOf { it.share.cores } > team.coresMax + EPS || team.cardsMax > 0 && all.values.sumOf { it.share.cards } > team.cardsMax + EPS) return null
-        fun row(a: Allotment) = JsonArray(listOfNotNull(JsonPrimitive(a.share.cores), JsonPrimitive(a.share.cards), if (a.short) JsonPrimitive(1) else null))
+        if (team.coresMax > 0 && all.values.sumOf { it.share.cores } > team.coresMax + EPS ||
+            team.cardsMax > 0 && all.values.sumOf { it.share.cards } > team.cardsMax + EPS
+        ) {
+            return null
+        }
+
+        fun row(a: Allotment) =
+            JsonArray(
+                listOfNotNull(
+                    JsonPrimitive(a.share.cores),
+                    JsonPrimitive(a.share.cards),
+                    if (a.short) JsonPrimitive(1) else null,
+                ),
+            )
         return Txn(
             listOf(Condition(Keys.ledger(ledger.name), ledger.holder.mark), Condition(Keys.team(team.name), mark)),
             listOf(Put(Keys.team(team.name), JsonObject(all.mapValues { (_, a) -> row(a) }))),
@@ -150,7 +233,13 @@
 
     /** After silence a lowering may yet be carried out, so it stays binding until the key is seen to have changed; also when a
      * repeat shows that it has, since this node's copy may still hold the former allotment. */
-    private suspend fun bindUntilSeen(ledger: Ledger, team: Team, to: Share, short: Boolean, mark: Long) {
+    private suspend fun bindUntilSeen(
+        ledger: Ledger,
+        team: Team,
+        to: Share,
+        short: Boolean,
+        mark: Long,
+    ) {
         var settled = false
         while (ledger.mine && cluster.mark(Keys.team(team.name)) == mark) {
             if (!settled) {
@@ -164,6 +253,7 @@
     /** The look of [handBack] in which a ledger was last found short of a team's limit. */
     private val shortAt = HashMap<Pair<String, String>, Int>()
     private var looks = 0
+
     private fun isShort(key: Pair<String, String>) = shortAt[key]?.let { it >= looks - 1 } == true
 
     /** Hands back what is not in use, beyond one chunk kept for the next job; all of it while another owner is short, or its
@@ -174,19 +264,23 @@
     }
 
     private fun release() {
-        for (l in held()) for (t in teams.values) {
-            if (!limited(t) || l.state != LedgerState.ACTIVE) continue
-            val all = allotments(t.name)
-            val own = all[l.name] ?: continue
-            val a = own.share
-            val u = used(l.name, t.name)
-            val slack = if (all.any { (name, x) -> x.short && name != l.name }) 0.0 else chunk
-            val keepCores = if (t.coresMax > 0) u.cores + t.coresMax * slack else 0.0
-            val keepCards = if (t.cardsMax > 0) u.cards + t.cardsMax * slack else 0.0
-            val still = isShort(l.name to t.name)
-            if (a.cores > keepCores + t.coresMax * slack + EPS || a.cards > keepCards + t.cardsMax * slack + EPS) {
-                write(l, t, Share(minOf(a.cores, keepCores), minOf(a.cards, keepCards)), true, still)
-            } else if (own.short && !still) write(l, t, a, false, false)
+        for (l in held()) {
+            for (t in teams.values) {
+                if (!limited(t) || l.state != LedgerState.ACTIVE) continue
+                val all = allotments(t.name)
+                val own = all[l.name] ?: continue
+                val a = own.share
+                val u = used(l.name, t.name)
+                val slack = if (all.any { (name, x) -> x.short && name != l.name }) 0.0 else chunk
+                val keepCores = if (t.coresMax > 0) u.cores + t.coresMax * slack else 0.0
+                val keepCards = if (t.cardsMax > 0) u.cards + t.cardsMax * slack else 0.0
+                val still = isShort(l.name to t.name)
+                if (a.cores > keepCores + t.coresMax * slack + EPS || a.cards > keepCards + t.cardsMax * slack + EPS) {
+                    write(l, t, Share(minOf(a.cores, keepCores), minOf(a.cards, keepCards)), true, still)
+                } else if (own.short && !still) {
+                    write(l, t, a, false, false)
+                }
+            }
         }
     }
 
@@ -203,10 +297,12 @@
 
     private companion object {
         const val EPS = 1e-6
+
         /** For so many tasks an allotment is asked at the most. */
         const val TASKS_AT_ONCE = 64
         const val SEEN_EVERY_MS = 50L
         const val REPEAT_MS = 1000L
+
         /** The slack of all allotments together, as a share of the team's limit. */
         const val SLACK = 1.0 / 8
     }
--- a/src/main/kotlin/micatally/placement/ReplicaMoves.kt
+++ b/src/main/kotlin/micatally/placement/ReplicaMoves.kt
@@ -29,7 +29,11 @@
     private val log = LoggerFactory.getLogger("micatally.placement")
 
     /** Replicas that were stopped to move go where room was kept for them. */
-    fun place(job: Job, spec: JobSpec, now: Long) {
+    fun place(
+        job: Job,
+        spec: JobSpec,
+        now: Long,
+    ) {
         if (moved.isEmpty()) return
         val each = moved.entries.iterator()
         while (each.hasNext()) {
@@ -37,7 +41,11 @@
             if (task.first != job.ref || task.second in job.attempts) continue
             each.remove()
             if (!to.release(task.first, task.second) || job.done[task.second] || !quota.allows(job)) continue
-            if (!view.isUsable(to, now) || !spec.amount.fitsIn((view.machines.total(to) ?: continue) - to.used) || !Placement.zones(job, spec).allows(to.zone)) continue
+            if (!view.isUsable(to, now) || !spec.amount.fitsIn((view.machines.total(to) ?: continue) - to.used) ||
+                !Placement.zones(job, spec).allows(to.zone)
+            ) {
+                continue
+            }
             owner.place(job, task.second, to)
             store.touch(job, true)
         }
@@ -47,7 +55,11 @@
      * away for a blink only. Whatever ends by itself is left to do so. */
     fun moveOff(now: Long) {
         moved.entries.removeIf { (task, to) -> !to.promised(task.first, task.second) }
-        val draining = view.machines.byName.values.filter { it.draining && !it.deleted && !it.recalled && it.attempts.isNotEmpty() }
+        val draining =
+            view.machines.byName.values.filter {
+                it.draining && !it.deleted && !it.recalled &&
+                    it.attempts.isNotEmpty()
+            }
         if (draining.isEmpty() || checking) return
         val most = maxOf(1, draining.size / MACHINES_A_MOVE)
         moving.removeIf { !it.a.live || it.a.stop != null || !it.to.promised(it.a.job.ref, it.a.taskIndex) }
@@ -57,33 +69,63 @@
             moving.removeAll(due.toSet())
             checking = true
             scope.launch {
-                val ok = try { withTimeoutOrNull(settings.reportMs / 4) { stateAnswers() } ?: false } finally { checking = false }
+                val ok =
+                    try {
+                        withTimeoutOrNull(settings.reportMs / 4) { stateAnswers() } ?: false
+                    } finally {
+                        checking =
+                            false
+                    }
                 for (move in due) carryOut(move, ok)
             }
         }
-        var under = moving.size + due.size + view.machines.byName.values.sumOf { m -> m.attempts.count { it.stop == StopReason.DRAIN } }
-        for (m in draining) for (a in m.attempts) {
-            if (under >= most) return
-            val spec = a.job.spec ?: continue
-            if (!spec.isService || spec.isPlacedWhole || a.stop != null || a.state != AttemptState.RUNNING || a.job.pendingCount > 0) continue
-            // One replica of a job at a time: its zones are counted with the others where they are.
-            if (moving.any { it.a.job === a.job } || due.any { it.a.job === a.job } || a.job.attempts.values.any { it.stop != null }) continue
-            // It is gone before it starts elsewhere, so its own place does not count against its zone.
-            val to = MachineChoice(view, a.job, spec, now, withImage = true, moving = a).next() ?: continue
-            to.promise(a.job.ref, a.taskIndex, spec.amount, now + settings.leaseMs)
-            moving.add(Move(a, to, now))
-            under++
+        var under =
+            moving.size + due.size +
+                view.machines.byName.values
+                    .sumOf { m -> m.attempts.count { it.stop == StopReason.DRAIN } }
+        for (m in draining) {
+            for (a in m.attempts) {
+                if (under >= most) return
+                val spec = a.job.spec ?: continue
+                if (!spec.isService || spec.isPlacedWhole || a.stop != null || a.state != AttemptState.RUNNING ||
+                    a.job.pendingCount > 0
+                ) {
+                    continue
+                }
+                // One replica of a job at a time: its zones are counted with the others where they are.
+                if (moving.any { it.a.job === a.job } || due.any { it.a.job === a.job } ||
+                    a.job.attempts.values
+                        .any { it.stop != null }
+                ) {
+                    continue
+                }
+                // It is gone before it starts elsewhere, so its own place does not count against its zone.
+                val to = MachineChoice(view, a.job, spec, now, withImage = true, moving = a).next() ?: continue
+                to.promise(a.job.ref, a.taskIndex, spec.amount, now + settings.leaseMs)
+                moving.add(Move(a, to, now))
+                under++
+            }
         }
     }
 
     /** A stopped replica starts again only when its intent is written, so the state service has to have answered just now:
      * one that was stopped as an outage began was away for all of it. */
-    private fun carryOut(move: Move, stateAnswered: Boolean) {
+    private fun carryOut(
+        move: Move,
+        stateAnswered: Boolean,
+    ) {
         val now = nowMs()
         val ref = move.a.job.ref
         val total = view.machines.total(move.to)
-        val ready = move.a.live && move.a.stop == null && move.a.job.pendingCount == 0 && move.to.promised(ref, move.a.taskIndex)
-        if (!stateAnswered || !ready || total == null || !view.isUsable(move.to, now) || !move.to.used.fitsIn(total)) { move.to.release(ref, move.a.taskIndex); return }
+        val ready =
+            move.a.live && move.a.stop == null && move.a.job.pendingCount == 0 &&
+                move.to.promised(ref, move.a.taskIndex)
+        if (!stateAnswered || !ready || total == null || !view.isUsable(move.to, now) ||
+            !move.to.used.fitsIn(total)
+        ) {
+            move.to.release(ref, move.a.taskIndex)
+            return
+        }
         move.a.stop(StopReason.DRAIN, now)
         moved[ref to move.a.taskIndex] = move.to
         log.info("task {} moves to {}", move.a, move.to.name)
@@ -94,7 +136,12 @@
     var stateAnswers: suspend () -> Boolean = { true }
     private var checking = false
 
-    private class Move(val a: Attempt, val to: Machine, val at: Long)
+    private class Move(
+        val a: Attempt,
+        val to: Machine,
+        val at: Long,
+    )
+
     private val moving = ArrayList<Move>()
     private val moved = HashMap<Pair<String, Int>, Machine>()
 
--- a/src/main/kotlin/micatally/placement/Rounds.kt
+++ b/src/main/kotlin/micatally/placement/Rounds.kt
@@ -20,8 +20,16 @@
 /** Decision rounds: from the top queue down, skipping what finds no room. They run on events, with a budget of time
  * for each, and the next one goes on where the last one stopped. */
 class Rounds(
-    private val scope: CoroutineScope, private val settings: Settings, private val owner: Owner, private val machines: Machines,
-    private val store: JobStore, private val quota: Quota, private val orders: Orders, private val queues: Queues, private val effort: Effort, private val nowMs: () -> Long,
+    private val scope: CoroutineScope,
+    private val settings: Settings,
+    private val owner: Owner,
+    private val machines: Machines,
+    private val store: JobStore,
+    private val quota: Quota,
+    private val orders: Orders,
+    private val queues: Queues,
+    private val effort: Effort,
+    private val nowMs: () -> Long,
 ) {
     private val log = LoggerFactory.getLogger("micatally.placement")
     private val gapMs = maxOf(5L, settings.reportMs / 40)
@@ -36,15 +44,18 @@
     private val view = PlacementView(settings, machines)
     private val preemption = Preemption(settings, view, queues, orders)
     private val moves = ReplicaMoves(scope, settings, view, owner, store, quota, orders, nowMs)
-    private val whole = WholePlacement(settings, view, owner, store, quota) { job, demand ->
-        finding[job.ref] = demand
-        if (demand.isGang) view.gangWaits(demand)
-    }
+    private val whole =
+        WholePlacement(settings, view, owner, store, quota) { job, demand ->
+            finding[job.ref] = demand
+            if (demand.isGang) view.gangWaits(demand)
+        }
 
     /** Whether the state service answers now, and no write of this node waits. */
     var stateAnswers: suspend () -> Boolean
         get() = moves.stateAnswers
-        set(value) { moves.stateAnswers = value }
+        set(value) {
+            moves.stateAnswers = value
+        }
 
     fun moveOff(now: Long) {
         if (unplaced.isEmpty()) moves.moveOff(now)
@@ -57,12 +68,31 @@
 
     /** What a waiting task looks like to the machines. Within one round room only shrinks, so what found none is not
      * looked for again: with hundreds of machines and waiters the search would take the whole of the processor. */
-    private data class Shape(val amount: Amount, val types: Set<String>?, val zones: List<String>, val spot: Boolean, val service: Boolean, val priority: Int)
+    private data class Shape(
+        val amount: Amount,
+        val types: Set<String>?,
+        val zones: List<String>,
+        val spot: Boolean,
+        val service: Boolean,
+        val priority: Int,
+    )
+
     private val noRoom = HashSet<Shape>()
     private val noStop = HashSet<Pair<Shape, Int>>()
 
-    private fun shape(spec: JobSpec, rule: Placement.ZoneRule) =
-        Shape(spec.amount, spec.types, settings.zones.filter { rule.allows(it) }, spec.spot, spec.isService, spec.priority.ordinal)
+    private fun shape(
+        spec: JobSpec,
+        rule: Placement.ZoneRule,
+    ) = Shape(
+        spec.amount,
+        spec.types,
+        settings.zones.filter {
+            rule.allows(it)
+        },
+        spec.spot,
+        spec.isService,
+        spec.priority.ordinal,
+    )
 
     fun wake() {
         if (asked) return
@@ -75,12 +105,25 @@
         }
     }
 
-    private fun ordered(): List<Job> = owner.openJobs().filter { it.pendingCount > 0 }
-        .sortedWith(compareBy<Job>({ queues.current(it) }, { it.spec?.priority?.ordinal ?: 9 }, { rank(it) }, { it.ref }))
+    private fun ordered(): List<Job> =
+        owner
+            .openJobs()
+            .filter { it.pendingCount > 0 }
+            .sortedWith(
+                compareBy<Job>({ queues.current(it) }, { it.spec?.priority?.ordinal ?: 9 }, { rank(it) }, { it.ref }),
+            )
 
     /** Within a queue the earlier job comes first, and of jobs that came together the one with fewer tasks left: it is over
      * sooner, and the other one hardly later. */
-    private fun rank(job: Job): Long = job.submittedAt + if (job.spec?.isService != false) 0L else (job.taskCount - job.doneCount).toLong() * settings.leaseMs / TASKS_A_LEASE
+    private fun rank(job: Job): Long =
+        job.submittedAt +
+            if (job.spec?.isService !=
+                false
+            ) {
+                0L
+            } else {
+                (job.taskCount - job.doneCount).toLong() * settings.leaseMs / TASKS_A_LEASE
+            }
 
     private fun round() {
         val now = nowMs()
@@ -101,7 +144,10 @@
         for (i in from until jobs.size) {
             if (i == from || !alike(jobs[i - 1], jobs[i])) placeWhereImagesAre(jobs, i, now)
             placeJob(jobs[i], now)
-            if (nowMs() - now > budgetMs && i + 1 < jobs.size) { resumeAfter = jobs[i].ref; break }
+            if (nowMs() - now > budgetMs && i + 1 < jobs.size) {
+                resumeAfter = jobs[i].ref
+                break
+            }
         }
         view.endRound()
         if (resumeAfter == null) {
@@ -115,11 +161,18 @@
         if (resumeAfter != null) wake()
     }
 
-    private fun alike(a: Job, b: Job) = queues.current(a) == queues.current(b) && a.spec?.priority == b.spec?.priority
+    private fun alike(
+        a: Job,
+        b: Job,
+    ) = queues.current(a) == queues.current(b) && a.spec?.priority == b.spec?.priority
 
     /** Among arrays of one queue and priority a room goes first to those whose image is there: a fetch takes about as long
      * as a third of a task, during which the room does nothing. */
-    private fun placeWhereImagesAre(jobs: List<Job>, from: Int, now: Long) {
+    private fun placeWhereImagesAre(
+        jobs: List<Job>,
+        from: Int,
+        now: Long,
+    ) {
         var to = from + 1
         while (to < jobs.size && alike(jobs[from], jobs[to])) to++
         if (to - from < 2) return
@@ -134,7 +187,13 @@
     private fun tickWaits(now: Long) {
         val step = now - lastAt
         if (lastAt == 0L || step <= 0) return
-        for (j in owner.openJobs()) if (j.pendingCount > 0 && j.attempts.values.none { it.state >= AttemptState.RUNNING }) j.waitedMs += step
+        for (j in owner.openJobs()) {
+            if (j.pendingCount > 0 &&
+                j.attempts.values.none { it.state >= AttemptState.RUNNING }
+            ) {
+                j.waitedMs += step
+            }
+        }
     }
 
     /** How many tasks of a job may be on machines at once: as many as its record is sure to have room for. */
@@ -142,19 +201,35 @@
 
     /** How many more tasks of the job may be placed. One that fails everywhere is tried with a single task at a time. */
     private fun attemptRoom(job: Job): Int {
-        val most = if (job.health.isSuspect && job.spec?.isPlacedWhole == false) TASKS_OF_SUSPECT else minOf(mostAttempts, job.attemptLimit)
+        val most =
+            if (job.health.isSuspect &&
+                job.spec?.isPlacedWhole == false
+            ) {
+                TASKS_OF_SUSPECT
+            } else {
+                minOf(mostAttempts, job.attemptLimit)
+            }
         return most - job.attempts.size
     }
 
     /** Places what can be placed of one job. Returns whether all of it found room. */
-    fun placeJob(job: Job, now: Long, withImage: Boolean = false): Boolean {
+    fun placeJob(
+        job: Job,
+        now: Long,
+        withImage: Boolean = false,
+    ): Boolean {
         val spec = job.spec ?: return true
         if (!job.wantsTasks || now < job.retryAt) return true
         val room = attemptRoom(job)
         if (room <= 0) return true
         job.gang?.let { return whole.placeGang(job, spec, it, room, now) }
         if (spec.isService) moves.place(job, spec, now)
-        if (!spec.isPlacedWhole && shape(spec, Placement.zones(job, spec)) in noRoom && quota.allows(job)) { unplaceable(job, spec, 1, now); return false }
+        if (!spec.isPlacedWhole && shape(spec, Placement.zones(job, spec)) in noRoom &&
+            quota.allows(job)
+        ) {
+            unplaceable(job, spec, 1, now)
+            return false
+        }
         val pending = job.pending(if (spec.isService) spec.taskCount.coerceAtMost(room) else minOf(room, ROUND_TASKS))
         if (pending.isEmpty()) return true
         if (spec.isPlacedWhole) return whole.placeWhole(job, spec, pending, now) { job.nextAttempt++ } != null
@@ -162,10 +237,19 @@
         var blocked = false
         val choice = MachineChoice(view, job, spec, now, withImage)
         for (taskIndex in pending) {
-            if (!quota.allows(job)) { blocked = true; break }
+            if (!quota.allows(job)) {
+                blocked = true
+                break
+            }
             val m = choice.next()
             if (m == null) {
-                if (choice.deferred || withImage) blocked = true else if (job.health.machines.isEmpty()) noRoom.add(shape(spec, choice.rule))
+                if (choice.deferred ||
+                    withImage
+                ) {
+                    blocked = true
+                } else if (job.health.machines.isEmpty()) {
+                    noRoom.add(shape(spec, choice.rule))
+                }
                 break
             }
             owner.place(job, taskIndex, m)
@@ -184,7 +268,12 @@
         return !blocked
     }
 
-    private fun unplaceable(job: Job, spec: JobSpec, count: Int, now: Long) {
+    private fun unplaceable(
+        job: Job,
+        spec: JobSpec,
+        count: Int,
+        now: Long,
+    ) {
         // Nothing is stopped for a job that fails everywhere, and nothing rented while machines of its kind are there.
         if (job.health.isSuspect) {
             val hasMachines = machines.byName.values.any { view.isUsable(it, now) && Placement.kindAllowed(spec, it) }
@@ -204,7 +293,11 @@
         }
     }
 
-    private fun note(job: Job, spec: JobSpec, count: Int) {
+    private fun note(
+        job: Job,
+        spec: JobSpec,
+        count: Int,
+    ) {
         finding[job.ref] = Placement.demand(spec, Placement.zones(job, spec), settings.zones, count)
     }
 
--- a/src/main/kotlin/micatally/placement/WholePlacement.kt
+++ b/src/main/kotlin/micatally/placement/WholePlacement.kt
@@ -23,26 +23,52 @@
     private val onNoRoom: (Job, Demand) -> Unit,
 ) {
     /** A whole run of a gang, or tasks that a run which waits has lost. */
-    fun placeGang(job: Job, spec: JobSpec, gang: Gang, room: Int, now: Long): Boolean {
+    fun placeGang(
+        job: Job,
+        spec: JobSpec,
+        gang: Gang,
+        room: Int,
+        now: Long,
+    ): Boolean {
         val missing = job.pending(spec.taskCount)
         val isReplacing = gang.phase == GangPhase.WAITING
         val mayPlace = if (isReplacing) owner.gangs.mayReplace(job, gang, now) else gang.phase == GangPhase.PLACING
         if (missing.isEmpty() || !mayPlace || missing.size > room) return true
-        if (!isReplacing) return placeWhole(job, spec, missing, now) { job.nextAttempt++.also { gang.beginRun(it) } } != null
+        if (!isReplacing) {
+            return placeWhole(job, spec, missing, now) { job.nextAttempt++.also { gang.beginRun(it) } } !=
+                null
+        }
         val placed = placeWhole(job, spec, missing, now) { gang.number } ?: return false
         val waitedMs = gang.waitingSinceMs?.let { now - it } ?: 0L
-        if (waitedMs + placed.fetchS * 1000 * FETCH_MARGIN > settings.gangWaitMs) owner.gangs.giveUp(job, "a replacement needs ${placed.fetchS} s")
+        if (waitedMs + placed.fetchS * 1000 * FETCH_MARGIN >
+            settings.gangWaitMs
+        ) {
+            owner.gangs.giveUp(job, "a replacement needs ${placed.fetchS} s")
+        }
         return true
     }
 
     /** All or nothing: every one of these tasks finds room, in one zone where it has to, or none is placed; null: none. */
-    fun placeWhole(job: Job, spec: JobSpec, tasks: List<Int>, now: Long, number: () -> Long): GangAssignment<Machine>? {
+    fun placeWhole(
+        job: Job,
+        spec: JobSpec,
+        tasks: List<Int>,
+        now: Long,
+        number: () -> Long,
+    ): GangAssignment<Machine>? {
         if (!quota.allows(job, tasks.size)) return null
         val rule = Placement.zones(job, spec)
         val gang = job.gang
-        val candidates = MachineChoice(view, job, spec, now).forGang()
-            .filter { c -> gang == null || gang.phase != GangPhase.WAITING || tasks.none { gang.wasTried(it, c.machine.name) } }
-        val zoneRoom = { zone: String -> if (spec.scatter) Placement.zoneCap(spec) - (rule.used[zone] ?: 0) else spec.taskCount }
+        val candidates =
+            MachineChoice(view, job, spec, now)
+                .forGang()
+                .filter { c ->
+                    gang == null || gang.phase != GangPhase.WAITING ||
+                        tasks.none { gang.wasTried(it, c.machine.name) }
+                }
+        val zoneRoom = { zone: String ->
+            if (spec.scatter) Placement.zoneCap(spec) - (rule.used[zone] ?: 0) else spec.taskCount
+        }
         val assignment = GangPlacement.choose(candidates, tasks.size, spec.together, zoneRoom)
         if (assignment == null) {
             onNoRoom(job, demand(spec, rule, tasks.size, candidates, now))
@@ -55,7 +81,13 @@
     }
 
     /** What is to be rented for tasks of one zone: there where most of them fit already, or in turn where none do. */
-    private fun demand(spec: JobSpec, rule: Placement.ZoneRule, count: Int, candidates: List<GangCandidate<Machine>>, now: Long): Demand {
+    private fun demand(
+        spec: JobSpec,
+        rule: Placement.ZoneRule,
+        count: Int,
+        candidates: List<GangCandidate<Machine>>,
+        now: Long,
+    ): Demand {
         val demand = Placement.demand(spec, rule, settings.zones, count)
         if (!spec.together || demand.zones.isEmpty()) return demand
         val fitting = candidates.groupBy { it.zone }.mapValues { (_, list) -> list.sumOf { minOf(it.capacity, count) } }
--- a/src/main/kotlin/micatally/queue/Queues.kt
+++ b/src/main/kotlin/micatally/queue/Queues.kt
@@ -3,7 +3,10 @@
 import micatally.job.Job
 
 /** The design's queues: a job's longest service path, in run seconds, decides where it waits. */
-class Queues(private val boundsS: List<Double>, private val liftRatio: Double) {
+class Queues(
+    private val boundsS: List<Double>,
+    private val liftRatio: Double,
+) {
     val count get() = boundsS.size + 1
 
     fun of(serviceS: Double): Int = boundsS.indexOfFirst { serviceS < it }.let { if (it < 0) boundsS.size else it }
@@ -16,7 +19,10 @@
     }
 
     /** Past its queue's bound: the inherited service with the run time so far has outgrown the queue it was placed from. */
-    fun pastBound(inheritedS: Double, ranS: Double): Boolean {
+    fun pastBound(
+        inheritedS: Double,
+        ranS: Double,
+    ): Boolean {
         val q = of(inheritedS)
         return q < boundsS.size && inheritedS + ranS >= boundsS[q]
     }
--- a/src/main/kotlin/micatally/settings/Operator.kt
+++ b/src/main/kotlin/micatally/settings/Operator.kt
@@ -3,7 +3,12 @@
 import java.util.Properties
 
 /** Operators' own settings, beyond the file that the platform hands over. Durations are multiples of a worker's lease or of a machine's boot. */
-class Operator(val queueBounds: List<Double>, val queueLift: Double, val fleetHeadroom: Double, val fleetIdleBoots: Double) {
+class Operator(
+    val queueBounds: List<Double>,
+    val queueLift: Double,
+    val fleetHeadroom: Double,
+    val fleetIdleBoots: Double,
+) {
     companion object {
         private const val BOUNDS = "queue.bounds-leases"
         private const val LIFT = "queue.lift"
@@ -16,32 +21,59 @@
         val DEFAULT = Operator(listOf(0.1, 1.0, 10.0), 2.0, 0.1, 1.3)
 
         fun parse(p: Properties): Operator {
-            for (key in p.stringPropertyNames()) if (key !in KEYS) {
-                throw SettingsError("unknown property $key; did you mean ${KEYS.minByOrNull { distance(key, it) }}?")
+            for (key in p.stringPropertyNames()) {
+                if (key !in KEYS) {
+                    throw SettingsError(
+                        "unknown property $key; did you mean ${KEYS.minByOrNull { distance(key, it) }}?",
+                    )
+                }
             }
-            fun number(key: String, default: Double, range: ClosedFloatingPointRange<Double>): Double {
+
+            fun number(
+                key: String,
+                default: Double,
+                range: ClosedFloatingPointRange<Double>,
+            ): Double {
                 val text = p.getProperty(key) ?: return default
                 val n = text.trim().toDoubleOrNull()
-                if (n == null || n !in range) throw SettingsError("$key must be a number from ${range.start} to ${range.endInclusive}")
+                if (n == null ||
+                    n !in range
+                ) {
+                    throw SettingsError("$key must be a number from ${range.start} to ${range.endInclusive}")
+                }
                 return n
             }
-            val bounds = p.getProperty(BOUNDS)?.split(',')?.map { it.trim().toDoubleOrNull() ?: throw SettingsError("$BOUNDS must be numbers with commas between") }
-            if (bounds != null && (bounds.size !in 1..8 || bounds.any { it <= 0 } || bounds != bounds.sorted().distinct())) {
+            val bounds =
+                p.getProperty(BOUNDS)?.split(',')?.map {
+                    it.trim().toDoubleOrNull()
+                        ?: throw SettingsError("$BOUNDS must be numbers with commas between")
+                }
+            if (bounds != null &&
+                (bounds.size !in 1..8 || bounds.any { it <= 0 } || bounds != bounds.sorted().distinct())
+            ) {
                 throw SettingsError("$BOUNDS must be 1 to 8 rising numbers above 0")
             }
             return Operator(
-                bounds ?: DEFAULT.queueBounds, number(LIFT, DEFAULT.queueLift, 0.1..100.0),
-                number(HEADROOM, DEFAULT.fleetHeadroom, 0.0..1.0), number(IDLE, DEFAULT.fleetIdleBoots, 0.1..100.0),
+                bounds ?: DEFAULT.queueBounds,
+                number(LIFT, DEFAULT.queueLift, 0.1..100.0),
+                number(HEADROOM, DEFAULT.fleetHeadroom, 0.0..1.0),
+                number(IDLE, DEFAULT.fleetIdleBoots, 0.1..100.0),
             )
         }
 
         /** How many letters have to change to make one word of the other. */
-        private fun distance(a: String, b: String): Int {
+        private fun distance(
+            a: String,
+            b: String,
+        ): Int {
             var row = IntArray(b.length + 1) { it }
             for (i in 1..a.length) {
                 val next = IntArray(b.length + 1)
                 next[0] = i
-                for (j in 1..b.length) next[j] = minOf(row[j] + 1, next[j - 1] + 1, row[j - 1] + if (a[i - 1] == b[j - 1]) 0 else 1)
+                for (j in 1..b.length) {
+                    next[j] =
+                        minOf(row[j] + 1, next[j - 1] + 1, row[j - 1] + if (a[i - 1] == b[j - 1]) 0 else 1)
+                }
                 row = next
             }
             return row[b.length]
--- a/src/main/kotlin/micatally/settings/Settings.kt
+++ b/src/main/kotlin/micatally/settings/Settings.kt
@@ -13,23 +13,53 @@
 import micatally.wire.text
 
 /** A setting that is missing or makes no sense; the text names the field. */
-class SettingsError(message: String) : Exception(message)
+class SettingsError(
+    message: String,
+) : Exception(message)
 
-class Peer(val host: String, val zone: String, val addr: String)
+class Peer(
+    val host: String,
+    val zone: String,
+    val addr: String,
+)
 
 /** A team's guarantee and limit. As the deployment page says, 0 means none: no guarantee, no limit. */
-class Team(val name: String, val cores: Double, val coresMax: Double, val cards: Double, val cardsMax: Double)
-
-class Objective(val kind: String, val jobClass: String?, val withinS: Double?)
+class Team(
+    val name: String,
+    val cores: Double,
+    val coresMax: Double,
+    val cards: Double,
+    val cardsMax: Double,
+)
+
+class Objective(
+    val kind: String,
+    val jobClass: String?,
+    val withinS: Double?,
+)
 
 class Settings(
-    val host: String, val zone: String, val listen: String, val back: String, val peers: List<Peer>,
-    val cloudAddr: String, val stateAddr: String, val zones: List<String>, val teams: Map<String, Team>,
-    val objectives: List<Objective>, val reportMs: Long, val leaseMs: Long, val cancelMs: Long,
-    val gangWaitMs: Long, val gangPeerMs: Long,
+    val host: String,
+    val zone: String,
+    val listen: String,
+    val back: String,
+    val peers: List<Peer>,
+    val cloudAddr: String,
+    val stateAddr: String,
+    val zones: List<String>,
+    val teams: Map<String, Team>,
+    val objectives: List<Objective>,
+    val reportMs: Long,
+    val leaseMs: Long,
+    val cancelMs: Long,
+    val gangWaitMs: Long,
+    val gangPeerMs: Long,
     /** What this program keeps to: the smaller of the present limits and of those to come. */
     val stateLimits: StateLimits,
-    val cloudRps: Double, val listLagMs: Long, val maxSockets: Int, val coreShare: Double,
+    val cloudRps: Double,
+    val listLagMs: Long,
+    val maxSockets: Int,
+    val coreShare: Double,
 ) {
     val controllers get() = peers.size + 1
     val stateWriteRps get() = stateLimits.writeRps
@@ -54,11 +84,12 @@
     val handOverMs get() = leaseMs / 4
 
     companion object {
-        fun parse(body: ByteArray): Settings = try {
-            read(parseObject(body))
-        } catch (e: WireError) {
-            throw SettingsError(e.message ?: "bad settings")
-        }
+        fun parse(body: ByteArray): Settings =
+            try {
+                read(parseObject(body))
+            } catch (e: WireError) {
+                throw SettingsError(e.message ?: "bad settings")
+            }
 
         private fun read(o: JsonObject): Settings {
             val services = need(o, "services")
@@ -67,43 +98,71 @@
             val state = need(params, "state")
             val cloud = need(params, "cloud")
             val limits = need(params, "machine_limits")
-            val teams = (params.listOrNull("teams") ?: throw SettingsError("params.teams is missing")).map {
-                val t = it.asObject()
-                Team(t.text("name"), t.numberOrNull("cpus") ?: 0.0, t.numberOrNull("cpus_max") ?: 0.0,
-                    t.numberOrNull("gpus") ?: 0.0, t.numberOrNull("gpus_max") ?: 0.0)
-            }
+            val teams =
+                (params.listOrNull("teams") ?: throw SettingsError("params.teams is missing")).map {
+                    val t = it.asObject()
+                    Team(
+                        t.text("name"),
+                        t.numberOrNull("cpus") ?: 0.0,
+                        t.numberOrNull("cpus_max") ?: 0.0,
+                        t.numberOrNull("gpus") ?: 0.0,
+                        t.numberOrNull("gpus_max") ?: 0.0,
+                    )
+                }
             return Settings(
-                o.text("host_name"), o.text("location"), address(o, "listen"), address(o, "back"),
+                o.text("host_name"),
+                o.text("location"),
+                address(o, "listen"),
+                address(o, "back"),
                 (o.listOrNull("seeds") ?: emptyList()).map {
                     val p = it.asObject()
                     Peer(p.text("host_name"), p.text("location"), address(p, "peer_addr"))
                 },
-                address(services, "cloud"), address(services, "state"),
-                (params.listOrNull("zones") ?: emptyList()).map { it.asText() }, teams.associateBy { it.name },
+                address(services, "cloud"),
+                address(services, "state"),
+                (params.listOrNull("zones") ?: emptyList()).map { it.asText() },
+                teams.associateBy { it.name },
                 (params.listOrNull("objectives") ?: emptyList()).map {
                     val t = it.asObject()
                     Objective(t.text("kind"), (t["class"])?.asText(), t.numberOrNull("within_s"))
                 },
-                millis(workers, "report_s"), millis(workers, "lease_s"), millis(workers, "cancel_s"),
-                gangMillis(workers, "gang_wait_s", GANG_WAIT_LEASES), gangMillis(workers, "gang_peer_s", GANG_PEER_LEASES),
-                stateLimits(state), positive(cloud, "rps"), millis(cloud, "list_lag_s"),
-                positive(limits, "max_sockets").toInt(), positive(limits, "core_share"),
+                millis(workers, "report_s"),
+                millis(workers, "lease_s"),
+                millis(workers, "cancel_s"),
+                gangMillis(workers, "gang_wait_s", GANG_WAIT_LEASES),
+                gangMillis(workers, "gang_peer_s", GANG_PEER_LEASES),
+                stateLimits(state),
+                positive(cloud, "rps"),
+                millis(cloud, "list_lag_s"),
+                positive(limits, "max_sockets").toInt(),
+                positive(limits, "core_share"),
             )
         }
 
         /** Limits to come may be left out, each by itself; then the present one stays. */
         private fun stateLimits(state: JsonObject): StateLimits {
-            val now = StateLimits(
-                positive(state, "rps"),
-                positive(state, "write_rps"),
-                valueBytes(positive(state, "value_kb")),
-                positive(state, "txn_ops").toInt(),
-            )
+            val now =
+                StateLimits(
+                    positive(state, "rps"),
+                    positive(state, "write_rps"),
+                    valueBytes(positive(state, "value_kb")),
+                    positive(state, "txn_ops").toInt(),
+                )
             val next = state.child("next") ?: return now
-            fun later(name: String, present: Double): Double {
+
+            fun later(
+                name: String,
+                present: Double,
+            ): Double {
                 val limit = next.numberOrNull(name) ?: return present
                 val least = if (name == "txn_ops") LEAST_TXN_OPS else 0.0
-                if (limit <= 0 || limit < least) throw SettingsError("state.next.$name must be ${if (least > 0) "at least ${least.toInt()}" else "above 0"}")
+                if (limit <= 0 ||
+                    limit < least
+                ) {
+                    throw SettingsError(
+                        "state.next.$name must be ${if (least > 0) "at least ${least.toInt()}" else "above 0"}",
+                    )
+                }
                 return limit
             }
             return now.smallerOf(
@@ -118,16 +177,29 @@
 
         private fun valueBytes(kibibytes: Double) = (kibibytes * 1024).toInt()
 
-        private fun need(o: JsonObject, name: String) = o.child(name) ?: throw SettingsError("$name is missing")
+        private fun need(
+            o: JsonObject,
+            name: String,
+        ) = o.child(name) ?: throw SettingsError("$name is missing")
 
-        private fun positive(o: JsonObject, name: String) = o.number(name).also {
+        private fun positive(
+            o: JsonObject,
+            name: String,
+        ) = o.number(name).also {
             if (it <= 0) throw SettingsError("$name must be above 0")
         }
 
-        private fun millis(o: JsonObject, name: String) = (positive(o, name) * 1000).toLong()
+        private fun millis(
+            o: JsonObject,
+            name: String,
+        ) = (positive(o, name) * 1000).toLong()
 
         /** Deployments from before the gangs don't name these times; then a cautious share of a worker's lease is taken. */
-        private fun gangMillis(workers: JsonObject, name: String, leases: Double): Long {
+        private fun gangMillis(
+            workers: JsonObject,
+            name: String,
+            leases: Double,
+        ): Long {
             if (workers.numberOrNull(name) != null) return millis(workers, name)
             return (workers.number("lease_s") * 1000 * leases).toLong()
         }
@@ -141,9 +213,16 @@
         private const val GANG_WAIT_LEASES = 2.0
         private const val GANG_PEER_LEASES = 0.2
 
-        private fun address(o: JsonObject, name: String) = o.text(name).also {
+        private fun address(
+            o: JsonObject,
+            name: String,
+        ) = o.text(name).also {
             val port = it.substringAfterLast(':', "").toIntOrNull()
-            if (port == null || port !in 0..65535 || it.substringBeforeLast(':').isEmpty()) throw SettingsError("$name must look like 10.0.0.1:8080")
+            if (port == null || port !in 0..65535 ||
+                it.substringBeforeLast(':').isEmpty()
+            ) {
+                throw SettingsError("$name must look like 10.0.0.1:8080")
+            }
         }
     }
 }
--- a/src/main/kotlin/micatally/state/RateBudget.kt
+++ b/src/main/kotlin/micatally/state/RateBudget.kt
@@ -4,16 +4,26 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.suspendCancellableCoroutine
-import kotlin.coroutines.resume
 import kotlin.coroutines.Continuation
+import kotlin.coroutines.resume
 
 /** What a call to the state service is for, most urgent first. */
 enum class Urgency { LEASE, ACCEPTANCE, INTENT, SUMMARY }
 
 /** A token bucket whose waiters are served by urgency, then in order. Work lands unevenly on the controllers, so what is
  * urgent also tries the share that others may have left unused, [lent] a second, until the service says no. */
-class RateBudget(private val scope: CoroutineScope, private val perSecond: Double, private val nowMs: () -> Long, private val lent: Double = 0.0) {
-    private class Waiter(val n: Int, val c: Continuation<Unit>) { var gone = false }
+class RateBudget(
+    private val scope: CoroutineScope,
+    private val perSecond: Double,
+    private val nowMs: () -> Long,
+    private val lent: Double = 0.0,
+) {
+    private class Waiter(
+        val n: Int,
+        val c: Continuation<Unit>,
+    ) {
+        var gone = false
+    }
 
     private val counts = IntArray(Urgency.entries.size)
     private val waits = LongArray(Urgency.entries.size)
@@ -31,7 +41,11 @@
     val waiting get() = queues.sumOf { it.size }
 
     /** Waits until [n] may be taken; true if they are borrowed. */
-    suspend fun take(n: Int, urgency: Urgency, mayBorrow: Boolean = false): Boolean {
+    suspend fun take(
+        n: Int,
+        urgency: Urgency,
+        mayBorrow: Boolean = false,
+    ): Boolean {
         if (n == 0) return false
         val began = nowMs()
         val borrowed = mayBorrow && borrow(n, urgency)
@@ -43,25 +57,48 @@
         return borrowed
     }
 
-    private fun borrow(n: Int, urgency: Urgency): Boolean {
+    private fun borrow(
+        n: Int,
+        urgency: Urgency,
+    ): Boolean {
         refill()
-        if (lent <= 0 || urgency > Urgency.INTENT || waiting == 0 && tokens >= n || credit < n || filledAt < noLoanUntil) return false
+        if (lent <= 0 || urgency > Urgency.INTENT || waiting == 0 && tokens >= n || credit < n ||
+            filledAt < noLoanUntil
+        ) {
+            return false
+        }
         credit -= n
         return true
     }
 
     /** The service refused what was borrowed: the others use their shares. */
-    fun loanRefused() { credit = 0.0; noLoanUntil = nowMs() + NO_LOAN_MS }
+    fun loanRefused() {
+        credit = 0.0
+        noLoanUntil = nowMs() + NO_LOAN_MS
+    }
 
     /** For each urgency: how many, and how long they waited on average and at the most, since the last call. */
-    fun tell(): String = Urgency.entries.filter { counts[it.ordinal] > 0 }.joinToString(",") { u ->
-        val i = u.ordinal
-        "${u.name.lowercase()}:${counts[i]}x/${waits[i] / counts[i]}ms/${longest[i]}ms"
-    }.also { counts.fill(0); waits.fill(0); longest.fill(0) }
+    fun tell(): String =
+        Urgency.entries
+            .filter { counts[it.ordinal] > 0 }
+            .joinToString(",") { u ->
+                val i = u.ordinal
+                "${u.name.lowercase()}:${counts[i]}x/${waits[i] / counts[i]}ms/${longest[i]}ms"
+            }.also {
+                counts.fill(0)
+                waits.fill(0)
+                longest.fill(0)
+            }
 
-    private suspend fun await(n: Int, urgency: Urgency) {
+    private suspend fun await(
+        n: Int,
+        urgency: Urgency,
+    ) {
         refill()
-        if (waiting == 0 && tokens >= minOf(n.toDouble(), burst)) { tokens -= n; return }
+        if (waiting == 0 && tokens >= minOf(n.toDouble(), burst)) {
+            tokens -= n
+            return
+        }
         suspendCancellableCoroutine { c ->
             val w = Waiter(n, c)
             queues[urgency.ordinal].addLast(w)
@@ -71,7 +108,10 @@
     }
 
     /** After a 429 the service's own count is lower than ours. */
-    fun drained() { refill(); tokens = minOf(tokens, 0.0) }
+    fun drained() {
+        refill()
+        tokens = minOf(tokens, 0.0)
+    }
 
     private fun refill() {
         val now = nowMs()
@@ -99,7 +139,9 @@
                         delay(((need - tokens) * 1000.0 / perSecond).toLong() + 1)
                     }
                 }
-            } finally { pumping = false }
+            } finally {
+                pumping = false
+            }
         }
     }
 
--- a/src/main/kotlin/micatally/state/StateLimits.kt
+++ b/src/main/kotlin/micatally/state/StateLimits.kt
@@ -8,14 +8,20 @@
  * @property valueBytes size of one value
  * @property txnOps puts and deletes of one transaction
  */
-data class StateLimits(val rps: Double, val writeRps: Double, val valueBytes: Int, val txnOps: Int) {
+data class StateLimits(
+    val rps: Double,
+    val writeRps: Double,
+    val valueBytes: Int,
+    val txnOps: Int,
+) {
     /** The smaller of both for each limit: what holds whichever of them is in force. */
-    fun smallerOf(other: StateLimits) = StateLimits(
-        minOf(rps, other.rps),
-        minOf(writeRps, other.writeRps),
-        minOf(valueBytes, other.valueBytes),
-        minOf(txnOps, other.txnOps),
-    )
+    fun smallerOf(other: StateLimits) =
+        StateLimits(
+            minOf(rps, other.rps),
+            minOf(writeRps, other.writeRps),
+            minOf(valueBytes, other.valueBytes),
+            minOf(txnOps, other.txnOps),
+        )
 
     /** Further values that one record, or the kill list beside it, may be split into, so that both fit in a transaction. */
     val overflowValues: Int
--- a/src/main/kotlin/micatally/upgrade/Upgrade.kt
+++ b/src/main/kotlin/micatally/upgrade/Upgrade.kt
@@ -62,7 +62,12 @@
 
     private fun report(step: UpgradeStep) {
         if (step is UpgradeStep.WaitFor) {
-            log.info("upgrade: {} of {} controllers are new, waiting for {}", hosts.size - step.hosts.size, hosts.size, step.hosts)
+            log.info(
+                "upgrade: {} of {} controllers are new, waiting for {}",
+                hosts.size - step.hosts.size,
+                hosts.size,
+                step.hosts,
+            )
         }
     }
 
@@ -94,11 +99,12 @@
      */
     private fun transaction(): Txn? {
         val step = UpgradePlan.next(cluster, settings.host, hosts)
-        val key = when (step) {
-            UpgradeStep.Announce -> Keys.version(settings.host)
-            UpgradeStep.Raise -> Keys.FORMAT
-            else -> return null
-        }
+        val key =
+            when (step) {
+                UpgradeStep.Announce -> Keys.version(settings.host)
+                UpgradeStep.Raise -> Keys.FORMAT
+                else -> return null
+            }
         log.info("upgrade: writing {} = {}", key, FormatVersion.CURRENT)
         val value = buildJsonObject { put(UpgradePlan.VERSION_FIELD, FormatVersion.CURRENT) }
         return Txn(listOf(Condition(key, cluster.mark(key))), listOf(Put(key, value)))
--- a/src/main/kotlin/micatally/upgrade/UpgradePlan.kt
+++ b/src/main/kotlin/micatally/upgrade/UpgradePlan.kt
@@ -27,14 +27,19 @@
     data object Raise : UpgradeStep
 
     /** Wait for these hosts to come up with the current version. */
-    data class WaitFor(val hosts: List<String>) : UpgradeStep
+    data class WaitFor(
+        val hosts: List<String>,
+    ) : UpgradeStep
 
     data object Finished : UpgradeStep
 }
 
 /** Decides on the steps of an upgrade from the shared keys alone. */
 object UpgradePlan {
-    fun announced(cluster: Cluster, host: String): Long = version(cluster, Keys.version(host))
+    fun announced(
+        cluster: Cluster,
+        host: String,
+    ): Long = version(cluster, Keys.version(host))
 
     fun phase(cluster: Cluster): UpgradePhase =
         if (version(cluster, Keys.FORMAT) >= FormatVersion.CURRENT) UpgradePhase.UNIFORM else UpgradePhase.MIXED
@@ -43,10 +48,20 @@
      * An announcement is written by a process of the current version once it is live itself, and stays. A host that has once
      * come up new does not return old, so a host that is merely away does not hold up the others.
      */
-    fun next(cluster: Cluster, self: String, hosts: Collection<String>): UpgradeStep {
+    fun next(
+        cluster: Cluster,
+        self: String,
+        hosts: Collection<String>,
+    ): UpgradeStep {
         if (announced(cluster, self) < FormatVersion.CURRENT) {
             // The live key may still be that of the former process.
-            return if (running(cluster, self) >= FormatVersion.CURRENT) UpgradeStep.Announce else UpgradeStep.WaitFor(listOf(self))
+            return if (running(cluster, self) >=
+                FormatVersion.CURRENT
+            ) {
+                UpgradeStep.Announce
+            } else {
+                UpgradeStep.WaitFor(listOf(self))
+            }
         }
         if (phase(cluster) == UpgradePhase.UNIFORM) return UpgradeStep.Finished
         val missing = hosts.filter { announced(cluster, it) < FormatVersion.CURRENT }.sorted()
@@ -54,16 +69,25 @@
     }
 
     /** Hosts that run an older version although they had announced the current one: an operator has gone back too late. */
-    fun downgraded(cluster: Cluster, hosts: Collection<String>): List<String> = hosts.filter { host ->
-        cluster.has(Keys.live(host)) && running(cluster, host) < announced(cluster, host)
-    }.sorted()
+    fun downgraded(
+        cluster: Cluster,
+        hosts: Collection<String>,
+    ): List<String> =
+        hosts
+            .filter { host ->
+                cluster.has(Keys.live(host)) && running(cluster, host) < announced(cluster, host)
+            }.sorted()
 
     /** The version of the process that the host's live key names. */
-    private fun running(cluster: Cluster, host: String): Long =
-        cluster.value(Keys.live(host))?.longOrNull(FORMAT_FIELD) ?: FormatVersion.FIRST
+    private fun running(
+        cluster: Cluster,
+        host: String,
+    ): Long = cluster.value(Keys.live(host))?.longOrNull(FORMAT_FIELD) ?: FormatVersion.FIRST
 
-    private fun version(cluster: Cluster, key: String): Long =
-        cluster.value(key)?.longOrNull(VERSION_FIELD) ?: FormatVersion.FIRST
+    private fun version(
+        cluster: Cluster,
+        key: String,
+    ): Long = cluster.value(key)?.longOrNull(VERSION_FIELD) ?: FormatVersion.FIRST
 
     /** Field of the announcements and of the format key. */
     const val VERSION_FIELD = "n"
--- a/src/main/kotlin/micatally/wire/Jobs.kt
+++ b/src/main/kotlin/micatally/wire/Jobs.kt
@@ -5,21 +5,50 @@
 import kotlinx.serialization.json.put
 
 /** Tasks that run to completion independently, replicas that run until cancelled, and tasks that run only all together. */
-enum class Format(val word: String) { ARRAY("sweep"), SERVICE("daemon"), GANG("gang") }
+enum class Format(
+    val word: String,
+) {
+    ARRAY("sweep"),
+    SERVICE("daemon"),
+    GANG("gang"),
+}
 
 /** The order is the order of importance, the first being the most important. */
-enum class Priority(val word: String) { PRODUCTION("production"), HIGH("high"), STANDARD("standard"), LOW("low") }
+enum class Priority(
+    val word: String,
+) {
+    PRODUCTION("production"),
+    HIGH("high"),
+    STANDARD("standard"),
+    LOW("low"),
+}
 
 /** What a task takes of its machine. */
-data class Amount(val cores: Double, val cards: Double, val ram: Double) {
+data class Amount(
+    val cores: Double,
+    val cards: Double,
+    val ram: Double,
+) {
     operator fun plus(o: Amount) = Amount(cores + o.cores, cards + o.cards, ram + o.ram)
+
     operator fun minus(o: Amount) = Amount(cores - o.cores, cards - o.cards, ram - o.ram)
+
     operator fun times(n: Int) = Amount(cores * n, cards * n, ram * n)
+
     fun fitsIn(o: Amount) = cores <= o.cores + SLACK && cards <= o.cards + SLACK && ram <= o.ram + SLACK
 
     /** How many of it fit in [room]; a dimension that it does not take sets no bound. */
     fun countIn(room: Amount): Int {
-        fun count(one: Double, all: Double) = if (one <= 0) Int.MAX_VALUE else ((all + SLACK) / one).toInt().coerceAtLeast(0)
+        fun count(
+            one: Double,
+            all: Double,
+        ) = if (one <=
+            0
+        ) {
+            Int.MAX_VALUE
+        } else {
+            ((all + SLACK) / one).toInt().coerceAtLeast(0)
+        }
         return minOf(count(cores, room.cores), count(cards, room.cards), count(ram, room.ram))
     }
 
@@ -32,10 +61,24 @@
 
 /** A job as its user submitted it. Parsed once, checked field by field. */
 class JobSpec(
-    val ref: String, val jobClass: String, val team: String, val format: Format, val priority: Priority, val taskCount: Int,
-    val amount: Amount, val image: String, val imageGb: Double, val types: Set<String>?, val zone: String?,
-    val together: Boolean, val scatter: Boolean, val spot: Boolean,
-    val estimateS: Double, val checkpointS: Double, val saveS: Double, val deadlineS: Double?,
+    val ref: String,
+    val jobClass: String,
+    val team: String,
+    val format: Format,
+    val priority: Priority,
+    val taskCount: Int,
+    val amount: Amount,
+    val image: String,
+    val imageGb: Double,
+    val types: Set<String>?,
+    val zone: String?,
+    val together: Boolean,
+    val scatter: Boolean,
+    val spot: Boolean,
+    val estimateS: Double,
+    val checkpointS: Double,
+    val saveS: Double,
+    val deadlineS: Double?,
     val source: JsonObject,
 ) {
     val isService get() = format == Format.SERVICE
@@ -47,10 +90,29 @@
     companion object {
         const val MAX_TASKS = 100_000
         private val REF = Regex("j-[0-9]{1,18}")
-        private val FIELDS = setOf(
-            "ref", "lane", "crew", "format", "grid", "laps", "cores", "cards", "ram_gb", "livery", "size_gb", "chassis",
-            "circuit", "together", "scatter", "loaners", "lap_time_s", "sector_s", "pit_stop_s", "flag_s",
-        )
+        private val FIELDS =
+            setOf(
+                "ref",
+                "lane",
+                "crew",
+                "format",
+                "grid",
+                "laps",
+                "cores",
+                "cards",
+                "ram_gb",
+                "livery",
+                "size_gb",
+                "chassis",
+                "circuit",
+                "together",
+                "scatter",
+                "loaners",
+                "lap_time_s",
+                "sector_s",
+                "pit_stop_s",
+                "flag_s",
+            )
 
         fun validRef(ref: String) = REF.matches(ref)
 
@@ -59,39 +121,79 @@
             if (!validRef(ref)) throw WireError("ref must look like j-000412")
             val taskCount = o.long("laps")
             if (taskCount !in 1..MAX_TASKS) throw WireError("laps must be from 1 to $MAX_TASKS")
-            val types = o.listOrNull("chassis")?.map {
-                try { it.asText() } catch (e: WireError) { throw WireError("chassis must hold strings") }
-            }?.toSet()
+            val types =
+                o
+                    .listOrNull("chassis")
+                    ?.map {
+                        try {
+                            it.asText()
+                        } catch (e: WireError) {
+                            throw WireError("chassis must hold strings")
+                        }
+                    }?.toSet()
             if (types != null && types.isEmpty()) throw WireError("chassis must not be empty")
             val image = word(o, "livery")
             return JobSpec(
-                ref, word(o, "lane"), word(o, "crew"),
-                Format.entries.find { it.word == o.text("format") } ?: throw WireError("format must be sweep, daemon or gang"),
+                ref,
+                word(o, "lane"),
+                word(o, "crew"),
+                Format.entries.find { it.word == o.text("format") }
+                    ?: throw WireError("format must be sweep, daemon or gang"),
                 Priority.entries.find { it.word == o.text("grid") }
                     ?: throw WireError("grid must be production, high, standard or low"),
-                taskCount.toInt(), Amount(amount(o, "cores"), amount(o, "cards"), amount(o, "ram_gb")),
-                image, amount(o, "size_gb"), types, o.textOrNull("circuit"),
-                o.flag("together"), o.flag("scatter"), o.flag("loaners"),
-                amount(o, "lap_time_s"), amount(o, "sector_s"), amount(o, "pit_stop_s"),
+                taskCount.toInt(),
+                Amount(amount(o, "cores"), amount(o, "cards"), amount(o, "ram_gb")),
+                image,
+                amount(o, "size_gb"),
+                types,
+                o.textOrNull("circuit"),
+                o.flag("together"),
+                o.flag("scatter"),
+                o.flag("loaners"),
+                amount(o, "lap_time_s"),
+                amount(o, "sector_s"),
+                amount(o, "pit_stop_s"),
                 o.numberOrNull("flag_s")?.also { if (it < 0) throw WireError("flag_s must not be negative") },
                 JsonObject(o.filterKeys { it in FIELDS }),
             )
         }
 
-        private fun word(o: JsonObject, name: String) = o.text(name).also {
+        private fun word(
+            o: JsonObject,
+            name: String,
+        ) = o.text(name).also {
             if (it.isEmpty() || it.length > 200) throw WireError("$name must have 1 to 200 characters")
         }
 
-        private fun amount(o: JsonObject, name: String) = o.number(name).also {
+        private fun amount(
+            o: JsonObject,
+            name: String,
+        ) = o.number(name).also {
             if (it < 0) throw WireError("$name must not be negative")
         }
     }
 }
 
 /** What users are told of a job. */
-data class JobAnswer(val ref: String, val status: String, val done: Int, val running: Int) {
-    fun json() = buildJsonObject { put("ref", ref); put("status", status); put("done", done); put("running", running) }
-    fun brief() = buildJsonObject { put("ref", ref); put("status", status) }
+data class JobAnswer(
+    val ref: String,
+    val status: String,
+    val done: Int,
+    val running: Int,
+) {
+    fun json() =
+        buildJsonObject {
+            put("ref", ref)
+            put("status", status)
+            put("done", done)
+            put("running", running)
+        }
+
+    fun brief() =
+        buildJsonObject {
+            put("ref", ref)
+            put("status", status)
+        }
 
     companion object {
         const val PENDING = "pending"
--- a/src/main/kotlin/micatally/wire/Json.kt
+++ b/src/main/kotlin/micatally/wire/Json.kt
@@ -11,16 +11,19 @@
 import kotlinx.serialization.json.longOrNull
 
 /** Thrown when a message from outside is not what the protocol describes; the text names the field. */
-class WireError(message: String) : Exception(message)
+class WireError(
+    message: String,
+) : Exception(message)
 
 val EMPTY_OBJECT = JsonObject(emptyMap())
 
 fun parseObject(body: ByteArray): JsonObject {
-    val element = try {
-        Json.parseToJsonElement(body.decodeToString())
-    } catch (e: Exception) {
-        throw WireError("the body is not JSON")
-    }
+    val element =
+        try {
+            Json.parseToJsonElement(body.decodeToString())
+        } catch (e: Exception) {
+            throw WireError("the body is not JSON")
+        }
     return element as? JsonObject ?: throw WireError("the body is not a JSON object")
 }
 
@@ -47,7 +50,11 @@
     val primitive = (value as? JsonPrimitive)?.takeUnless { it.isString } ?: throw WireError("$name must be an integer")
     primitive.longOrNull?.let { return it }
     val number = primitive.doubleOrNull
-    if (number == null || number != Math.rint(number) || Math.abs(number) > 9.0e15) throw WireError("$name must be an integer")
+    if (number == null || number != Math.rint(number) ||
+        Math.abs(number) > 9.0e15
+    ) {
+        throw WireError("$name must be an integer")
+    }
     return number.toLong()
 }
 
@@ -55,7 +62,8 @@
 
 fun JsonObject.flag(name: String): Boolean {
     val value = present(name) ?: throw WireError("$name is missing")
-    return (value as? JsonPrimitive)?.takeUnless { it.isString }?.booleanOrNull ?: throw WireError("$name must be true or false")
+    return (value as? JsonPrimitive)?.takeUnless { it.isString }?.booleanOrNull
+        ?: throw WireError("$name must be true or false")
 }
 
 fun JsonObject.listOrNull(name: String): List<JsonElement>? {
--- a/src/main/kotlin/micatally/wire/Peers.kt
+++ b/src/main/kotlin/micatally/wire/Peers.kt
@@ -6,16 +6,26 @@
 /** A task line of a report, handed on to other controllers. */
 @Serializable
 class NoteTask(
-    @ProtoNumber(1) val ref: String, @ProtoNumber(2) val taskIndex: Int, @ProtoNumber(3) val attempt: Long,
-    @ProtoNumber(4) val status: String, @ProtoNumber(5) val why: String = "", @ProtoNumber(6) val saved: Boolean = false,
+    @ProtoNumber(1) val ref: String,
+    @ProtoNumber(2) val taskIndex: Int,
+    @ProtoNumber(3) val attempt: Long,
+    @ProtoNumber(4) val status: String,
+    @ProtoNumber(5) val why: String = "",
+    @ProtoNumber(6) val saved: Boolean = false,
 )
 
 /** A worker's report as handed on by the controller that got it. */
 @Serializable
 class MachineNote(
-    @ProtoNumber(1) val machine: String, @ProtoNumber(2) val addr: String, @ProtoNumber(3) val type: String,
-    @ProtoNumber(4) val zone: String, @ProtoNumber(5) val spot: Boolean, @ProtoNumber(6) val session: Long,
-    @ProtoNumber(7) val tick: Long, @ProtoNumber(8) val noticeS: Double = -1.0, @ProtoNumber(9) val tasks: List<NoteTask> = emptyList(),
+    @ProtoNumber(1) val machine: String,
+    @ProtoNumber(2) val addr: String,
+    @ProtoNumber(3) val type: String,
+    @ProtoNumber(4) val zone: String,
+    @ProtoNumber(5) val spot: Boolean,
+    @ProtoNumber(6) val session: Long,
+    @ProtoNumber(7) val tick: Long,
+    @ProtoNumber(8) val noticeS: Double = -1.0,
+    @ProtoNumber(9) val tasks: List<NoteTask> = emptyList(),
     /** How long ago the report came, in milliseconds. */
     @ProtoNumber(10) val ageMs: Long = 0,
     /** The tick of the report in which its tasks last changed: who has heard of none as late lacks something. */
@@ -25,17 +35,28 @@
 /** What one owner holds on one machine, together with the images that its own tasks ran with there and their sizes. */
 @Serializable
 data class HeldRoom(
-    @ProtoNumber(1) val machine: String, @ProtoNumber(2) val cores: Double = 0.0, @ProtoNumber(3) val cards: Double = 0.0,
-    @ProtoNumber(4) val ram: Double = 0.0, @ProtoNumber(5) val images: List<String> = emptyList(), @ProtoNumber(6) val imagesGb: List<Double> = emptyList(),
+    @ProtoNumber(1) val machine: String,
+    @ProtoNumber(2) val cores: Double = 0.0,
+    @ProtoNumber(3) val cards: Double = 0.0,
+    @ProtoNumber(4) val ram: Double = 0.0,
+    @ProtoNumber(5) val images: List<String> = emptyList(),
+    @ProtoNumber(6) val imagesGb: List<Double> = emptyList(),
 )
 
 /** Tasks of one shape that find no room. */
 @Serializable
 data class Demand(
-    @ProtoNumber(1) val cores: Double, @ProtoNumber(2) val cards: Double, @ProtoNumber(3) val ram: Double,
-    @ProtoNumber(4) val types: List<String> = emptyList(), @ProtoNumber(5) val zones: List<String> = emptyList(),
-    @ProtoNumber(6) val spot: Boolean = false, @ProtoNumber(7) val count: Int = 1, @ProtoNumber(8) val priority: Int = 0,
-    @ProtoNumber(9) val service: Boolean = false, @ProtoNumber(10) val estimateS: Double = 0.0, @ProtoNumber(11) val image: String = "",
+    @ProtoNumber(1) val cores: Double,
+    @ProtoNumber(2) val cards: Double,
+    @ProtoNumber(3) val ram: Double,
+    @ProtoNumber(4) val types: List<String> = emptyList(),
+    @ProtoNumber(5) val zones: List<String> = emptyList(),
+    @ProtoNumber(6) val spot: Boolean = false,
+    @ProtoNumber(7) val count: Int = 1,
+    @ProtoNumber(8) val priority: Int = 0,
+    @ProtoNumber(9) val service: Boolean = false,
+    @ProtoNumber(10) val estimateS: Double = 0.0,
+    @ProtoNumber(11) val image: String = "",
     /** For each of [zones], how many of them may go there at the most; empty: any number. */
     @ProtoNumber(12) val zoneRoom: List<Int> = emptyList(),
     /** They start only all together; a receiver of the previous version takes them for independent ones. */
@@ -48,9 +69,14 @@
  * machines fall in it, and the first one holds the demand. */
 @Serializable
 class RoomSummary(
-    @ProtoNumber(1) val host: String, @ProtoNumber(2) val process: String, @ProtoNumber(3) val number: Long,
-    @ProtoNumber(4) val rooms: List<HeldRoom> = emptyList(), @ProtoNumber(5) val demand: List<Demand> = emptyList(),
-    @ProtoNumber(6) val base: Long = 0, @ProtoNumber(7) val bucket: Int = 0, @ProtoNumber(8) val buckets: Int = 0,
+    @ProtoNumber(1) val host: String,
+    @ProtoNumber(2) val process: String,
+    @ProtoNumber(3) val number: Long,
+    @ProtoNumber(4) val rooms: List<HeldRoom> = emptyList(),
+    @ProtoNumber(5) val demand: List<Demand> = emptyList(),
+    @ProtoNumber(6) val base: Long = 0,
+    @ProtoNumber(7) val bucket: Int = 0,
+    @ProtoNumber(8) val buckets: Int = 0,
     /** Services that were submitted here lately, by shape: what may come next. */
     @ProtoNumber(9) val recent: List<Demand> = emptyList(),
 )
@@ -66,15 +92,23 @@
 )
 
 @Serializable
-class WithdrawnTask(@ProtoNumber(1) val machine: String, @ProtoNumber(2) val ref: String, @ProtoNumber(3) val taskIndex: Int, @ProtoNumber(4) val attempt: Long)
+class WithdrawnTask(
+    @ProtoNumber(1) val machine: String,
+    @ProtoNumber(2) val ref: String,
+    @ProtoNumber(3) val taskIndex: Int,
+    @ProtoNumber(4) val attempt: Long,
+)
 
 /** All tasks of a job that was withdrawn. */
 @Serializable
-class WithdrawnTaskList(@ProtoNumber(1) val kills: List<WithdrawnTask>)
+class WithdrawnTaskList(
+    @ProtoNumber(1) val kills: List<WithdrawnTask>,
+)
 
 @Serializable
 class PeerNews(
-    @ProtoNumber(1) val notes: List<MachineNote> = emptyList(), @ProtoNumber(2) val summary: RoomSummary? = null,
+    @ProtoNumber(1) val notes: List<MachineNote> = emptyList(),
+    @ProtoNumber(2) val summary: RoomSummary? = null,
     /** Machines that the sender wants deleted, because they are silent or fail what they start. */
     @ProtoNumber(3) val retire: List<String> = emptyList(),
     /** Machines that the sender has heard itself, without their tasks. */
@@ -86,13 +120,19 @@
 
 /** What a node writes to the state service for nodes that can't be told directly. */
 @Serializable
-class HeardList(@ProtoNumber(1) val notes: List<MachineNote>)
+class HeardList(
+    @ProtoNumber(1) val notes: List<MachineNote>,
+)
 
 @Serializable
-class PeerAsk(@ProtoNumber(1) val ref: String)
+class PeerAsk(
+    @ProtoNumber(1) val ref: String,
+)
 
 @Serializable
 class PeerAnswer(
-    @ProtoNumber(1) val known: Boolean = false, @ProtoNumber(2) val status: String = "",
-    @ProtoNumber(3) val done: Int = 0, @ProtoNumber(4) val running: Int = 0,
+    @ProtoNumber(1) val known: Boolean = false,
+    @ProtoNumber(2) val status: String = "",
+    @ProtoNumber(3) val done: Int = 0,
+    @ProtoNumber(4) val running: Int = 0,
 )
--- a/src/main/kotlin/micatally/wire/Workers.kt
+++ b/src/main/kotlin/micatally/wire/Workers.kt
@@ -8,13 +8,21 @@
 import kotlinx.serialization.json.put
 
 /** One task on one machine under one attempt, as a worker lists it. */
-data class ListedTask(val ref: String, val taskIndex: Int, val attempt: Long, val status: String, val why: String?, val saved: Boolean) {
+data class ListedTask(
+    val ref: String,
+    val taskIndex: Int,
+    val attempt: Long,
+    val status: String,
+    val why: String?,
+    val saved: Boolean,
+) {
     val ended get() = status == ENDED
     val done get() = ended && reason == ExitReason.DONE
     val reason get() = ExitReason.of(why)
 
     companion object {
         const val PULLING = "pulling"
+
         /** A gang's task that has its image and waits for the others. */
         const val WAITING = "waiting"
         const val RUNNING = "running"
@@ -25,7 +33,9 @@
 }
 
 /** Why a task has ended, as its worker says. */
-enum class ExitReason(val word: String) {
+enum class ExitReason(
+    val word: String,
+) {
     DONE("done"),
     STOPPED("stopped"),
     ERROR("error"),
@@ -47,15 +57,31 @@
 
 /** A worker's report; the protocol's stint is the session, its tick the order of messages, its baton the token. */
 class Report(
-    val machine: String, val addr: String, val type: String, val zone: String, val spot: Boolean,
-    val session: Long, val tick: Long, val token: Long, val noticeS: Double?, val tasks: List<ListedTask>,
+    val machine: String,
+    val addr: String,
+    val type: String,
+    val zone: String,
+    val spot: Boolean,
+    val session: Long,
+    val tick: Long,
+    val token: Long,
+    val noticeS: Double?,
+    val tasks: List<ListedTask>,
 ) {
     companion object {
-        fun parse(o: JsonObject): Report = Report(
-            o.text("car"), o.text("addr"), o.text("rig"), o.text("circuit"), o.flag("loaners"),
-            o.long("stint"), o.long("tick"), o.longOrNull("baton") ?: 0, o.numberOrNull("recall_s"),
-            (o.listOrNull("laps") ?: emptyList()).map { task(it.asObject()) },
-        )
+        fun parse(o: JsonObject): Report =
+            Report(
+                o.text("car"),
+                o.text("addr"),
+                o.text("rig"),
+                o.text("circuit"),
+                o.flag("loaners"),
+                o.long("stint"),
+                o.long("tick"),
+                o.longOrNull("baton") ?: 0,
+                o.numberOrNull("recall_s"),
+                (o.listOrNull("laps") ?: emptyList()).map { task(it.asObject()) },
+            )
 
         private fun task(o: JsonObject): ListedTask {
             val name = o.text("lap")
@@ -63,24 +89,58 @@
             val taskIndex = if (slash < 0) null else name.substring(slash + 1).toIntOrNull()
             if (taskIndex == null) throw WireError("lap must look like j-000412/3")
             val saved = (o["saved"] as? JsonPrimitive)?.booleanOrNull ?: false
-            return ListedTask(name.substring(0, slash), taskIndex, o.long("start"), o.text("status"), o.textOrNull("retire_reason"), saved)
+            return ListedTask(
+                name.substring(0, slash),
+                taskIndex,
+                o.long("start"),
+                o.text("status"),
+                o.textOrNull("retire_reason"),
+                saved,
+            )
         }
     }
 }
 
-enum class Verb(val word: String) { RUN("run"), KILL("kill"), CLEAR("clear") }
-
-class Command(val verb: Verb, val ref: String, val taskIndex: Int, val attempt: Long, val graceS: Double? = null) {
-    fun json() = buildJsonObject {
-        put("call", verb.word); put("lap", "$ref/$taskIndex"); put("start", attempt)
-        if (graceS != null) put("cooldown_s", graceS)
-    }
+enum class Verb(
+    val word: String,
+) {
+    RUN("run"),
+    KILL("kill"),
+    CLEAR("clear"),
 }
 
-fun ordersBody(token: Long, session: Long, commands: List<Command>): JsonObject = buildJsonObject {
-    put("baton", token); put("stint", session); put("radio", JsonArray(commands.map { it.json() }))
+class Command(
+    val verb: Verb,
+    val ref: String,
+    val taskIndex: Int,
+    val attempt: Long,
+    val graceS: Double? = null,
+) {
+    fun json() =
+        buildJsonObject {
+            put("call", verb.word)
+            put("lap", "$ref/$taskIndex")
+            put("start", attempt)
+            if (graceS != null) put("cooldown_s", graceS)
+        }
 }
 
-fun reportAnswer(token: Long, commands: List<Command>): JsonObject = buildJsonObject {
-    put("baton", token); put("radio", JsonArray(commands.map { it.json() }))
-}
+fun ordersBody(
+    token: Long,
+    session: Long,
+    commands: List<Command>,
+): JsonObject =
+    buildJsonObject {
+        put("baton", token)
+        put("stint", session)
+        put("radio", JsonArray(commands.map { it.json() }))
+    }
+
+fun reportAnswer(
+    token: Long,
+    commands: List<Command>,
+): JsonObject =
+    buildJsonObject {
+        put("baton", token)
+        put("radio", JsonArray(commands.map { it.json() }))
+    }
--- a/src/main/kotlin/micatally/worker/Machine.kt
+++ b/src/main/kotlin/micatally/worker/Machine.kt
@@ -5,10 +5,20 @@
 import micatally.wire.ListedTask
 
 /** One attempt's name on a machine. */
-data class AttemptId(val ref: String, val taskIndex: Int, val attempt: Long)
+data class AttemptId(
+    val ref: String,
+    val taskIndex: Int,
+    val attempt: Long,
+)
 
 /** A worker as this node knows it, from reports, from answers to its own orders and from other nodes. */
-class Machine(val name: String, addr: String, type: String, zone: String, spot: Boolean) {
+class Machine(
+    val name: String,
+    addr: String,
+    type: String,
+    zone: String,
+    spot: Boolean,
+) {
     var addr = addr
         private set
     var type = type
@@ -19,7 +29,12 @@
         private set
 
     /** What a name alone could not tell. */
-    fun describe(addr: String, type: String, zone: String, spot: Boolean) {
+    fun describe(
+        addr: String,
+        type: String,
+        zone: String,
+        spot: Boolean,
+    ) {
         if (this.addr.isEmpty() && addr.isNotEmpty()) this.addr = addr
         if (this.type.isNotEmpty() || type.isEmpty()) return
         this.type = type
@@ -29,9 +44,11 @@
 
     var session = 0L
     var tick = 0L
+
     /** The tick with which the tasks last changed. */
     var changedTick = 0L
     var tasks: List<ListedTask> = emptyList()
+
     /** When any node heard from it first, as far as this one knows; 0: not yet. */
     var firstHeardAt = 0L
         private set
@@ -42,22 +59,28 @@
             field = value
             if (firstHeardAt == 0L) firstHeardAt = value
         }
+
     /** When this node answered a report of its last. */
     var heardHereAt = 0L
 
     /** When each other node answered a report of its last, as far as they have told. */
     private val heardElsewhereAt = HashMap<String, Long>()
 
-    fun heardBy(host: String, atMs: Long) {
+    fun heardBy(
+        host: String,
+        atMs: Long,
+    ) {
         heardElsewhereAt.merge(host, atMs, ::maxOf)
     }
 
     fun heardByAt(host: String): Long? = heardElsewhereAt[host]
+
     /** When the keeper asked it last because it was silent, how often in a row it took the question and said nothing, and when
      * it last took a connection of its own for that: a machine without power does not. */
     var probedAt = Long.MIN_VALUE / 2
     var mute = 0
     var connectedAt = Long.MIN_VALUE / 2
+
     /** How many connections to it hung in a row. */
     var dark = 0
     var noticeAt: Long? = null
@@ -68,20 +91,26 @@
     val attempts = LinkedHashSet<Attempt>()
     var ownUsed = Amount.NONE
         private set
+
     /** What other owners said they hold here. */
     private val othersUsed = HashMap<String, Amount>()
+
     /** What all owners hold here, kept as a sum: a round looks at it for every machine. */
     var used = Amount.NONE
         private set
+
     /** Images that were seen here, most recent last. */
     val images = LinkedHashMap<String, Double>()
+
     /** Those of them that this node's own tasks ran with: it tells its peers of no others, or none would ever be forgotten. */
     val ownImages = HashSet<String>()
+
     /** When room on it last became free, and whose task left it: null for this node's own. */
     var freedAt = 0L
     var freedBy: String? = NOBODY
     var fullUntil = 0L
     val health = MachineHealth()
+
     /** When it was last seen with a task, a reservation or a reason to stay. */
     var busyAt = 0L
 
@@ -90,28 +119,46 @@
     var poked = false
     var failuresInRow = 0
     var unreachableUntil = 0L
+
     /** The highest token with which it answered one of our orders. */
     var confirmedToken = 0L
+
     /** Runs whose answer never came, with the token that they carried. */
     val unansweredRuns = HashMap<AttemptId, Long>()
     var mustAsk = false
     private var again: (() -> Unit)? = null
+
     /** One and the same for each machine, so that it is waited for once. */
     fun retry(make: () -> Unit): () -> Unit = again ?: make.also { again = it }
 
     val recalled get() = noticeAt != null
-    private class Promise(val amount: Amount, val until: Long)
+
+    private class Promise(
+        val amount: Amount,
+        val until: Long,
+    )
 
     /** Room kept for replicas of this node that are about to move here, by job and task. It counts as used and is told to
      * the peers, or somebody else's task would be in it when the replica comes. */
     private val promises = HashMap<Pair<String, Int>, Promise>()
 
-    fun promise(ref: String, taskIndex: Int, amount: Amount, until: Long) {
-        if (promises.put(ref to taskIndex, Promise(amount, until)) == null) { ownUsed = ownUsed + amount; sum() }
+    fun promise(
+        ref: String,
+        taskIndex: Int,
+        amount: Amount,
+        until: Long,
+    ) {
+        if (promises.put(ref to taskIndex, Promise(amount, until)) == null) {
+            ownUsed = ownUsed + amount
+            sum()
+        }
     }
 
     /** Takes a promise back, whether it is kept or has run out; false if there is none. */
-    fun release(ref: String, taskIndex: Int): Boolean {
+    fun release(
+        ref: String,
+        taskIndex: Int,
+    ): Boolean {
         val p = promises.remove(ref to taskIndex) ?: return false
         ownUsed = if (attempts.isEmpty() && promises.isEmpty()) Amount.NONE else ownUsed - p.amount
         sum()
@@ -119,37 +166,76 @@
     }
 
     fun releaseOld(nowMs: Long) {
-        if (promises.isNotEmpty()) for ((id, p) in promises.entries.map { it.key to it.value }) if (p.until <= nowMs) release(id.first, id.second)
+        if (promises.isNotEmpty()) {
+            for ((id, p) in promises.entries.map { it.key to it.value }) {
+                if (p.until <=
+                    nowMs
+                ) {
+                    release(id.first, id.second)
+                }
+            }
+        }
     }
 
-    fun promised(ref: String, taskIndex: Int) = ref to taskIndex in promises
+    fun promised(
+        ref: String,
+        taskIndex: Int,
+    ) = ref to taskIndex in promises
+
     val isPromised get() = promises.isNotEmpty()
 
-    private fun sum() { used = othersUsed.values.fold(ownUsed) { a, b -> a + b } }
+    private fun sum() {
+        used = othersUsed.values.fold(ownUsed) { a, b -> a + b }
+    }
 
     fun attach(a: Attempt) {
-        if (attempts.add(a)) { a.job.spec?.let { ownUsed = ownUsed + it.amount }; sum() }
+        if (attempts.add(a)) {
+            a.job.spec?.let { ownUsed = ownUsed + it.amount }
+            sum()
+        }
     }
 
-    fun detach(a: Attempt, nowMs: Long) {
+    fun detach(
+        a: Attempt,
+        nowMs: Long,
+    ) {
         if (!attempts.remove(a)) return
         freedAt = nowMs
         freedBy = null
-        ownUsed = if (attempts.isEmpty() && promises.isEmpty()) Amount.NONE else ownUsed - (a.job.spec?.amount ?: Amount.NONE)
+        ownUsed =
+            if (attempts.isEmpty() && promises.isEmpty()) Amount.NONE else ownUsed - (a.job.spec?.amount ?: Amount.NONE)
         sum()
     }
 
     /** What another owner holds here; nothing takes its entry away. */
-    fun others(host: String, amount: Amount, nowMs: Long) {
+    fun others(
+        host: String,
+        amount: Amount,
+        nowMs: Long,
+    ) {
         val old = (if (amount == Amount.NONE) othersUsed.remove(host) else othersUsed.put(host, amount)) ?: Amount.NONE
-        if (!old.fitsIn(amount)) { freedAt = nowMs; freedBy = host }
+        if (!old.fitsIn(amount)) {
+            freedAt = nowMs
+            freedBy = host
+        }
         sum()
     }
 
-    fun sawImage(image: String, gb: Double, cacheGb: Double) {
+    fun sawImage(
+        image: String,
+        gb: Double,
+        cacheGb: Double,
+    ) {
         images.remove(image)
         images[image] = gb
-        while (images.size > 1 && images.values.sum() > cacheGb) images.keys.first().let { images.remove(it); ownImages.remove(it) }
+        while (images.size > 1 &&
+            images.values.sum() > cacheGb
+        ) {
+            images.keys.first().let {
+                images.remove(it)
+                ownImages.remove(it)
+            }
+        }
     }
 
     companion object {
--- a/src/main/kotlin/micatally/worker/MachineHealth.kt
+++ b/src/main/kotlin/micatally/worker/MachineHealth.kt
@@ -20,7 +20,10 @@
         accusers.clear()
     }
 
-    fun hasSucceeded(nowMs: Long, memoryMs: Long) = succeededAt?.let { nowMs - it <= memoryMs } ?: false
+    fun hasSucceeded(
+        nowMs: Long,
+        memoryMs: Long,
+    ) = succeededAt?.let { nowMs - it <= memoryMs } ?: false
 
     /**
      * A task of this job failed here. Accusations count for [memoryMs].
@@ -28,7 +31,12 @@
      * @param runsElsewhere the job is known to run on other machines, and nothing succeeds on this one
      * @return true if the machine is excluded from now on
      */
-    fun accuse(job: String, runsElsewhere: Boolean, nowMs: Long, memoryMs: Long): Boolean {
+    fun accuse(
+        job: String,
+        runsElsewhere: Boolean,
+        nowMs: Long,
+        memoryMs: Long,
+    ): Boolean {
         accusers.values.removeIf { nowMs - it > memoryMs }
         accusers[job] = nowMs
         val isEnough = accusers.size >= ACCUSERS || runsElsewhere
--- a/src/main/kotlin/micatally/worker/Orders.kt
+++ b/src/main/kotlin/micatally/worker/Orders.kt
@@ -25,20 +25,35 @@
 interface OrderBook {
     /** The job's live attempt at this task, or null; [mine] tells whether the job is in an active ledger of this node. */
     fun mine(ref: String): Boolean
-    fun attempt(ref: String, taskIndex: Int): Attempt?
-    fun gone(attempt: Attempt, end: AttemptEnd)
+
+    fun attempt(
+        ref: String,
+        taskIndex: Int,
+    ): Attempt?
+
+    fun gone(
+        attempt: Attempt,
+        end: AttemptEnd,
+    )
 }
 
 /** Brings each machine to what this node wants of it. What to send is worked out anew from the attempts each time,
  * one request a machine at a time, so repeating is the normal case and nothing is lost with an answer. */
 class Orders(
-    private val scope: CoroutineScope, private val http: HttpCaller, private val settings: Settings,
-    private val membership: Membership, private val machines: Machines, private val book: OrderBook, private val kills: WithdrawnTasks, private val nowMs: () -> Long,
+    private val scope: CoroutineScope,
+    private val http: HttpCaller,
+    private val settings: Settings,
+    private val membership: Membership,
+    private val machines: Machines,
+    private val book: OrderBook,
+    private val kills: WithdrawnTasks,
+    private val nowMs: () -> Long,
 ) {
     private val log = LoggerFactory.getLogger("micatally.worker")
     private val answerMs = settings.leaseMs * 4 / 10
     private val killEveryMs = settings.reportMs
     private val killedAt = HashMap<Attempt, Long>()
+
     /** Set when a run may still be under way that only a higher token can stop. */
     var wantsHigherToken = false
 
@@ -46,10 +61,20 @@
         m.poked = true
         if (m.flushing || m.deleted) return
         m.flushing = true
-        scope.launch { try { flush(m) } finally { m.flushing = false } }
+        scope.launch {
+            try {
+                flush(m)
+            } finally {
+                m.flushing = false
+            }
+        }
     }
 
-    private class Batch(val token: Long, val commands: List<Command>, val covered: List<Attempt>)
+    private class Batch(
+        val token: Long,
+        val commands: List<Command>,
+        val covered: List<Attempt>,
+    )
 
     private fun build(m: Machine): Batch? {
         val now = nowMs()
@@ -68,20 +93,41 @@
             val reconciled = m.confirmedToken >= a.job.ledger.holder.epoch
             val stop = a.stop
             if (stop != null) {
-                if (a.state == AttemptState.RECORDED) { book.gone(a, AttemptEnd(GoneProof.NEVER_SENT, stop.name)); continue }
+                if (a.state ==
+                    AttemptState.RECORDED
+                ) {
+                    book.gone(a, AttemptEnd(GoneProof.NEVER_SENT, stop.name))
+                    continue
+                }
                 covered.add(a)
-                if (entry?.ended == true) { ask = true; continue }
+                if (entry?.ended == true) {
+                    ask = true
+                    continue
+                }
                 val last = killedAt[a]
-                if (last == null || now - last >= killEveryMs) commands.add(Command(Verb.KILL, a.job.ref, a.taskIndex, a.number, graceS(a, stop)))
+                if (last == null ||
+                    now - last >= killEveryMs
+                ) {
+                    commands.add(Command(Verb.KILL, a.job.ref, a.taskIndex, a.number, graceS(a, stop)))
+                }
             } else if (a.state == AttemptState.RECORDED) {
                 if (!membership.mayStart) continue
-                if (!reconciledOrOwn(a, reconciled)) { ask = true; continue }
+                if (!reconciledOrOwn(a, reconciled)) {
+                    ask = true
+                    continue
+                }
                 commands.add(Command(Verb.RUN, a.job.ref, a.taskIndex, a.number))
                 covered.add(a)
             } else if (a.state == AttemptState.ORDERED && entry == null) {
                 covered.add(a)
                 // Taken over: whether it ever left is not known, so the machine is asked before anything else.
-                if (a.sentAt == null) ask = true else if (membership.mayStart) commands.add(Command(Verb.RUN, a.job.ref, a.taskIndex, a.number))
+                if (a.sentAt ==
+                    null
+                ) {
+                    ask = true
+                } else if (membership.mayStart) {
+                    commands.add(Command(Verb.RUN, a.job.ref, a.taskIndex, a.number))
+                }
             } else {
                 covered.add(a)
                 if (!reconciled) ask = true
@@ -91,34 +137,68 @@
             if (!book.mine(t.ref)) continue
             val a = book.attempt(t.ref, t.taskIndex)
             if (a != null && a.number == t.attempt && a.machine === m) continue
-            if (!t.ended) { commands.add(Command(Verb.KILL, t.ref, t.taskIndex, t.attempt, 0.0)); continue }
+            if (!t.ended) {
+                commands.add(Command(Verb.KILL, t.ref, t.taskIndex, t.attempt, 0.0))
+                continue
+            }
             // A clear makes the worker forget, and a copy of the run that comes after it would start the task again.
             val unansweredRuns = m.unansweredRuns[AttemptId(t.ref, t.taskIndex, t.attempt)]
             if (unansweredRuns == null || unansweredRuns < m.confirmedToken) {
-                if (m.confirmedToken >= 1) commands.add(Command(Verb.CLEAR, t.ref, t.taskIndex, t.attempt)) else ask = true
-            } else wantsHigherToken = true
+                if (m.confirmedToken >=
+                    1
+                ) {
+                    commands.add(Command(Verb.CLEAR, t.ref, t.taskIndex, t.attempt))
+                } else {
+                    ask = true
+                }
+            } else {
+                wantsHigherToken = true
+            }
         }
         if (commands.isEmpty() && !ask) return null
         if (commands.size > MAX_COMMANDS) {
             val sent = commands.take(MAX_COMMANDS)
             m.poked = true
-            return Batch(token, sent, covered.filter { a -> a.state != AttemptState.RECORDED || sent.any { it.verb == Verb.RUN && it.ref == a.job.ref && it.taskIndex == a.taskIndex && it.attempt == a.number } })
+            return Batch(
+                token,
+                sent,
+                covered.filter { a ->
+                    a.state != AttemptState.RECORDED ||
+                        sent.any {
+                            it.verb == Verb.RUN && it.ref == a.job.ref && it.taskIndex == a.taskIndex &&
+                                it.attempt == a.number
+                        }
+                },
+            )
         }
         return Batch(token, commands, covered)
     }
 
     /** An attempt made by this process needs no reconciling: no earlier holder can have sent it. */
-    private fun reconciledOrOwn(a: Attempt, reconciled: Boolean) = reconciled || a.sentAt == null
+    private fun reconciledOrOwn(
+        a: Attempt,
+        reconciled: Boolean,
+    ) = reconciled || a.sentAt == null
 
     /** A gang's task that was replaced has the same number on two machines. */
-    private fun attemptOf(m: Machine, c: Command) = book.attempt(c.ref, c.taskIndex)?.takeIf { it.number == c.attempt && it.machine === m }
+    private fun attemptOf(
+        m: Machine,
+        c: Command,
+    ) = book.attempt(c.ref, c.taskIndex)?.takeIf {
+        it.number == c.attempt &&
+            it.machine === m
+    }
 
     /** Time to save, where there is something to be saved; a save that is under way is never cut short by accident. */
-    private fun graceS(attempt: Attempt, reason: StopReason): Double = when (reason) {
-        StopReason.WITHDRAWN, StopReason.STRAY -> 0.0
-        StopReason.GANG_ENDED -> if (attempt.state == AttemptState.SAVING) saveS(attempt) else 0.0
-        StopReason.DRAIN, StopReason.PREEMPTED -> saveS(attempt)
-    }
+    private fun graceS(
+        attempt: Attempt,
+        reason: StopReason,
+    ): Double =
+        when (reason) {
+            StopReason.WITHDRAWN, StopReason.STRAY -> 0.0
+            StopReason.GANG_ENDED -> if (attempt.state == AttemptState.SAVING) saveS(attempt) else 0.0
+            StopReason.DRAIN, StopReason.PREEMPTED -> saveS(attempt)
+        }
 
     private fun saveS(attempt: Attempt) = attempt.job.spec?.saveS ?: 0.0
 
@@ -129,10 +209,16 @@
             val b = build(m) ?: continue
             val now = nowMs()
             val session = m.session
-            for (c in b.commands) when (c.verb) {
-                Verb.RUN -> attemptOf(m, c)?.let { it.sentAt = now; it.become(AttemptState.ORDERED, now) }
-                Verb.KILL -> attemptOf(m, c)?.let { killedAt[it] = now }
-                Verb.CLEAR -> {}
+            for (c in b.commands) {
+                when (c.verb) {
+                    Verb.RUN ->
+                        attemptOf(m, c)?.let {
+                            it.sentAt = now
+                            it.become(AttemptState.ORDERED, now)
+                        }
+                    Verb.KILL -> attemptOf(m, c)?.let { killedAt[it] = now }
+                    Verb.CLEAR -> {}
+                }
             }
             m.mustAsk = false
             val out = http.call(m.addr, "POST", "/orders", ordersBody(b.token, session, b.commands).bytes(), answerMs)
@@ -142,23 +228,46 @@
                 answered(m, b, out.status, session, Report.parse(parseObject(out.body)))
                 continue
             }
-            if (out is Outcome.Silence) for (c in b.commands) if (c.verb == Verb.RUN) m.unansweredRuns[AttemptId(c.ref, c.taskIndex, c.attempt)] = b.token
+            if (out is Outcome.Silence) {
+                for (c in b.commands) {
+                    if (c.verb ==
+                        Verb.RUN
+                    ) {
+                        m.unansweredRuns[AttemptId(c.ref, c.taskIndex, c.attempt)] = b.token
+                    }
+                }
+            }
             m.mustAsk = true
             m.poked = true
             m.failuresInRow++
             val pause = minOf(settings.reportMs * m.failuresInRow / 4, settings.reportMs * 2)
             m.unreachableUntil = nowMs() + pause + settings.reportMs
-            if (m.failuresInRow == 1 || m.failuresInRow % 10 == 0) log.info("no answer from {}: {} in a row", m.name, m.failuresInRow)
+            if (m.failuresInRow == 1 ||
+                m.failuresInRow % 10 == 0
+            ) {
+                log.info("no answer from {}: {} in a row", m.name, m.failuresInRow)
+            }
             delay(pause)
         }
     }
 
-    private fun answered(m: Machine, b: Batch, status: Int, session: Long, r: Report) {
+    private fun answered(
+        m: Machine,
+        b: Batch,
+        status: Int,
+        session: Long,
+        r: Report,
+    ) {
         if (status == 409) {
             machines.absorb(r, true)
             if (r.session == session) {
                 m.mustAsk = true
-                if (r.token > b.token) { m.poked = false; membership.catchUp(m.retry { poke(m) }) } else m.poked = true
+                if (r.token > b.token) {
+                    m.poked = false
+                    membership.catchUp(m.retry { poke(m) })
+                } else {
+                    m.poked = true
+                }
             }
             return
         }
@@ -173,10 +282,26 @@
             // Its place in the list is known from our own request, made after the intent. A run whose answer was lost
             // may still come, though, until the machine has seen a higher token than it carries.
             if (e == null) {
-                if (id in m.unansweredRuns) { wantsHigherToken = true; m.mustAsk = true } else { killedAt.remove(a); book.gone(a, AttemptEnd(GoneProof.OWN_ANSWER, "not on the machine")) }
+                if (id in
+                    m.unansweredRuns
+                ) {
+                    wantsHigherToken = true
+                    m.mustAsk = true
+                } else {
+                    killedAt.remove(a)
+                    book.gone(a, AttemptEnd(GoneProof.OWN_ANSWER, "not on the machine"))
+                }
             } else if (e.ended) {
                 killedAt.remove(a)
-                book.gone(a, AttemptEnd(if (e.done) GoneProof.COMPLETED else GoneProof.OWN_ANSWER, e.why ?: "", e.reason, e.saved))
+                book.gone(
+                    a,
+                    AttemptEnd(
+                        if (e.done) GoneProof.COMPLETED else GoneProof.OWN_ANSWER,
+                        e.why ?: "",
+                        e.reason,
+                        e.saved,
+                    ),
+                )
                 m.poked = true
             }
         }
@@ -184,5 +309,7 @@
         if (m.poked && build(m) == null) m.poked = false
     }
 
-    private companion object { const val MAX_COMMANDS = 200 }
+    private companion object {
+        const val MAX_COMMANDS = 200
+    }
 }
--- a/src/main/kotlin/micatally/worker/WithdrawnTasks.kt
+++ b/src/main/kotlin/micatally/worker/WithdrawnTasks.kt
@@ -4,7 +4,10 @@
 
 /** Tasks of withdrawn jobs, as the owners told them. Whichever node hears their machines hands the stop on. A note is kept
  * well beyond the time that a cancellation has: its owner may end before it can say that the task is gone. */
-class WithdrawnTasks(private val keepMs: Long, private val nowMs: () -> Long) {
+class WithdrawnTasks(
+    private val keepMs: Long,
+    private val nowMs: () -> Long,
+) {
     private val byMachine = HashMap<String, HashMap<AttemptId, Long>>()
 
     fun take(notes: List<WithdrawnTask>) {
@@ -12,11 +15,17 @@
         for (k in notes) byMachine.getOrPut(k.machine) { HashMap() }[AttemptId(k.ref, k.taskIndex, k.attempt)] = until
     }
 
-    fun has(machine: String, id: AttemptId) = byMachine[machine]?.containsKey(id) == true
+    fun has(
+        machine: String,
+        id: AttemptId,
+    ) = byMachine[machine]?.containsKey(id) == true
 
     /** Forgets what is old, unless its job's tasks are still [listed] in the state service. */
     fun prune(listed: (String) -> Boolean) {
         val now = nowMs()
-        byMachine.values.removeIf { ids -> ids.entries.removeIf { (id, until) -> until < now && !listed(id.ref) }; ids.isEmpty() }
+        byMachine.values.removeIf { ids ->
+            ids.entries.removeIf { (id, until) -> until < now && !listed(id.ref) }
+            ids.isEmpty()
+        }
     }
 }
--- a/src/main/kotlin/micatally/worker/WorkerReach.kt
+++ b/src/main/kotlin/micatally/worker/WorkerReach.kt
@@ -65,7 +65,11 @@
     fun mayStandBack(): Boolean {
         val now = nowMs()
         if (!isCutOff) return false
-        if (now - cutOffSince > settings.leaseMs / 4 && now - stoodBackUntil > settings.leaseMs * LEASES_BETWEEN) standsBack = true
+        if (now - cutOffSince > settings.leaseMs / 4 &&
+            now - stoodBackUntil > settings.leaseMs * LEASES_BETWEEN
+        ) {
+            standsBack = true
+        }
         return standsBack
     }
 
@@ -85,8 +89,10 @@
         ask(heardByOthers)
     }
 
-    private fun isHeardByOthers(m: Machine, now: Long) =
-        !m.deleted && m.session > 0 && m.addr.isNotEmpty() && now - m.heardAt < quietMs
+    private fun isHeardByOthers(
+        m: Machine,
+        now: Long,
+    ) = !m.deleted && m.session > 0 && m.addr.isNotEmpty() && now - m.heardAt < quietMs
 
     private fun ask(machinesToAsk: List<Machine>) {
         if (isAsking) return
@@ -96,8 +102,14 @@
             try {
                 val isAnswered = coroutineScope { chosen.map { async { answers(it) } }.awaitAll().any { it } }
                 if (isAnswered) failedRounds = 0 else failedRounds++
-                if (failedRounds >= ROUNDS_TO_CUT_OFF && nowMs() - machines.lastReachedAt >= quietMs) become(ReachState.CUT_OFF)
-            } finally { isAsking = false }
+                if (failedRounds >= ROUNDS_TO_CUT_OFF &&
+                    nowMs() - machines.lastReachedAt >= quietMs
+                ) {
+                    become(ReachState.CUT_OFF)
+                }
+            } finally {
+                isAsking = false
+            }
         }
     }
 
