--- a/src/main/kotlin/micatally/scale/ScaleRun.kt
+++ b/src/main/kotlin/micatally/scale/ScaleRun.kt
@@ -9,7 +9,6 @@
 import micatally.standin.ControllerPlace
 import micatally.standin.FleetPlan
 import micatally.standin.LoopbackFleet
-import micatally.standin.Rehearsal
 import micatally.state.StateLimits
 import micatally.wire.Amount
 import micatally.wire.Flavor
@@ -122,15 +121,18 @@
         )
     }
 
-    private fun places() =
-        List(scenario.controllers) {
+    /** Each controller has a loopback address of its own: ports of 127.0.0.1 go to thousands of connections meanwhile. */
+    private fun places(): List<ControllerPlace> {
+        val network = "127.${Random.nextInt(1, 255)}.${Random.nextInt(1, 255)}"
+        return List(scenario.controllers) {
             ControllerPlace(
                 host = "controller-%02d".format(it),
                 zone = scenario.zones[it % scenario.zones.size],
-                listen = "127.0.0.1:${Rehearsal.freePort()}",
-                back = "127.0.0.1:${Rehearsal.freePort()}",
+                listen = "$network.${it + 1}:$FRONT_PORT",
+                back = "$network.${it + 1}:$BACK_PORT",
             )
         }
+    }
 
     private fun settingsFile(place: ControllerPlace): String {
         val file = directory.resolve("${place.host}.json")
@@ -240,6 +242,8 @@
         const val STEP_MS = 250L
         const val LINE_SECONDS = 5L
         const val HEALTHY_SECONDS = 60L
+        const val FRONT_PORT = 8080
+        const val BACK_PORT = 8081
         const val LIST_LAG_MS = 2000L
         const val CLOUD_RPS = 12.0
         const val CACHE_GB = 400.0
--- a/src/main/kotlin/micatally/standin/Rehearsal.kt
+++ b/src/main/kotlin/micatally/standin/Rehearsal.kt
@@ -114,7 +114,7 @@
     /** Number of the gang job. */
     private const val GANG = 13
 
-    fun freePort() = ServerSocket(0).use { it.localPort }
+    private fun freePort() = ServerSocket(0).use { it.localPort }
 
     /** Whether jobs were accepted, run, finished and cancelled. */
     suspend fun run(): Boolean {
