--- a/src/main/kotlin/micatally/api/UserApi.kt
+++ b/src/main/kotlin/micatally/api/UserApi.kt
@@ -18,6 +18,7 @@
 import micatally.placement.Placement
 import micatally.placement.Rounds
 import micatally.settings.Settings
+import micatally.settings.TeamDirectory
 import micatally.state.ReadResult
 import micatally.state.StateClient
 import micatally.state.Urgency
@@ -36,6 +37,7 @@
 /** What users ask. Nothing is held back: what can't be decided now is answered 503 with the time to come back. */
 class UserApi(
     private val settings: Settings,
+    private val teams: TeamDirectory,
     private val state: StateClient,
     private val membership: Membership,
     private val owner: Owner,
@@ -106,7 +108,11 @@
                 }
             }
         if (machines.flavors.isEmpty()) return knownOr(ref) { later("the machine types are not known yet") }
-        impossible(spec)?.let { why -> return knownOr(ref) { errorResponse(422, why) } }
+        if (impossible(spec) != null) {
+            // Never on an old view: the team may have come, or its limit been raised, just now.
+            if (!teams.refresh()) return knownOr(ref) { later("the teams can't be looked up now") }
+            impossible(spec)?.let { why -> return knownOr(ref) { errorResponse(422, why) } }
+        }
         // The previous version would run a gang's tasks as if they were independent.
         if (spec.isGang &&
             !upgrade.isUniform
@@ -151,7 +157,7 @@
 
     /** 422 exactly where the protocol says so. */
     private fun impossible(spec: JobSpec): String? {
-        val team = settings.teams[spec.team] ?: return "unknown team ${spec.team}"
+        val team = teams.team(spec.team) ?: return "unknown team ${spec.team}"
         if (!Placement.possible(spec, machines.flavors.values)) return "a task fits no allowed machine type"
         val n = if (spec.format == Format.ARRAY) 1 else spec.taskCount
         if (team.coresMax > 0 && spec.amount.cores * n > team.coresMax + 1e-6 ||
--- a/src/main/kotlin/micatally/cli/Main.kt
+++ b/src/main/kotlin/micatally/cli/Main.kt
@@ -231,6 +231,7 @@
         },
     )
     spec.addSubcommand("scale", ScaleCommand.spec())
+    spec.addSubcommand("config", ConfigCommand.spec())
     val line = CommandLine(spec)
     line.setExecutionStrategy { parsed ->
         CommandLine.executeHelpRequest(parsed) ?: run {
@@ -244,6 +245,7 @@
                         0
                     }
                     sub != null && sub.commandSpec().name() == "scale" -> ScaleCommand.run(sub)
+                    sub != null && sub.commandSpec().name() == "config" -> ConfigCommand.run(sub)
                     sub != null ->
                         runBlocking {
                             if (Rehearsal.run()) {
--- /dev/null
+++ b/src/main/kotlin/micatally/config/ChangeCheck.kt
@@ -0,0 +1,98 @@
+package micatally.config
+
+import micatally.settings.Team
+import micatally.wire.ConfigurationChange
+import micatally.wire.LineError
+import micatally.wire.TeamSetting
+
+/** Whether a change may be applied to a configuration. Decisions only. */
+object ChangeCheck {
+    /** What is wrong with the change, line by line; empty if nothing is. */
+    fun errors(
+        change: ConfigurationChange,
+        present: Configuration,
+    ): List<LineError> {
+        val errors = ArrayList<LineError>()
+        if (!NAME.matches(
+                change.id,
+            )
+        ) {
+            errors.add(LineError("", "the change has no id, or one with other signs than a name"))
+        }
+        if (change.author.isBlank()) errors.add(LineError("", "author is missing"))
+        if (change.reason.isBlank()) errors.add(LineError("", "reason is missing"))
+        if (change.author.length > MOST_TEXT) errors.add(LineError("", "author is longer than $MOST_TEXT characters"))
+        if (change.reason.length > MOST_TEXT) errors.add(LineError("", "reason is longer than $MOST_TEXT characters"))
+        if (change.set.isEmpty() && change.remove.isEmpty()) errors.add(LineError("", "nothing to change"))
+        if (change.base > present.version) {
+            errors.add(LineError("", "version ${change.base} does not exist; the newest is ${present.version}"))
+        }
+        val names = change.set.map { it.name } + change.remove
+        for ((name, times) in names.groupingBy { it }.eachCount()) {
+            if (times > 1) errors.add(LineError(name, "named $times times"))
+        }
+        for (setting in change.set) lineErrors(setting, present).forEach { errors.add(LineError(setting.name, it)) }
+        for (name in change.remove) {
+            if (present.team(name) == null) errors.add(LineError(name, "there is no such team to remove"))
+        }
+        return errors
+    }
+
+    /** The teams of the change that have been changed since its base. */
+    fun conflicts(
+        change: ConfigurationChange,
+        present: Configuration,
+    ): List<String> =
+        (change.set.map { it.name } + change.remove).filter { name ->
+            (present.entry(name)?.changedAt ?: 0L) > change.base
+        }
+
+    private fun lineErrors(
+        setting: TeamSetting,
+        present: Configuration,
+    ): List<String> {
+        val errors = ArrayList<String>()
+        if (!NAME.matches(setting.name)) {
+            errors.add("a name has 1 to $MOST_NAME letters, digits, dots, hyphens and underscores")
+        }
+        val numbers =
+            mapOf(
+                "cpus" to setting.cores,
+                "cpus_max" to setting.coresMax,
+                "gpus" to setting.cards,
+                "gpus_max" to setting.cardsMax,
+            )
+        for ((field, value) in numbers) {
+            if (!value.isFinite()) {
+                errors.add("$field is not a number")
+            } else if (value < 0) {
+                errors.add("$field must not be negative")
+            }
+        }
+        if (setting.coresMax > 0 && setting.cores > setting.coresMax) errors.add("cpus is above cpus_max")
+        if (setting.cardsMax > 0 && setting.cards > setting.cardsMax) errors.add("gpus is above gpus_max")
+        present.entry(setting.name)?.let { errors.addAll(limitErrors(setting, it.team)) }
+        return errors
+    }
+
+    /**
+     * What an unlimited team runs is not counted in its allotments, so a limit that came later would not hold it; and
+     * what runs when a limit goes would be missing when it comes back.
+     */
+    private fun limitErrors(
+        setting: TeamSetting,
+        former: Team,
+    ): List<String> {
+        val errors = ArrayList<String>()
+        if ((setting.coresMax > 0) != (former.coresMax > 0)) errors.add(NO_SWITCH.format("cpus_max"))
+        if ((setting.cardsMax > 0) != (former.cardsMax > 0)) errors.add(NO_SWITCH.format("gpus_max"))
+        return errors
+    }
+
+    private const val NO_SWITCH = "%s can't go between 0 (no limit) and a limit while the team exists; set a high one"
+
+    /** Names are part of keys of the state service, which have at most 200 bytes. */
+    private const val MOST_NAME = 100
+    private val NAME = Regex("[A-Za-z0-9._-]{1,$MOST_NAME}")
+    private const val MOST_TEXT = 200
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/config/ChangeFile.kt
@@ -0,0 +1,87 @@
+package micatally.config
+
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import micatally.settings.nearestName
+import micatally.wire.ConfigurationChange
+import micatally.wire.LineError
+import micatally.wire.TeamSetting
+import micatally.wire.WireError
+import micatally.wire.asObject
+import micatally.wire.asText
+import micatally.wire.listOrNull
+import micatally.wire.long
+import micatally.wire.numberOrNull
+import micatally.wire.parseObject
+import micatally.wire.text
+
+/** A change file that can't be used; every wrong line is named. */
+class ChangeFileError(
+    val errors: List<LineError>,
+) : Exception(errors.joinToString("; ") { "${it.team} ${it.message}".trim() })
+
+/**
+ * Reads the file of `micatally config apply`: a JSON object with `base`, `author`, `reason`, `teams` (objects with `name`,
+ * `cpus`, `cpus_max`, `gpus` and `gpus_max`, as in the settings file) and `remove` (names).
+ */
+object ChangeFile {
+    private val FIELDS = listOf("base", "author", "reason", "teams", "remove")
+    private val TEAM_FIELDS = listOf("name", "cpus", "cpus_max", "gpus", "gpus_max")
+
+    /** @param id of the change, see [ConfigurationChange.id] */
+    fun parse(
+        body: ByteArray,
+        id: String,
+        isDryRun: Boolean,
+    ): ConfigurationChange {
+        val errors = ArrayList<LineError>()
+        val file = attempt(errors, "") { parseObject(body) } ?: throw ChangeFileError(errors)
+        unknown(file, FIELDS).forEach { errors.add(LineError("", it)) }
+        val base = attempt(errors, "") { file.long("base") }
+        val author = attempt(errors, "") { file.text("author") }
+        val reason = attempt(errors, "") { file.text("reason") }
+        val rows = attempt(errors, "") { file.listOrNull("teams") ?: emptyList() } ?: emptyList()
+        val teams = rows.mapIndexedNotNull { i, row -> team(row, i, errors) }
+        val removed = attempt(errors, "") { file.listOrNull("remove") ?: emptyList() } ?: emptyList()
+        val names = removed.mapNotNull { attempt(errors, "remove") { it.asText() } }
+        if (errors.isNotEmpty()) throw ChangeFileError(errors)
+        return ConfigurationChange(id, base!!, author!!, reason!!, teams, names, isDryRun)
+    }
+
+    private fun team(
+        row: JsonElement,
+        index: Int,
+        errors: MutableList<LineError>,
+    ): TeamSetting? {
+        val line = "teams[$index]"
+        val fields = attempt(errors, line) { row.asObject() } ?: return null
+        unknown(fields, TEAM_FIELDS).forEach { errors.add(LineError(line, it)) }
+        val name = attempt(errors, line) { fields.text("name") }
+
+        fun number(field: String) = attempt(errors, name ?: line) { fields.numberOrNull(field) ?: 0.0 }
+        val cores = number("cpus")
+        val coresMax = number("cpus_max")
+        val cards = number("gpus")
+        val cardsMax = number("gpus_max")
+        if (name == null || cores == null || coresMax == null || cards == null || cardsMax == null) return null
+        return TeamSetting(name, cores, coresMax, cards, cardsMax)
+    }
+
+    private fun unknown(
+        fields: JsonObject,
+        known: List<String>,
+    ): List<String> =
+        fields.keys.filter { it !in known }.map { "unknown field $it; did you mean ${nearestName(it, known)}?" }
+
+    private fun <T> attempt(
+        errors: MutableList<LineError>,
+        line: String,
+        read: () -> T,
+    ): T? =
+        try {
+            read()
+        } catch (e: WireError) {
+            errors.add(LineError(line, e.message ?: "can't be read"))
+            null
+        }
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/config/Configuration.kt
@@ -0,0 +1,83 @@
+package micatally.config
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import micatally.settings.Team
+
+/**
+ * What a team was changed to last. A removed team keeps its last values: work that it had still counts against them
+ * should it come back.
+ */
+class TeamEntry(
+    val team: Team,
+    val isRemoved: Boolean,
+    val changedAt: Long,
+)
+
+/**
+ * The configuration at one version: an immutable snapshot, replaced as a whole.
+ *
+ * @property changeIds ids of the changes that are known to be in it, with their versions
+ */
+class Configuration private constructor(
+    val version: Long,
+    private val entries: PersistentMap<String, TeamEntry>,
+    private val changeIds: PersistentMap<String, Long>,
+) {
+    fun entry(name: String): TeamEntry? = entries[name]
+
+    fun team(name: String): Team? = entries[name]?.takeUnless { it.isRemoved }?.team
+
+    val teams: List<Team> get() = entries.values.filter { !it.isRemoved }.map { it.team }
+    val allEntries: Collection<TeamEntry> get() = entries.values
+
+    /** The version under which a change with this id was applied; null if none is known. */
+    fun versionOf(changeId: String): Long? = changeIds[changeId]
+
+    /** The configuration after [change], which must be the next one. */
+    fun with(change: ChangeRecord): Configuration {
+        check(change.version == version + 1) { "change ${change.version} does not follow version $version" }
+        var next = entries
+        for (team in change.set) next = next.put(team.name, TeamEntry(team, false, change.version))
+        for (name in change.remove) {
+            val entry = next[name] ?: continue
+            next = next.put(name, TeamEntry(entry.team, true, change.version))
+        }
+        return Configuration(change.version, next, recentIds(change.version).put(change.id, change.version))
+    }
+
+    /** Repeats come soon; ids of long ago are forgotten, many at a time. */
+    private fun recentIds(version: Long): PersistentMap<String, Long> {
+        if (changeIds.size < MOST_IDS) return changeIds
+        val kept = changeIds.filterValues { it > version - MOST_IDS / 2 }
+        return persistentMapOf<String, Long>().putAll(kept)
+    }
+
+    companion object {
+        private const val MOST_IDS = 2000
+        val EMPTY = Configuration(0, persistentMapOf(), persistentMapOf())
+
+        fun of(
+            version: Long,
+            entries: List<TeamEntry>,
+        ): Configuration {
+            val byName = entries.associateBy { it.team.name }
+            return Configuration(version, persistentMapOf<String, TeamEntry>().putAll(byName), persistentMapOf())
+        }
+    }
+}
+
+/**
+ * One change as it is stored.
+ *
+ * @property atMs time of day of the writer, in milliseconds; for people only
+ */
+class ChangeRecord(
+    val version: Long,
+    val id: String,
+    val author: String,
+    val reason: String,
+    val atMs: Long,
+    val set: List<Team>,
+    val remove: List<String>,
+)
--- /dev/null
+++ b/src/main/kotlin/micatally/config/ConfigurationApi.kt
@@ -0,0 +1,162 @@
+package micatally.config
+
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+import kotlinx.serialization.protobuf.ProtoBuf
+import micatally.http.HttpCaller
+import micatally.http.Outcome
+import micatally.settings.Peer
+import micatally.settings.Settings
+import micatally.settings.Team
+import micatally.wire.AppliedVersion
+import micatally.wire.ChangeAnswer
+import micatally.wire.ChangeStatus
+import micatally.wire.ConfigurationChange
+import micatally.wire.ConfigurationStatus
+import micatally.wire.ConfigurationView
+import micatally.wire.HistoryAnswer
+import micatally.wire.HistoryEntry
+import micatally.wire.LineError
+import micatally.wire.RollbackRequest
+import micatally.wire.StatusRequest
+import micatally.wire.TeamSetting
+
+/** What operators and other controllers ask about the configuration, on the address for controllers. */
+class ConfigurationApi(
+    private val settings: Settings,
+    private val http: HttpCaller,
+    private val live: LiveConfiguration,
+    private val writer: ConfigurationWriter,
+    private val store: ConfigurationStore,
+    private val nowMs: () -> Long,
+) {
+    /** The answer to a request for [path], or null if there is no such resource. */
+    suspend fun handle(
+        path: String,
+        body: ByteArray,
+    ): ByteArray? =
+        when (path) {
+            ConfigurationPaths.GET -> ProtoBuf.encodeToByteArray(view())
+            ConfigurationPaths.APPLY ->
+                ProtoBuf.encodeToByteArray(writer.apply(ProtoBuf.decodeFromByteArray<ConfigurationChange>(body)))
+            ConfigurationPaths.HISTORY -> ProtoBuf.encodeToByteArray(history())
+            ConfigurationPaths.ROLLBACK ->
+                ProtoBuf.encodeToByteArray(rollback(ProtoBuf.decodeFromByteArray<RollbackRequest>(body)))
+            ConfigurationPaths.STATUS ->
+                ProtoBuf.encodeToByteArray(status(ProtoBuf.decodeFromByteArray<StatusRequest>(body).version))
+            ConfigurationPaths.APPLIED -> ProtoBuf.encodeToByteArray(applied())
+            else -> null
+        }
+
+    private suspend fun view(): ConfigurationView {
+        live.refresh()
+        return ConfigurationView(live.isOn, live.configuration.version, live.all().map { setting(it) })
+    }
+
+    private fun setting(team: Team) = TeamSetting(team.name, team.cores, team.coresMax, team.cards, team.cardsMax)
+
+    private fun applied() = AppliedVersion(settings.host, if (live.isOn) live.configuration.version else 0L)
+
+    private suspend fun history(): HistoryAnswer {
+        if (!live.isOn) return HistoryAnswer()
+        val changes =
+            store.history(live.configuration.version, MOST_HISTORY) ?: return HistoryAnswer(isAvailable = false)
+        return HistoryAnswer(
+            changes.map { HistoryEntry(it.version, it.author, it.reason, it.atMs, it.set.size, it.remove.size) },
+        )
+    }
+
+    /** A new change that makes the teams what they were at a former version. */
+    private suspend fun rollback(request: RollbackRequest): ChangeAnswer {
+        if (!live.isOn) return ChangeAnswer(ChangeStatus.SWITCHED_OFF)
+        if (!live.refresh()) return ChangeAnswer(ChangeStatus.UNAVAILABLE)
+        val present = live.configuration
+        val head = live.head ?: return ChangeAnswer(ChangeStatus.UNAVAILABLE)
+        if (request.version !in 1..present.version) {
+            val error = LineError("", "version ${request.version} does not exist; the newest is ${present.version}")
+            return ChangeAnswer(ChangeStatus.INVALID, present.version, listOf(error))
+        }
+        val former = store.at(request.version, head)
+        if (former == null) {
+            val error = LineError("", "version ${request.version} can't be read, or is too old to be known")
+            return ChangeAnswer(ChangeStatus.INVALID, present.version, listOf(error))
+        }
+        val change =
+            ConfigurationChange(
+                id = request.id,
+                base = present.version,
+                author = request.author,
+                reason = request.reason,
+                set = former.teams.map { setting(it) }.filter { it != present.team(it.name)?.let(::setting) },
+                remove = present.teams.map { it.name }.filter { former.team(it) == null },
+            )
+        return writer.apply(change)
+    }
+
+    /**
+     * A version is in force when every controller has confirmed that it decides by it, or when so much time has passed
+     * since it was seen here that a controller without it can't start anything any more. The confirmation of a process
+     * holds for its successors too: they read the shared keys before they decide anything.
+     */
+    private suspend fun status(asked: Long): ConfigurationStatus {
+        if (!live.isOn) return ConfigurationStatus(isOn = false)
+        live.refresh()
+        val newest = live.configuration.version
+        val version = if (asked > 0) asked else newest
+        val all = askAll() + applied()
+        val missing = settings.peers.map { it.host }.plus(settings.host) - all.filter { it.version >= version }.hosts()
+        val leftMs = if (missing.isEmpty()) 0L else timeLeftMs(version)
+        return ConfigurationStatus(
+            isOn = true,
+            version = version,
+            newest = newest,
+            isInForce = leftMs == 0L,
+            inForceInMs = leftMs,
+            applied = all.sortedBy { it.host },
+            missing = missing.sorted(),
+        )
+    }
+
+    private fun List<AppliedVersion>.hosts() = map { it.host }.toSet()
+
+    /** How long a controller that lacks the version may still start something; the drift of both clocks included. */
+    private fun timeLeftMs(version: Long): Long {
+        val boundMs = LiveConfiguration.startBoundMs(settings) * (1 + MOST_DRIFT * 2)
+        val seenAtMs = live.appliedAtMs(version) ?: return boundMs.toLong()
+        return maxOf(0L, (seenAtMs + boundMs - nowMs()).toLong())
+    }
+
+    private suspend fun askAll(): List<AppliedVersion> =
+        coroutineScope {
+            settings.peers
+                .map { peer -> async { ask(peer) } }
+                .awaitAll()
+                .filterNotNull()
+        }
+
+    private suspend fun ask(peer: Peer): AppliedVersion? {
+        val outcome = http.call(peer.addr, "POST", ConfigurationPaths.APPLIED, ByteArray(0), settings.leaseMs / 10)
+        if (outcome !is Outcome.Answer || outcome.status != 200) return null
+        return ProtoBuf.decodeFromByteArray<AppliedVersion>(outcome.body)
+    }
+
+    private companion object {
+        const val MOST_HISTORY = 50
+
+        /** How far the steady clocks of two machines drift apart at the most, as a share. */
+        const val MOST_DRIFT = 0.0005
+    }
+}
+
+/** Paths of the configuration's resources on the address for controllers. */
+object ConfigurationPaths {
+    const val GET = "/config/get"
+    const val APPLY = "/config/apply"
+    const val HISTORY = "/config/history"
+    const val ROLLBACK = "/config/rollback"
+    const val STATUS = "/config/status"
+    const val APPLIED = "/config/applied"
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/config/ConfigurationClient.kt
@@ -0,0 +1,54 @@
+package micatally.config
+
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+import kotlinx.serialization.protobuf.ProtoBuf
+import micatally.http.HttpCaller
+import micatally.http.Outcome
+import micatally.wire.ChangeAnswer
+import micatally.wire.ConfigurationChange
+import micatally.wire.ConfigurationStatus
+import micatally.wire.ConfigurationView
+import micatally.wire.HistoryAnswer
+import micatally.wire.RollbackRequest
+import micatally.wire.StatusRequest
+
+/** The controller gave no answer that can be used; a change may have been applied all the same. */
+class NoAnswer(
+    message: String,
+) : Exception(message)
+
+/** Asks one controller about the configuration, at its address for controllers. */
+class ConfigurationClient(
+    private val http: HttpCaller,
+    private val address: String,
+    private val timeoutMs: Long,
+) {
+    suspend fun get(): ConfigurationView = ProtoBuf.decodeFromByteArray(ask(ConfigurationPaths.GET))
+
+    suspend fun apply(change: ConfigurationChange): ChangeAnswer =
+        ProtoBuf.decodeFromByteArray(ask(ConfigurationPaths.APPLY, ProtoBuf.encodeToByteArray(change)))
+
+    suspend fun history(): HistoryAnswer = ProtoBuf.decodeFromByteArray(ask(ConfigurationPaths.HISTORY))
+
+    suspend fun rollback(request: RollbackRequest): ChangeAnswer =
+        ProtoBuf.decodeFromByteArray(ask(ConfigurationPaths.ROLLBACK, ProtoBuf.encodeToByteArray(request)))
+
+    /** @param version 0: the newest */
+    suspend fun status(version: Long = 0): ConfigurationStatus =
+        ProtoBuf.decodeFromByteArray(ask(ConfigurationPaths.STATUS, ProtoBuf.encodeToByteArray(StatusRequest(version))))
+
+    private suspend fun ask(
+        path: String,
+        body: ByteArray = ByteArray(0),
+    ): ByteArray {
+        val outcome = http.call(address, "POST", path, body, timeoutMs)
+        if (outcome !is Outcome.Answer) throw NoAnswer("no answer from $address")
+        if (outcome.status != OK) throw NoAnswer("$address answers ${outcome.status}")
+        return outcome.body
+    }
+
+    private companion object {
+        const val OK = 200
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/config/ConfigurationSeed.kt
@@ -0,0 +1,65 @@
+package micatally.config
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import micatally.ledger.Cluster
+import micatally.ledger.Keys
+import micatally.settings.Settings
+import micatally.state.Condition
+import micatally.state.Put
+import micatally.state.StateClient
+import micatally.state.Txn
+import micatally.state.TxnResult
+import micatally.state.Urgency
+import org.slf4j.LoggerFactory
+
+/** Stores the teams of the settings file as the first version, once: on the condition that none is stored. */
+class ConfigurationSeed(
+    private val scope: CoroutineScope,
+    private val settings: Settings,
+    private val state: StateClient,
+    private val cluster: Cluster,
+    private val store: ConfigurationStore,
+    private val mayWrite: () -> Boolean,
+    private val wallMs: () -> Long,
+) {
+    private val log = LoggerFactory.getLogger("micatally.config")
+    private var isWriting = false
+
+    private val isDue get() = cluster.revision >= 0 && !cluster.has(Keys.CONFIG) && mayWrite()
+
+    /** Looks at the shared keys after a change. */
+    fun sharedChanged() {
+        if (!isDue || isWriting) return
+        isWriting = true
+        scope.launch {
+            try {
+                while (isDue) if (!write()) delay(settings.leaseMs / RETRIES_A_LEASE)
+            } finally {
+                isWriting = false
+            }
+        }
+    }
+
+    /** False if it has to be tried again. After silence the condition makes a repeat harmless. */
+    private suspend fun write(): Boolean {
+        val teams = settings.teams.values.toList()
+        val id = "settings-${settings.host}"
+        val record = ChangeRecord(FIRST, id, settings.host, "settings file", wallMs(), teams, emptyList())
+        val value = store.stage(record) ?: return false
+        val head = ChangeCodec.encode(ConfigurationHead(FIRST, 0L, 0))
+        val group = Put(Keys.configChange(FIRST), ChangeCodec.group(listOf(value)))
+        val result =
+            state.txn(2, Urgency.ACCEPTANCE) {
+                if (isDue) Txn(listOf(Condition(Keys.CONFIG, 0L)), listOf(Put(Keys.CONFIG, head), group)) else null
+            }
+        if (result is TxnResult.Applied) log.info("configuration stored: {} teams of the settings file", teams.size)
+        return result is TxnResult.Applied
+    }
+
+    private companion object {
+        const val FIRST = 1L
+        const val RETRIES_A_LEASE = 20
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/config/LiveConfiguration.kt
@@ -0,0 +1,150 @@
+package micatally.config
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import micatally.ledger.Cluster
+import micatally.ledger.Keys
+import micatally.settings.Settings
+import micatally.settings.Team
+import micatally.settings.TeamDirectory
+import org.slf4j.LoggerFactory
+
+/**
+ * OFF: the teams are those of the settings file.
+ * BEHIND: a newer version is known to exist and is not loaded here; nothing may be decided.
+ * CURRENT: decisions rest on the newest version that this controller's copy of the shared keys shows.
+ */
+enum class ConfigurationPhase { OFF, BEHIND, CURRENT }
+
+/**
+ * The configuration that this controller decides by, swapped as a whole.
+ *
+ * @param mayBeOn whether the stored configuration may have been switched on without this controller having seen it yet
+ */
+class LiveConfiguration(
+    private val scope: CoroutineScope,
+    private val settings: Settings,
+    private val cluster: Cluster,
+    private val store: ConfigurationStore,
+    private val mayBeOn: () -> Boolean,
+    private val nowMs: () -> Long,
+) : TeamDirectory {
+    private val log = LoggerFactory.getLogger("micatally.config")
+    private val retryMs = maxOf(10L, settings.leaseMs / RETRIES_A_LEASE)
+    private var isLoading = false
+
+    var phase = ConfigurationPhase.OFF
+        private set
+
+    var configuration = Configuration.EMPTY
+        private set
+
+    /** When this controller first decided by a version, oldest first. */
+    private val appliedAt = ArrayDeque<AppliedAt>()
+
+    private class AppliedAt(
+        val version: Long,
+        val atMs: Long,
+    )
+
+    /** Told of each swap; what it does is done before the version counts as applied. */
+    var onApplied: (former: Configuration, next: Configuration) -> Unit = { _, _ -> }
+
+    val isOn get() = phase != ConfigurationPhase.OFF
+    override val isCurrent get() = phase != ConfigurationPhase.BEHIND
+
+    override fun team(name: String): Team? = if (isOn) configuration.team(name) else settings.teams[name]
+
+    override fun all(): Collection<Team> = if (isOn) configuration.teams else settings.teams.values
+
+    /** The stored head as this controller's copy of the shared keys shows it. */
+    val head get() = cluster.value(Keys.CONFIG)?.let { ChangeCodec.head(it) }
+
+    /** The one place where the phase changes. */
+    private fun become(next: ConfigurationPhase) {
+        if (next == phase) return
+        check(next != ConfigurationPhase.OFF) { "a stored configuration is never switched off" }
+        if (phase == ConfigurationPhase.OFF) log.info("configuration is that of the state service from now on")
+        phase = next
+    }
+
+    /** Looks at the shared keys after a change. */
+    fun sharedChanged() {
+        val newest = head?.version ?: return
+        if (newest <= configuration.version) return
+        become(ConfigurationPhase.BEHIND)
+        if (isLoading) return
+        isLoading = true
+        scope.launch {
+            try {
+                while (phase == ConfigurationPhase.BEHIND) if (!load()) delay(retryMs)
+            } finally {
+                isLoading = false
+            }
+        }
+    }
+
+    /** One try to come to the newest version; false if it can't be read whole now. */
+    private suspend fun load(): Boolean {
+        val newest = head ?: return false
+        val followed = if (configuration.version > 0) store.follow(configuration) else null
+        val next = followed?.takeIf { it.version >= newest.version } ?: store.load(newest) ?: return false
+        if (next.version < newest.version) return false
+        apply(next)
+        return true
+    }
+
+    private fun apply(next: Configuration) {
+        val former = configuration
+        configuration = next
+        onApplied(former, next)
+        appliedAt.addLast(AppliedAt(next.version, nowMs()))
+        while (appliedAt.size > MOST_TIMES) appliedAt.removeFirst()
+        log.info("configuration {} -> {}", former.version, next.version)
+        become(if ((head?.version ?: 0L) <= next.version) ConfigurationPhase.CURRENT else ConfigurationPhase.BEHIND)
+    }
+
+    /** When this controller first decided by [version] or a later one; null if it does not yet. */
+    fun appliedAtMs(version: Long): Long? = appliedAt.find { it.version >= version }?.atMs
+
+    /**
+     * Whether a task may be started as far as the configuration is concerned. A controller that has had no contact with
+     * the state service for nine tenths of a lease may lack a version that is in force by then.
+     */
+    fun mayStart(viewAgeMs: Long): Boolean {
+        if (!isOn && !mayBeOn()) return true
+        return isCurrent && viewAgeMs < startBoundMs(settings)
+    }
+
+    override suspend fun refresh(): Boolean {
+        if (!isOn && !mayBeOn()) return true
+        val read = store.head()
+        if (read == HeadRead.Unavailable) return false
+        if (read !is HeadRead.Found) return !isOn
+        return awaitVersion(read.head.version, settings.leaseMs / REFRESHES_A_LEASE)
+    }
+
+    /** Waits until decisions rest on [version] or a later one; false if that takes too long. */
+    suspend fun awaitVersion(
+        version: Long,
+        timeoutMs: Long,
+    ): Boolean {
+        val untilMs = nowMs() + timeoutMs
+        while (configuration.version < version || phase != ConfigurationPhase.CURRENT) {
+            if (nowMs() >= untilMs) return false
+            delay(STEP_MS)
+        }
+        return true
+    }
+
+    companion object {
+        private const val RETRIES_A_LEASE = 200
+        private const val REFRESHES_A_LEASE = 10
+        private const val STEP_MS = 10L
+        private const val MOST_TIMES = 1000
+
+        /** For how long after its last contact a controller may start tasks, on its own clock, in milliseconds. */
+        fun startBoundMs(settings: Settings) = settings.withdrawalDelayMs * 9 / 10
+    }
+}
--- a/src/main/kotlin/micatally/job/Owner.kt
+++ b/src/main/kotlin/micatally/job/Owner.kt
@@ -329,6 +329,22 @@
         job.attemptLimit = job.attempts.size
     }
 
+    override fun isSuspended(ref: String): Boolean {
+        val team = job(ref)?.spec?.team ?: return false
+        return quota.isSuspended(team)
+    }
+
+    /** Ends what has been decided and not sent, of teams that may not start anything any more since their limit or they
+     * themselves are gone. What was sent counts as started. */
+    fun endUnsent(isAffected: (team: String) -> Boolean) {
+        for (job in openJobs()) {
+            val team = job.spec?.team ?: continue
+            val unsent = job.attempts.values.filter { it.state <= AttemptState.RECORDED }
+            if (unsent.isEmpty() || !isAffected(team) || !quota.isSuspended(team)) continue
+            for (attempt in unsent) gone(attempt, AttemptEnd(GoneProof.NEVER_SENT, "the limit of $team was lowered"))
+        }
+    }
+
     /** The one place where an attempt ends. A task may start elsewhere only after it. */
     override fun gone(
         attempt: Attempt,
--- a/src/main/kotlin/micatally/ledger/Cluster.kt
+++ b/src/main/kotlin/micatally/ledger/Cluster.kt
@@ -35,6 +35,19 @@
     /** What does not fit in the value of a job's record. Not under [JOB], or the previous program would read it as a record. */
     const val JOB_PART = "part/"
 
+    /** The head of the stored configuration, which all watch; the rest lies apart, read when the head has changed. */
+    const val CONFIG = "c/config"
+    const val CONFIG_CHANGE = "config/change/"
+    const val CONFIG_SNAPSHOT = "config/snapshot/"
+
+    fun configChange(version: Long) = CONFIG_CHANGE + "%012d".format(version)
+
+    /** Prefix of the values of one snapshot. */
+    fun configSnapshot(version: Long) = CONFIG_SNAPSHOT + "%012d/".format(version)
+
+    /** Prefix of the values that hold the teams of a large change. */
+    fun configPart(stage: String) = "config/part/$stage/"
+
     fun job(ref: String) = JOB + ref
 
     fun jobPart(
--- a/src/main/kotlin/micatally/ledger/Membership.kt
+++ b/src/main/kotlin/micatally/ledger/Membership.kt
@@ -74,9 +74,12 @@
     /** Up to when this node is known to have heard of every cancellation that its users may have been told. */
     private val toldAt get() = maxOf(viewProvenAt, peersConfirmedAt())
 
+    /** What else has to hold for a start; see [micatally.config.LiveConfiguration.mayStart]. */
+    var startGate: () -> Boolean = { true }
+
     /** Whether a task may be started now. A cancellation that this node has neither seen nor confirmed was published after it
      * last knew of all, and is told [Settings.withdrawalDelayMs] after that at the earliest: until then no start comes after it. */
-    val mayStart get() = nowMs() - toldAt < settings.withdrawalDelayMs * 9 / 10
+    val mayStart get() = nowMs() - toldAt < settings.withdrawalDelayMs * 9 / 10 && startGate()
 
     val viewAgeMs get() = nowMs() - viewProvenAt
 
--- a/src/main/kotlin/micatally/node/Controller.kt
+++ b/src/main/kotlin/micatally/node/Controller.kt
@@ -9,6 +9,12 @@
 import micatally.api.RecordReads
 import micatally.api.UserApi
 import micatally.api.WorkerApi
+import micatally.config.Configuration
+import micatally.config.ConfigurationApi
+import micatally.config.ConfigurationSeed
+import micatally.config.ConfigurationStore
+import micatally.config.ConfigurationWriter
+import micatally.config.LiveConfiguration
 import micatally.fleet.CloudClient
 import micatally.fleet.FleetDemand
 import micatally.fleet.FleetManager
@@ -34,6 +40,7 @@
 import micatally.state.ReadResult
 import micatally.state.StateClient
 import micatally.state.Urgency
+import micatally.upgrade.FormatVersion
 import micatally.upgrade.Upgrade
 import micatally.wire.PeerAsk
 import micatally.worker.Machine
@@ -86,13 +93,48 @@
         )
     val membership = Membership(scope, settings, state, Cluster(), random, nowMs)
     val machines = Machines(nowMs)
-    private val upgrade = Upgrade(scope, settings, state, membership.cluster) { uniform() }
+    private val wantedFormat =
+        if (operator.storesTeams) FormatVersion.STORED_TEAMS else FormatVersion.PACKED_RECORDS
+    private val upgrade = Upgrade(scope, settings, state, membership.cluster, wantedFormat) { uniform() }
+    private val configurationStore = ConfigurationStore(state, settings.stateLimits, membership.process)
+    val configuration =
+        LiveConfiguration(
+            scope,
+            settings,
+            membership.cluster,
+            configurationStore,
+            { upgrade.mayTeamsBeStored },
+            nowMs,
+        )
+    private val configurationSeed =
+        ConfigurationSeed(
+            scope,
+            settings,
+            state,
+            membership.cluster,
+            configurationStore,
+            { upgrade.mayStoreTeams },
+            wallMs,
+        )
+    private val configurationWriter =
+        ConfigurationWriter(
+            scope,
+            settings,
+            state,
+            membership.cluster,
+            configuration,
+            configurationStore,
+            wallMs,
+            { membership.refresh() },
+        )
+    private val configurationApi =
+        ConfigurationApi(settings, http, configuration, configurationWriter, configurationStore, nowMs)
     private val forms = RecordForms(settings.stateLimits) { upgrade.isUniform }
     private val store = JobStore(scope, state, forms, settings.reportMs / 4, settings.leaseMs / 10, nowMs)
     val owner = Owner(scope, settings, state, membership, machines, store, nowMs, wallMs)
     private val orders = Orders(scope, http, settings, membership, machines, owner, owner.withdrawals.stopList, nowMs)
     private val quota =
-        Quota(scope, state, membership.cluster, settings.teams, {
+        Quota(scope, state, membership.cluster, configuration, {
             owner.ledgers.values.filter { it.mine }
         }, settings.controllers) { rounds.wake() }
     val rounds: Rounds =
@@ -128,7 +170,21 @@
             settings.leaseMs / 8,
         )
     private val users =
-        UserApi(settings, state, membership, owner, store, machines, peers, rounds, upgrade, reads, reach, nowMs)
+        UserApi(
+            settings,
+            configuration,
+            state,
+            membership,
+            owner,
+            store,
+            machines,
+            peers,
+            rounds,
+            upgrade,
+            reads,
+            reach,
+            nowMs,
+        )
     private val workers = WorkerApi(settings, membership, machines, peers, owner.withdrawals.stopList, nowMs)
 
     private fun fleetDemand() =
@@ -145,6 +201,8 @@
 
     fun start() {
         owner.orders = orders
+        membership.startGate = { configuration.mayStart(membership.viewAgeMs) }
+        configuration.onApplied = { former, next -> configurationApplied(former, next) }
         membership.standsBack = { reach.mayStandBack() && peers.somePeerHasState() }
         membership.peersConfirmedAt = { peers.peersConfirmedAt() }
         owner.quota = quota
@@ -191,8 +249,20 @@
         rounds.wake()
     }
 
+    /** What is decided and not sent is given up where a limit is exceeded now, before the version counts as applied. */
+    private fun configurationApplied(
+        former: Configuration,
+        next: Configuration,
+    ) {
+        owner.endUnsent { team -> former.team(team) !== next.team(team) }
+        quota.limitsChanged()
+        rounds.wake()
+    }
+
     private fun sharedChanged(keys: Set<String>) {
         upgrade.sharedChanged()
+        configurationSeed.sharedChanged()
+        configuration.sharedChanged()
         owner.checkLedgers()
         for (k in keys) {
             if (k.startsWith(Keys.GONE)) {
@@ -346,7 +416,8 @@
                         ProtoBuf.encodeToByteArray(
                             users.peerCancel(ProtoBuf.decodeFromByteArray<PeerAsk>(r.body).ref),
                         )
-                    else -> return errorResponse(404, "no such resource")
+                    else ->
+                        configurationApi.handle(r.path, r.body) ?: return errorResponse(404, "no such resource")
                 }
             } catch (e: kotlinx.serialization.SerializationException) {
                 return errorResponse(400, "malformed message")
--- a/src/main/kotlin/micatally/placement/Quota.kt
+++ b/src/main/kotlin/micatally/placement/Quota.kt
@@ -13,6 +13,7 @@
 import micatally.ledger.Ledger
 import micatally.ledger.LedgerState
 import micatally.settings.Team
+import micatally.settings.TeamDirectory
 import micatally.state.Condition
 import micatally.state.Put
 import micatally.state.StateClient
@@ -33,7 +34,7 @@
     private val scope: CoroutineScope,
     private val state: StateClient,
     private val cluster: Cluster,
-    private val teams: Map<String, Team>,
+    private val teams: TeamDirectory,
     private val held: () -> Collection<Ledger>,
     controllers: Int,
     private val changed: () -> Unit,
@@ -78,13 +79,28 @@
         val short: Boolean,
     )
 
-    private fun allotments(team: String): Map<String, Allotment> =
-        cluster.value(Keys.team(team))?.mapValues { (_, v) ->
-            val a = v as JsonArray
+    /** The allotments of a team as they were read from its key at [mark]. */
+    private class ReadAllotments(
+        val mark: Long,
+        val byLedger: Map<String, Allotment>,
+    )
+
+    private val read = HashMap<String, ReadAllotments>()
 
-            fun number(i: Int) = (a.getOrNull(i) as? JsonPrimitive)?.doubleOrNull ?: 0.0
-            Allotment(Share(number(0), number(1)), number(2) > 0)
-        } ?: emptyMap()
+    /** Asked for each task that is placed, and changed far more rarely: so the key is read once for each change of it. */
+    private fun allotments(team: String): Map<String, Allotment> {
+        val mark = cluster.mark(Keys.team(team))
+        read[team]?.let { if (it.mark == mark) return it.byLedger }
+        val byLedger =
+            cluster.value(Keys.team(team))?.mapValues { (_, row) -> allotment(row as JsonArray) } ?: emptyMap()
+        read[team] = ReadAllotments(mark, byLedger)
+        return byLedger
+    }
+
+    private fun allotment(row: JsonArray): Allotment {
+        fun number(i: Int) = (row.getOrNull(i) as? JsonPrimitive)?.doubleOrNull ?: 0.0
+        return Allotment(Share(number(0), number(1)), number(2) > 0)
+    }
 
     private fun allotted(
         ledger: String,
@@ -101,10 +117,12 @@
         tasks: Int = 1,
     ): Boolean {
         val spec = job.spec ?: return false
-        val team = teams[spec.team] ?: return false
+        val team = teams.team(spec.team) ?: return false
+        if (!teams.isCurrent) return false
         if (!limited(team)) return true
         // Until its jobs are loaded nobody knows what a ledger uses.
         if (job.ledger.state != LedgerState.ACTIVE) return false
+        if (isOver(team)) return false
         val u = used(job.ledger.name, team.name)
         val a = allotted(job.ledger.name, team.name)
         val need = Share(spec.amount.cores * tasks, spec.amount.cards * tasks)
@@ -113,6 +131,20 @@
         return ok
     }
 
+    /** Whether more is allotted than the team's limit, which was lowered: until enough has been handed back nothing starts,
+     * whatever a single ledger's allotment has room for. */
+    private fun isOver(team: Team): Boolean {
+        val allotted = allotments(team.name).values
+        return team.coresMax > 0 && allotted.sumOf { it.share.cores } > team.coresMax + 2 * EPS ||
+            team.cardsMax > 0 && allotted.sumOf { it.share.cards } > team.cardsMax + 2 * EPS
+    }
+
+    /** Whether nothing of this team may be started: it was removed, or its limit lowered below what is allotted. */
+    fun isSuspended(teamName: String): Boolean = teams.team(teamName)?.let { isOver(it) } ?: true
+
+    /** Limits have changed: what is allotted beyond use goes back at once where a limit is exceeded. */
+    fun limitsChanged() = release()
+
     /** Only what the team is limited in counts: the other dimension has no allotment. */
     private fun covers(
         team: Team,
@@ -265,13 +297,14 @@
 
     private fun release() {
         for (l in held()) {
-            for (t in teams.values) {
+            for (t in teams.all()) {
                 if (!limited(t) || l.state != LedgerState.ACTIVE) continue
                 val all = allotments(t.name)
                 val own = all[l.name] ?: continue
                 val a = own.share
                 val u = used(l.name, t.name)
-                val slack = if (all.any { (name, x) -> x.short && name != l.name }) 0.0 else chunk
+                val isWanted = all.any { (name, x) -> x.short && name != l.name } || isOver(t)
+                val slack = if (isWanted) 0.0 else chunk
                 val keepCores = if (t.coresMax > 0) u.cores + t.coresMax * slack else 0.0
                 val keepCards = if (t.cardsMax > 0) u.cards + t.cardsMax * slack else 0.0
                 val still = isShort(l.name to t.name)
--- a/src/main/kotlin/micatally/scale/JobPlan.kt
+++ b/src/main/kotlin/micatally/scale/JobPlan.kt
@@ -10,16 +10,29 @@
 /**
  * A job that a user will submit.
  *
+ * @property runMs of its tasks on average; null: until they are stopped
  * @property atMs when, from the beginning of the load
  * @property cancelAfterMs when its user cancels it, from its submission; null: not before the end of the run
  */
 class PlannedJob(
     val spec: JobSpec,
-    val runMs: Long?,
+    private val runMs: Long?,
+    private val runSpread: Double,
     val atMs: Long,
     val isUrgent: Boolean,
     val cancelAfterMs: Long?,
-)
+) {
+    /** How long a task runs, the same each time it is asked; null: until it is stopped. */
+    fun runMs(taskIndex: Int): Long? {
+        val average = runMs ?: return null
+        val random = Random(spec.ref.hashCode() * TASKS_APART + taskIndex)
+        return (average * (1 + runSpread * random.nextDouble(-1.0, 1.0))).toLong()
+    }
+
+    private companion object {
+        const val TASKS_APART = 1_000_003
+    }
+}
 
 /** The load of a scenario, in the order of submission. Depends on the scenario alone. */
 object JobPlan {
@@ -63,6 +76,7 @@
         return PlannedJob(
             spec = JobSpec.parse(submission(number, jobs, team, image)),
             runMs = if (jobs.format == "daemon") null else (jobs.runSeconds * MS).toLong(),
+            runSpread = jobs.runSpread,
             atMs = atMs,
             isUrgent = jobs.urgent,
             cancelAfterMs = if (isCancelled) (jobs.cancelAfterSeconds * MS).toLong() else null,
--- a/src/main/kotlin/micatally/scale/RunHistory.kt
+++ b/src/main/kotlin/micatally/scale/RunHistory.kt
@@ -148,7 +148,7 @@
     override fun runMs(
         ref: String,
         taskIndex: Int,
-    ): Long? = jobs[ref]?.planned?.runMs
+    ): Long? = jobs[ref]?.planned?.runMs(taskIndex)
 
     @Synchronized
     override fun started(
--- a/src/main/kotlin/micatally/scale/Scenario.kt
+++ b/src/main/kotlin/micatally/scale/Scenario.kt
@@ -83,7 +83,8 @@
 /** Jobs that are alike.
  *
  * @property format the protocol's word: sweep or daemon
- * @property runSeconds of one task of a sweep
+ * @property runSeconds of one task of a sweep, on average
+ * @property runSpread how far a task's time may be from that, as a share of it
  * @property atStart jobs that come evenly over the first half of the warm-up
  * @property perSecond jobs a second from the beginning to the end
  * @property urgent its starts are measured apart
@@ -102,6 +103,7 @@
     val images: Int = 1,
     val imageGb: Double = 0.1,
     val runSeconds: Double = 0.0,
+    val runSpread: Double = 0.5,
     val atStart: Int = 0,
     val perSecond: Double = 0.0,
     val urgent: Boolean = false,
--- a/src/main/kotlin/micatally/scale/ScenarioFile.kt
+++ b/src/main/kotlin/micatally/scale/ScenarioFile.kt
@@ -124,6 +124,7 @@
         require(jobs.cores >= 0 && jobs.cards >= 0 && jobs.ramGb >= 0) { "jobs $name: amounts must not be negative" }
         require(jobs.atStart >= 0 && jobs.perSecond >= 0) { "jobs $name: atStart and perSecond must not be negative" }
         require(jobs.cancelShare in 0.0..1.0) { "jobs $name: cancelShare must be from 0 to 1" }
+        require(jobs.runSpread in 0.0..1.0) { "jobs $name: runSpread must be from 0 to 1" }
         require(jobs.format == "daemon" || jobs.runSeconds > 0) { "jobs $name: runSeconds must be above 0" }
     }
 
--- a/src/main/kotlin/micatally/settings/Operator.kt
+++ b/src/main/kotlin/micatally/settings/Operator.kt
@@ -8,13 +8,26 @@
     val queueLift: Double,
     val fleetHeadroom: Double,
     val fleetIdleBoots: Double,
+    /** Whether the teams move from the settings file to the state service once all controllers are ready for it. */
+    val storesTeams: Boolean = false,
 ) {
     companion object {
+        private fun flag(
+            p: Properties,
+            key: String,
+        ): Boolean =
+            when (p.getProperty(key)?.trim()) {
+                null, "false" -> false
+                "true" -> true
+                else -> throw SettingsError("$key must be true or false")
+            }
+
         private const val BOUNDS = "queue.bounds-leases"
         private const val LIFT = "queue.lift"
         private const val HEADROOM = "fleet.headroom"
         private const val IDLE = "fleet.idle-boots"
-        private val KEYS = listOf(BOUNDS, LIFT, HEADROOM, IDLE)
+        private const val STORED_TEAMS = "config.stored-teams"
+        private val KEYS = listOf(BOUNDS, LIFT, HEADROOM, IDLE, STORED_TEAMS)
 
         /** The queues' bounds: the source's own split leaves tasks of a minute in the top queue, beside the services that
          * wait for their machines. */
@@ -58,6 +71,7 @@
                 number(LIFT, DEFAULT.queueLift, 0.1..100.0),
                 number(HEADROOM, DEFAULT.fleetHeadroom, 0.0..1.0),
                 number(IDLE, DEFAULT.fleetIdleBoots, 0.1..100.0),
+                flag(p, STORED_TEAMS),
             )
         }
     }
--- a/src/main/kotlin/micatally/state/StateClient.kt
+++ b/src/main/kotlin/micatally/state/StateClient.kt
@@ -156,14 +156,17 @@
     private fun item(o: JsonObject) = Item(o.text("k"), o.child("value") ?: EMPTY_OBJECT, o.long("mark"))
 
     /** All keys under [prefix], page by page, or null when a page could not be had. The revision is that of the
-     * first page, so that a watch from there misses nothing. */
+     * first page, so that a watch from there misses nothing.
+     *
+     * @param after only keys behind this one */
     suspend fun list(
         prefix: String,
         urgency: Urgency,
         pageSize: Int = 500,
+        after: String? = null,
     ): Listing? {
         val items = ArrayList<Item>()
-        var since: String? = null
+        var since: String? = after
         var revision = -1L
         while (true) {
             val from = if (since == null) "" else "&since=${queryPart(since)}"
--- a/src/main/kotlin/micatally/upgrade/Upgrade.kt
+++ b/src/main/kotlin/micatally/upgrade/Upgrade.kt
@@ -25,6 +25,8 @@
     private val settings: Settings,
     private val state: StateClient,
     private val cluster: Cluster,
+    /** The format that this host is ready for. */
+    private val wanted: Long,
     private val onUniform: () -> Unit,
 ) {
     private val log = LoggerFactory.getLogger("micatally.upgrade")
@@ -36,6 +38,15 @@
         private set
     val isUniform get() = phase == UpgradePhase.UNIFORM
 
+    /** Whether all controllers can read teams in the state service, so that they may be written. */
+    val mayStoreTeams get() = UpgradePlan.format(cluster) >= FormatVersion.STORED_TEAMS
+
+    /** Whether this host has ever been ready for stored teams, so that others may have written them unseen. */
+    val mayTeamsBeStored
+        get() =
+            wanted >= FormatVersion.STORED_TEAMS ||
+                UpgradePlan.announced(cluster, settings.host) >= FormatVersion.STORED_TEAMS
+
     private var writing = false
     private var lastStep: UpgradeStep? = null
     private var lastDowngraded: List<String> = emptyList()
@@ -45,7 +56,7 @@
         if (next == phase) return
         check(next == UpgradePhase.UNIFORM) { "a raised format is never lowered" }
         phase = next
-        log.info("upgrade finished: all controllers write format {}", FormatVersion.CURRENT)
+        log.info("upgrade finished: all controllers write format {}", UpgradePlan.format(cluster))
         onUniform()
     }
 
@@ -54,7 +65,7 @@
         if (cluster.revision < 0) return
         if (UpgradePlan.phase(cluster) == UpgradePhase.UNIFORM) become(UpgradePhase.UNIFORM)
         warnOfDowngrades()
-        val step = UpgradePlan.next(cluster, settings.host, hosts)
+        val step = UpgradePlan.next(cluster, settings.host, hosts, wanted)
         if (step != lastStep) report(step)
         lastStep = step
         if (step == UpgradeStep.Announce || step == UpgradeStep.Raise) write()
@@ -98,15 +109,15 @@
      * need no condition: they are never taken back.
      */
     private fun transaction(): Txn? {
-        val step = UpgradePlan.next(cluster, settings.host, hosts)
-        val key =
+        val step = UpgradePlan.next(cluster, settings.host, hosts, wanted)
+        val (key, version) =
             when (step) {
-                UpgradeStep.Announce -> Keys.version(settings.host)
-                UpgradeStep.Raise -> Keys.FORMAT
+                UpgradeStep.Announce -> Keys.version(settings.host) to wanted
+                UpgradeStep.Raise -> Keys.FORMAT to UpgradePlan.common(cluster, hosts)
                 else -> return null
             }
-        log.info("upgrade: writing {} = {}", key, FormatVersion.CURRENT)
-        val value = buildJsonObject { put(UpgradePlan.VERSION_FIELD, FormatVersion.CURRENT) }
+        log.info("upgrade: writing {} = {}", key, version)
+        val value = buildJsonObject { put(UpgradePlan.VERSION_FIELD, version) }
         return Txn(listOf(Condition(key, cluster.mark(key))), listOf(Put(key, value)))
     }
 
--- a/src/main/kotlin/micatally/upgrade/UpgradePlan.kt
+++ b/src/main/kotlin/micatally/upgrade/UpgradePlan.kt
@@ -15,7 +15,15 @@
 /** Versions of the stored forms. The previous program writes [FIRST] and announces nothing. */
 object FormatVersion {
     const val FIRST = 1L
-    const val CURRENT = 2L
+
+    /** Records and kill lists may be packed, and gangs exist. */
+    const val PACKED_RECORDS = 2L
+
+    /** Teams may be stored in the state service; announced only where that is switched on. */
+    const val STORED_TEAMS = 3L
+
+    /** The newest that this program reads. */
+    const val CURRENT = STORED_TEAMS
 }
 
 /** What a controller has to write next so that an upgrade proceeds. */
@@ -42,30 +50,35 @@
     ): Long = version(cluster, Keys.version(host))
 
     fun phase(cluster: Cluster): UpgradePhase =
-        if (version(cluster, Keys.FORMAT) >= FormatVersion.CURRENT) UpgradePhase.UNIFORM else UpgradePhase.MIXED
+        if (format(cluster) >= FormatVersion.PACKED_RECORDS) UpgradePhase.UNIFORM else UpgradePhase.MIXED
+
+    /** The newest format that may be written. */
+    fun format(cluster: Cluster): Long = version(cluster, Keys.FORMAT)
+
+    /** The newest format that all hosts have announced. */
+    fun common(
+        cluster: Cluster,
+        hosts: Collection<String>,
+    ): Long = hosts.minOf { announced(cluster, it) }
 
     /**
-     * An announcement is written by a process of the current version once it is live itself, and stays. A host that has once
+     * The next step of [self], which wants the format [wanted]. An announcement is written by a process of the current version once it is live itself, and stays. A host that has once
      * come up new does not return old, so a host that is merely away does not hold up the others.
      */
     fun next(
         cluster: Cluster,
         self: String,
         hosts: Collection<String>,
+        wanted: Long = FormatVersion.PACKED_RECORDS,
     ): UpgradeStep {
-        if (announced(cluster, self) < FormatVersion.CURRENT) {
+        if (announced(cluster, self) < wanted) {
             // The live key may still be that of the former process.
-            return if (running(cluster, self) >=
-                FormatVersion.CURRENT
-            ) {
-                UpgradeStep.Announce
-            } else {
-                UpgradeStep.WaitFor(listOf(self))
-            }
+            val isLiveNew = running(cluster, self) >= wanted
+            return if (isLiveNew) UpgradeStep.Announce else UpgradeStep.WaitFor(listOf(self))
         }
-        if (phase(cluster) == UpgradePhase.UNIFORM) return UpgradeStep.Finished
-        val missing = hosts.filter { announced(cluster, it) < FormatVersion.CURRENT }.sorted()
-        return if (missing.isEmpty()) UpgradeStep.Raise else UpgradeStep.WaitFor(missing)
+        if (common(cluster, hosts) > format(cluster)) return UpgradeStep.Raise
+        if (format(cluster) >= wanted) return UpgradeStep.Finished
+        return UpgradeStep.WaitFor(hosts.filter { announced(cluster, it) < wanted }.sorted())
     }
 
     /** Hosts that run an older version although they had announced the current one: an operator has gone back too late. */
--- a/src/main/kotlin/micatally/worker/Orders.kt
+++ b/src/main/kotlin/micatally/worker/Orders.kt
@@ -31,6 +31,9 @@
         taskIndex: Int,
     ): Attempt?
 
+    /** Whether nothing of the job may be started now, not even again, since its team's limit was lowered. */
+    fun isSuspended(ref: String): Boolean
+
     fun gone(
         attempt: Attempt,
         end: AttemptEnd,
@@ -121,9 +124,7 @@
             } else if (a.state == AttemptState.ORDERED && entry == null) {
                 covered.add(a)
                 // Taken over: whether it ever left is not known, so the machine is asked before anything else.
-                if (a.sentAt ==
-                    null
-                ) {
+                if (a.sentAt == null || book.isSuspended(a.job.ref)) {
                     ask = true
                 } else if (membership.mayStart) {
                     commands.add(Command(Verb.RUN, a.job.ref, a.taskIndex, a.number))
--- a/src/test/kotlin/micatally/placement/QuotaTest.kt
+++ b/src/test/kotlin/micatally/placement/QuotaTest.kt
@@ -16,6 +16,7 @@
 import micatally.ledger.Keys
 import micatally.ledger.Ledger
 import micatally.ledger.LedgerState
+import micatally.settings.FixedTeams
 import micatally.settings.Team
 import micatally.standin.Rehearsal
 import micatally.standin.StateStandin
@@ -31,7 +32,7 @@
 /** Allotments of a team's limit, against the stand-in of the state service. */
 @OptIn(ExperimentalCoroutinesApi::class)
 class QuotaTest {
-    private val teams = mapOf("vision" to Team("vision", 0.0, 40.0, 0.0, 0.0))
+    private val teams = FixedTeams(mapOf("vision" to Team("vision", 0.0, 40.0, 0.0, 0.0)))
 
     private inner class Setup(
         scope: TestScope,
--- a/src/test/kotlin/micatally/scale/SweepTest.kt
+++ b/src/test/kotlin/micatally/scale/SweepTest.kt
@@ -48,7 +48,8 @@
         assertEquals(850.0, half.workerCount.toDouble(), 2.0)
         assertEquals(5, half.controllers)
         assertEquals(60, half.teams.count)
-        assertEquals(0.8, half.jobs.first { it.name == "sweep" }.perSecond, 1e-9)
+        val rates = listOf(target, half).map { scenario -> scenario.jobs.first { it.name == "sweep" }.perSecond }
+        assertEquals(rates[0] / 2, rates[1], 1e-9)
     }
 
     @Test
--- a/src/test/kotlin/micatally/sim/SimFleet.kt
+++ b/src/test/kotlin/micatally/sim/SimFleet.kt
@@ -21,6 +21,7 @@
 import micatally.ledger.Keys
 import micatally.node.Controller
 import micatally.placement.Placement
+import micatally.settings.Operator
 import micatally.settings.Settings
 import micatally.standin.CloudStandin
 import micatally.standin.GangTable
@@ -117,7 +118,13 @@
         ) { n, f, z, s -> boot(n, f, z, s) }
     private val controllers = (0 until nodes).associate { "pitbox-$it" to "n$it:80" }
     val settings = (0 until nodes).map { Settings.parse(settingsOf(it).bytes()) }
-    val rules = RuleChecker(settings[0].teams, settings[0].cancelMs)
+
+    /** The limits that nobody may be beyond now. */
+    val limitsInForce = HashMap(settings[0].teams)
+    val rules = RuleChecker({ limitsInForce[it] }, settings[0].cancelMs)
+
+    /** Operators' settings of nodes started from now on. */
+    var operator = Operator.DEFAULT
     private val nodeScopes = arrayOfNulls<CoroutineScope>(nodes)
     val live = arrayOfNulls<Controller>(nodes)
     private val threads = arrayOfNulls<Stoppable>(nodes)
@@ -132,6 +139,9 @@
 
     val stateRefuses = HashSet<String>()
 
+    /** Hosts that the state service refuses to show keys to, while it takes their writes. */
+    val viewRefuses = HashSet<String>()
+
     /** Share of transactions that get no answer and are carried out later, after newer ones; or at once. */
     var lateWrites = 0.0
     var lostAnswers = 0.0
@@ -314,7 +324,12 @@
                     } else {
                         null
                     }
+                val isView = addr == "state:1" && m == "GET"
                 when {
+                    isView && host.name in viewRefuses -> {
+                        delay(3)
+                        Outcome.Answer(503, ByteArray(0))
+                    }
                     addr == "state:1" && host.name in stateRefuses -> {
                         delay(3)
                         Outcome.Answer(503, ByteArray(0))
@@ -339,10 +354,15 @@
         val skew = 1.0 + random.nextDouble(0.0005)
         val base = random.nextLong(1_000_000)
         val c =
-            Controller(s, Settings.parse(settingsOf(i).bytes()), http, Random(random.nextLong()), {
-                base +
-                    (now * skew).toLong()
-            }, { now })
+            Controller(
+                s,
+                Settings.parse(settingsOf(i).bytes()),
+                http,
+                Random(random.nextLong()),
+                { base + (now * skew).toLong() },
+                { now },
+                operator,
+            )
         host.scope = s
         host.handler = { addr, r -> if (addr.endsWith(":81")) c.handlePeer(r) else c.handle(r) }
         nodeScopes[i] = s
@@ -600,6 +620,16 @@
         }
     }
 
+    /** A request to a node's address for controllers. */
+    suspend fun askPeerPort(
+        node: Int,
+        path: String,
+        body: ByteArray,
+    ): ByteArray? {
+        val out = user.call("n$node:81", "POST", path, body, 20_000)
+        return (out as? Outcome.Answer)?.takeIf { it.status == 200 }?.body
+    }
+
     /** Answers count in the order in which their user gets them, one question at a time. */
     fun user(
         spec: JobSpec,
