--- a/src/main/kotlin/micatally/cli/ScaleCommand.kt
+++ b/src/main/kotlin/micatally/cli/ScaleCommand.kt
@@ -32,6 +32,8 @@
     /** Machines without tasks stay, so that a run keeps the number of workers it was asked for. */
     private val KEEP_WORKERS = listOf("fleet.idle-boots=100", "fleet.headroom=1")
 
+    private const val STORED_TEAMS = "config.stored-teams=true"
+
     fun spec(): CommandSpec {
         val spec = CommandSpec.create()
         spec.usageMessage().description("Runs controllers under load against stand-ins on loopback, and measures them.")
@@ -187,7 +189,7 @@
     ): ScaleReport? {
         MachineLimits.check(scenario)
         val properties = Files.createTempFile("micatally-scale", ".properties")
-        Files.write(properties, KEEP_WORKERS)
+        Files.write(properties, if (scenario.configuration == null) KEEP_WORKERS else KEEP_WORKERS + STORED_TEAMS)
         val deploy = Path.of(parsed.matchedOptionValue("--deploy", "deploy/service.toml"))
         val command = Deployment.command(deploy, listOf("--properties", properties.toString()))
         val run = ScaleRun(parsed.matchedPositionalValue(0, ""), scenario, command) { System.err.println(it) }
--- a/src/main/kotlin/micatally/scale/ScaleRun.kt
+++ b/src/main/kotlin/micatally/scale/ScaleRun.kt
@@ -52,10 +52,21 @@
             val plan = scenario.teams
             Team(JobPlan.teamName(it), plan.cores, plan.coresMax, plan.cards, plan.cardsMax)
         }
-    private val teamByName = teams.associateBy { it.name }
     private val cancelMs = (scenario.workers.cancelSeconds * MS).toLong()
     private val leaseMs = (scenario.workers.leaseSeconds * MS).toLong()
-    private val history = RunHistory(jobs, { teamByName[it] }, cancelMs, latencies, workerLoop::nowMs)
+    private val userClient = Client(userLoop.group, USER_SOCKETS, userLoop::nowMs)
+    private val places = places()
+    private val configuration =
+        ConfigurationLoad(
+            userLoop.scope,
+            userClient,
+            places.map { it.back },
+            teams,
+            latencies,
+            Random(scenario.seed + 4),
+            userLoop::nowMs,
+        )
+    private val history = RunHistory(jobs, configuration::teamInForce, cancelMs, latencies, workerLoop::nowMs)
     private val flavors =
         scenario.workers.types.map {
             Flavor(
@@ -70,10 +81,8 @@
             )
         }
     private val fleet = LoopbackFleet(workerLoop, stateLoop, fleetPlan(), history, traffic)
-    private val places = places()
     private val controllers =
         places.map { ControllerProcess(it, command + settingsFile(it), directory.resolve("${it.host}.log")) }
-    private val userClient = Client(userLoop.group, USER_SOCKETS, userLoop::nowMs)
     private val balancer =
         LoadBalancer(userLoop.scope, userClient, places.map { it.listen }, Random(scenario.seed + 1))
     private val users =
@@ -152,6 +161,7 @@
         pass("warm-up", scenario.warmupSeconds)
         measurement.begin()
         failures.start(scenario.failures)
+        scenario.configuration?.let { plan -> userLoop.scope.launch { configuration.start(plan) } }
         pass("measured", scenario.seconds)
         val stored = runBlocking { withContext(stateLoop.scope.coroutineContext) { fleet.state.storedByPrefix() } }
         val report = measurement.end(origin(), failures.restarts, stored)
