fleet: a task without cards that fits no other machine gets one with cards

Cause: of a card machine's cores those that its cards need were kept from tasks without cards, also where no other type could take the task: it was never rented for, and its accepted job waited for good. Change: the cores are kept only where some allowed type can take the task beside them.

--- a/src/main/kotlin/micatally/fleet/RentPlan.kt
+++ b/src/main/kotlin/micatally/fleet/RentPlan.kt
@@ -52,10 +52,22 @@
     }
 
     /** How many such tasks an empty machine takes. */
-    fun perMachine(
+    private fun perMachine(
         task: Amount,
         machine: Amount,
-    ): Int = task.countIn(open(task, machine, machine))
+        keepsCores: Boolean,
+    ): Int = task.countIn(if (keepsCores) open(task, machine, machine) else machine)
+
+    /** Whether cores can be kept for cards: a task that is too large for what is left then, on any type that it may use,
+     * would wait for good. */
+    private fun mayKeepCores(
+        demand: Demand,
+        task: Amount,
+        flavors: Collection<Flavor>,
+    ): Boolean =
+        flavors.any { flavor ->
+            (demand.types.isEmpty() || flavor.label in demand.types) && perMachine(task, flavor.amount, true) > 0
+        }
 
     /** Tasks of one shape, of whichever job: together they may fill a machine that would be too large for one job's. */
     private data class Shape(
@@ -84,6 +96,7 @@
         // Those with cards first: what they leave of their machines serves the others.
         for (d in demands.sortedWith(compareBy({ it.priority }, { -it.cards }))) {
             val task = Amount(d.cores, d.cards, d.ram)
+            val keepsCores = mayKeepCores(d, task, flavors)
             var left = d.count
             val zoneRoom = if (d.zoneRoom.isEmpty()) null else d.zones.zip(d.zoneRoom).toMap(HashMap())
 
@@ -92,7 +105,9 @@
             fun fill(r: Room) {
                 if (!allowed(d, r.type, r.zone, r.spot)) return
                 val machine = amounts[r.type] ?: return
-                while (left > 0 && roomIn(r.zone) && task.fitsIn(open(task, r.free, machine))) {
+                while (left > 0 && roomIn(r.zone) &&
+                    task.fitsIn(if (keepsCores) open(task, r.free, machine) else r.free)
+                ) {
                     r.free = r.free - task
                     left--
                     zoneRoom?.merge(r.zone, -1, Int::plus)
@@ -106,7 +121,7 @@
                 var best: Offer? = null
                 var bestCost = Double.MAX_VALUE
                 for (f in flavors) {
-                    val n = perMachine(task, f.amount)
+                    val n = perMachine(task, f.amount, keepsCores)
                     if (n == 0) continue
                     for (z in f.zones) {
                         for (spot in if (d.spot) listOf(true, false) else listOf(false)) {
--- a/src/test/kotlin/micatally/fleet/RentPlanTest.kt
+++ b/src/test/kotlin/micatally/fleet/RentPlanTest.kt
@@ -41,6 +41,15 @@
         assertEquals(4, p.values.sum())
     }
 
+    /** Found in a test of stored teams: a task of 40 cores without cards, which only a card machine has, was never rented for,
+     * since the cores of all its cards were kept. Its job was accepted and waited for good. */
+    @Test
+    fun `a task without cards that fits no other machine gets one with cards`() {
+        val p = plan(listOf(Demand(40.0, 0.0, 8.0, count = 2)))
+        assertEquals(setOf("cards"), p.keys.map { it.type }.toSet())
+        assertEquals(1, p.values.sum(), "both fit on one")
+    }
+
     @Test
     fun `tasks without cards leave the cores that cards need`() {
         val room = RentPlan.Room("cards", "c", false, cards.amount)
