--- /dev/null
+++ b/src/main/kotlin/micatally/config/ConfigurationService.kt
@@ -0,0 +1,49 @@
+package micatally.config
+
+import kotlinx.coroutines.CoroutineScope
+import micatally.http.HttpCaller
+import micatally.ledger.Membership
+import micatally.settings.Settings
+import micatally.settings.TeamDirectory
+import micatally.state.StateClient
+import micatally.upgrade.Upgrade
+
+/** The parts of the stored configuration on one controller, put together. */
+class ConfigurationService(
+    scope: CoroutineScope,
+    settings: Settings,
+    state: StateClient,
+    private val membership: Membership,
+    upgrade: Upgrade,
+    http: HttpCaller,
+    nowMs: () -> Long,
+    wallMs: () -> Long,
+) {
+    private val cluster = membership.cluster
+    private val store = ConfigurationStore(state, settings.stateLimits, membership.process)
+    val live = LiveConfiguration(scope, settings, cluster, store, { upgrade.mayTeamsBeStored }, nowMs)
+    private val seed = ConfigurationSeed(scope, settings, state, cluster, store, { upgrade.mayStoreTeams }, wallMs)
+    private val writer =
+        ConfigurationWriter(scope, settings, state, cluster, live, store, wallMs) { membership.refresh() }
+    private val api = ConfigurationApi(settings, http, live, writer, store, nowMs)
+
+    val teams: TeamDirectory get() = live
+
+    /** @param onApplied told of each new version before it counts as applied */
+    fun start(onApplied: (former: Configuration, next: Configuration) -> Unit) {
+        live.onApplied = onApplied
+        membership.startGate = { live.mayStart(membership.viewAgeMs) }
+    }
+
+    /** Looks at the shared keys after a change. */
+    fun sharedChanged() {
+        seed.sharedChanged()
+        live.sharedChanged()
+    }
+
+    /** The answer to a request on the address for controllers, or null if there is no such resource. */
+    suspend fun handle(
+        path: String,
+        body: ByteArray,
+    ): ByteArray? = api.handle(path, body)
+}
--- a/src/main/kotlin/micatally/job/Owner.kt
+++ b/src/main/kotlin/micatally/job/Owner.kt
@@ -33,7 +33,7 @@
 class Owner(
     private val scope: CoroutineScope,
     private val settings: Settings,
-    private val state: StateClient,
+    state: StateClient,
     private val membership: Membership,
     private val machines: Machines,
     private val store: JobStore,
@@ -42,6 +42,7 @@
 ) : OrderBook,
     GangOwner {
     private val log = LoggerFactory.getLogger("micatally.job")
+    private val records = LedgerRecords(state)
     val ledgers = HashMap<String, Ledger>()
     lateinit var orders: Orders
     lateinit var quota: Quota
@@ -159,7 +160,7 @@
     private suspend fun load(l: Ledger) {
         val began = nowMs()
         while (l.mine) {
-            val records = readRecords(l)
+            val records = records.of(l)
             if (records == null) {
                 delay(settings.reportMs / 8)
                 continue
@@ -180,38 +181,9 @@
         }
     }
 
-    /** A job's record as it was read; [plain] is null for open and done jobs of other ledgers, which nobody asks for here. */
-    private class ReadRecord(
-        val ref: String,
-        val stored: JsonObject,
-        val plain: JsonObject?,
-        val mark: Long,
-    )
-
-    /**
-     * All records, whoever owns them; null if they could not be read. A record's further values have its revision, since one
-     * transaction writes them. Nobody else writes records of a ledger that is held, so for those the two listings agree.
-     */
-    private suspend fun readRecords(l: Ledger): List<ReadRecord>? {
-        val listing = state.list(Keys.JOB, Urgency.LEASE) ?: return null
-        val isSplit = listing.items.any { RecordPacking.overflowCount(it.value) > 0 }
-        val parts = if (isSplit) state.list(Keys.JOB_PART, Urgency.LEASE) ?: return null else null
-        val partOf = parts?.items?.associateBy { it.key } ?: emptyMap()
-        return listing.items.map { item ->
-            val ref = item.key.removePrefix(Keys.JOB)
-            val isOwn = JobRecord.ledgerOf(item.value) == l.name
-            val overflow = (0 until RecordPacking.overflowCount(item.value)).map { partOf[Keys.jobPart(ref, it)] }
-            val isWhole = overflow.all { it != null && it.mark == item.mark }
-            if (!isWhole && isOwn && ref !in l.jobs) return null
-            val isNeeded = isOwn || JobRecord.state(item.value) == JobState.WITHDRAWN
-            val plain = if (isWhole && isNeeded) RecordPacking.unpack(item.value, overflow.map { it!!.value }) else null
-            ReadRecord(ref, item.value, plain, item.mark)
-        }
-    }
-
     private fun adopt(
         l: Ledger,
-        record: ReadRecord,
+        record: LedgerRecord,
     ) {
         val ref = record.ref
         // Whoever's job it is: a node that has just started must stop its tasks where it hears them.
--- a/src/main/kotlin/micatally/node/Controller.kt
+++ b/src/main/kotlin/micatally/node/Controller.kt
@@ -10,11 +10,7 @@
 import micatally.api.UserApi
 import micatally.api.WorkerApi
 import micatally.config.Configuration
-import micatally.config.ConfigurationApi
-import micatally.config.ConfigurationSeed
-import micatally.config.ConfigurationStore
-import micatally.config.ConfigurationWriter
-import micatally.config.LiveConfiguration
+import micatally.config.ConfigurationService
 import micatally.fleet.CloudClient
 import micatally.fleet.FleetDemand
 import micatally.fleet.FleetManager
@@ -96,45 +92,14 @@
     private val wantedFormat =
         if (operator.storesTeams) FormatVersion.STORED_TEAMS else FormatVersion.PACKED_RECORDS
     private val upgrade = Upgrade(scope, settings, state, membership.cluster, wantedFormat) { uniform() }
-    private val configurationStore = ConfigurationStore(state, settings.stateLimits, membership.process)
     val configuration =
-        LiveConfiguration(
-            scope,
-            settings,
-            membership.cluster,
-            configurationStore,
-            { upgrade.mayTeamsBeStored },
-            nowMs,
-        )
-    private val configurationSeed =
-        ConfigurationSeed(
-            scope,
-            settings,
-            state,
-            membership.cluster,
-            configurationStore,
-            { upgrade.mayStoreTeams },
-            wallMs,
-        )
-    private val configurationWriter =
-        ConfigurationWriter(
-            scope,
-            settings,
-            state,
-            membership.cluster,
-            configuration,
-            configurationStore,
-            wallMs,
-            { membership.refresh() },
-        )
-    private val configurationApi =
-        ConfigurationApi(settings, http, configuration, configurationWriter, configurationStore, nowMs)
+        ConfigurationService(scope, settings, state, membership, upgrade, http, nowMs, wallMs)
     private val forms = RecordForms(settings.stateLimits) { upgrade.isUniform }
     private val store = JobStore(scope, state, forms, settings.reportMs / 4, settings.leaseMs / 10, nowMs)
     val owner = Owner(scope, settings, state, membership, machines, store, nowMs, wallMs)
     private val orders = Orders(scope, http, settings, membership, machines, owner, owner.withdrawals.stopList, nowMs)
     private val quota =
-        Quota(scope, state, membership.cluster, configuration, {
+        Quota(scope, state, membership.cluster, configuration.teams, {
             owner.ledgers.values.filter { it.mine }
         }, settings.controllers) { rounds.wake() }
     val rounds: Rounds =
@@ -172,7 +137,7 @@
     private val users =
         UserApi(
             settings,
-            configuration,
+            configuration.teams,
             state,
             membership,
             owner,
@@ -201,8 +166,7 @@
 
     fun start() {
         owner.orders = orders
-        membership.startGate = { configuration.mayStart(membership.viewAgeMs) }
-        configuration.onApplied = { former, next -> configurationApplied(former, next) }
+        configuration.start { former, next -> configurationApplied(former, next) }
         membership.standsBack = { reach.mayStandBack() && peers.somePeerHasState() }
         membership.peersConfirmedAt = { peers.peersConfirmedAt() }
         owner.quota = quota
@@ -261,7 +225,6 @@
 
     private fun sharedChanged(keys: Set<String>) {
         upgrade.sharedChanged()
-        configurationSeed.sharedChanged()
         configuration.sharedChanged()
         owner.checkLedgers()
         for (k in keys) {
@@ -417,7 +380,7 @@
                             users.peerCancel(ProtoBuf.decodeFromByteArray<PeerAsk>(r.body).ref),
                         )
                     else ->
-                        configurationApi.handle(r.path, r.body) ?: return errorResponse(404, "no such resource")
+                        configuration.handle(r.path, r.body) ?: return errorResponse(404, "no such resource")
                 }
             } catch (e: kotlinx.serialization.SerializationException) {
                 return errorResponse(400, "malformed message")
--- a/src/test/kotlin/micatally/sim/ConfigurationTest.kt
+++ b/src/test/kotlin/micatally/sim/ConfigurationTest.kt
@@ -47,7 +47,7 @@
         }
     }
 
-    private fun Meeting.versions() = f.live.filterNotNull().map { it.configuration.configuration.version }
+    private fun Meeting.versions() = f.live.filterNotNull().map { it.configuration.live.configuration.version }
 
     private var changes = 0
 
@@ -141,8 +141,18 @@
             assertEquals(emptyList<String>(), status(2, 2).missing)
             assertEquals(listOf(2L, 1L), history(0).entries.map { it.version })
             for (node in f.live.filterNotNull()) {
-                assertEquals(50.0, node.configuration.team("vision")!!.coresMax)
-                assertEquals(24.0, node.configuration.team("text")!!.coresMax)
+                assertEquals(
+                    50.0,
+                    node.configuration.live
+                        .team("vision")!!
+                        .coresMax,
+                )
+                assertEquals(
+                    24.0,
+                    node.configuration.live
+                        .team("text")!!
+                        .coresMax,
+                )
             }
         }
 
@@ -192,7 +202,10 @@
             val answered = launchApply(1, change(1, *teams))
             runUntil(f.lease, "both others have it") {
                 for (node in f.live.filterNotNull()) {
-                    val there = node.configuration.all().count { it.name.startsWith("team-") }
+                    val there =
+                        node.configuration.live
+                            .all()
+                            .count { it.name.startsWith("team-") }
                     assertTrue(there == 0 || there == teams.size, "$there teams are seen")
                 }
                 versions().all { it == 2L }
@@ -218,7 +231,14 @@
             f.runFor(1000)
             assertEquals(3L, storedVersion())
             val chosen = if (answers[0].status == ChangeStatus.APPLIED) 50.0 else 40.0
-            for (node in f.live.filterNotNull()) assertEquals(chosen, node.configuration.team("vision")!!.coresMax)
+            for (node in f.live.filterNotNull()) {
+                assertEquals(
+                    chosen,
+                    node.configuration.live
+                        .team("vision")!!
+                        .coresMax,
+                )
+            }
         }
 
     /** Guard: nothing starts while more is allotted than the limit ([micatally.placement.Quota.isSuspended]). */
@@ -346,7 +366,7 @@
             f.runFor(1000)
             f.startNode(1)
             runUntil(f.lease, "it has the newest version") { versions().all { it == many + 2L } }
-            val teams = f.live[1]!!.configuration
+            val teams = f.live[1]!!.configuration.live
             assertEquals(30.0, teams.team("vision")!!.coresMax)
             assertEquals(many, teams.all().count { it.name.startsWith("team-") })
             assertTrue(f.state.keysUnder(Keys.CONFIG_SNAPSHOT).isNotEmpty())
@@ -359,8 +379,18 @@
             assertEquals(ChangeStatus.APPLIED, await(answered).status)
             inForce(0, many + 3L)
             for (node in f.live.filterNotNull()) {
-                assertEquals(60.0, node.configuration.team("vision")!!.coresMax)
-                assertEquals(f.settings[0].teams.size, node.configuration.all().size)
+                assertEquals(
+                    60.0,
+                    node.configuration.live
+                        .team("vision")!!
+                        .coresMax,
+                )
+                assertEquals(
+                    f.settings[0].teams.size,
+                    node.configuration.live
+                        .all()
+                        .size,
+                )
             }
         }
 
