--- a/src/main/kotlin/micatally/config/ChangeCodec.kt
+++ b/src/main/kotlin/micatally/config/ChangeCodec.kt
@@ -5,7 +5,7 @@
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
-import micatally.settings.Team
+import micatally.settings.TeamJson
 import micatally.wire.asObject
 import micatally.wire.asText
 import micatally.wire.listOrNull
@@ -72,7 +72,7 @@
                 put("parts", parts)
                 put("stage", stage)
             } else {
-                put("set", JsonArray(change.set.map { encode(it) }))
+                put("set", JsonArray(change.set.map { TeamJson.encode(it) }))
                 put("remove", JsonArray(change.remove.map { JsonPrimitive(it) }))
             }
         }
@@ -91,7 +91,7 @@
                 value.text("author"),
                 value.text("reason"),
                 value.long("at"),
-                (value.listOrNull("set") ?: emptyList()).map { team(it.asObject()) },
+                (value.listOrNull("set") ?: emptyList()).map { TeamJson.decode(it.asObject()) },
                 (value.listOrNull("remove") ?: emptyList()).map { it.asText() },
             ),
             (value.longOrNull("parts") ?: 0L).toInt(),
@@ -110,7 +110,7 @@
             record.author,
             record.reason,
             record.atMs,
-            parts.flatMap { part -> (part.listOrNull("set") ?: emptyList()).map { team(it.asObject()) } },
+            parts.flatMap { part -> (part.listOrNull("set") ?: emptyList()).map { TeamJson.decode(it.asObject()) } },
             parts.flatMap { part -> (part.listOrNull("remove") ?: emptyList()).map { it.asText() } },
         )
     }
@@ -120,7 +120,7 @@
         change: ChangeRecord,
         valueBytes: Int,
     ): List<JsonObject> {
-        val rows = change.set.map { "set" to encode(it) } + change.remove.map { "remove" to JsonPrimitive(it) }
+        val rows = change.set.map { "set" to TeamJson.encode(it) } + change.remove.map { "remove" to JsonPrimitive(it) }
         return packed(rows, valueBytes) { part ->
             buildJsonObject {
                 put("set", JsonArray(part.filter { it.first == "set" }.map { it.second }))
@@ -143,7 +143,7 @@
     fun entries(part: JsonObject): List<TeamEntry> =
         (part.listOrNull("entries") ?: emptyList()).map {
             val row = it.asObject()
-            TeamEntry(team(row), row.longOrNull("removed") == 1L, row.long("n"))
+            TeamEntry(TeamJson.decode(row), row.longOrNull("removed") == 1L, row.long("n"))
         }
 
     /** Fills one value after the other, with some room for what surrounds the rows. */
@@ -169,29 +169,11 @@
         return parts
     }
 
-    private fun encode(team: Team): JsonObject =
-        buildJsonObject {
-            put("name", team.name)
-            put("cpus", team.cores)
-            put("cpus_max", team.coresMax)
-            put("gpus", team.cards)
-            put("gpus_max", team.cardsMax)
-        }
-
     private fun encode(entry: TeamEntry): JsonObject {
         val isRemoved = JsonPrimitive(if (entry.isRemoved) 1 else 0)
         val more = mapOf("n" to JsonPrimitive(entry.changedAt), "removed" to isRemoved)
-        return JsonObject(encode(entry.team) + more)
+        return JsonObject(TeamJson.encode(entry.team) + more)
     }
 
-    private fun team(row: JsonObject) =
-        Team(
-            row.text("name"),
-            row.numberOrNull("cpus") ?: 0.0,
-            row.numberOrNull("cpus_max") ?: 0.0,
-            row.numberOrNull("gpus") ?: 0.0,
-            row.numberOrNull("gpus_max") ?: 0.0,
-        )
-
     private const val ENVELOPE_BYTES = 64
 }
--- a/src/main/kotlin/micatally/scale/ScenarioFile.kt
+++ b/src/main/kotlin/micatally/scale/ScenarioFile.kt
@@ -18,7 +18,7 @@
 /** Reads scenarios: TOML files, or those that come with the program. */
 object ScenarioFile {
     /** The scenarios that come with the program. */
-    val BUNDLED = listOf("target", "today", "smoke")
+    val BUNDLED = listOf("target", "failures", "today", "smoke")
 
     /** @param name a scenario that comes with the program, or a file */
     fun load(name: String): Scenario = parse(text(name))
--- a/src/main/kotlin/micatally/settings/Settings.kt
+++ b/src/main/kotlin/micatally/settings/Settings.kt
@@ -99,16 +99,8 @@
             val cloud = need(params, "cloud")
             val limits = need(params, "machine_limits")
             val teams =
-                (params.listOrNull("teams") ?: throw SettingsError("params.teams is missing")).map {
-                    val t = it.asObject()
-                    Team(
-                        t.text("name"),
-                        t.numberOrNull("cpus") ?: 0.0,
-                        t.numberOrNull("cpus_max") ?: 0.0,
-                        t.numberOrNull("gpus") ?: 0.0,
-                        t.numberOrNull("gpus_max") ?: 0.0,
-                    )
-                }
+                (params.listOrNull("teams") ?: throw SettingsError("params.teams is missing"))
+                    .map { TeamJson.decode(it.asObject()) }
             return Settings(
                 o.text("host_name"),
                 o.text("location"),
--- /dev/null
+++ b/src/main/kotlin/micatally/settings/TeamJson.kt
@@ -0,0 +1,29 @@
+package micatally.settings
+
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import micatally.wire.numberOrNull
+import micatally.wire.text
+
+/** A team as the settings file writes it, and as it is stored. */
+object TeamJson {
+    fun encode(team: Team): JsonObject =
+        buildJsonObject {
+            put("name", team.name)
+            put("cpus", team.cores)
+            put("cpus_max", team.coresMax)
+            put("gpus", team.cards)
+            put("gpus_max", team.cardsMax)
+        }
+
+    /** @throws micatally.wire.WireError if a field has the wrong type or the name is missing */
+    fun decode(row: JsonObject) =
+        Team(
+            row.text("name"),
+            row.numberOrNull("cpus") ?: 0.0,
+            row.numberOrNull("cpus_max") ?: 0.0,
+            row.numberOrNull("gpus") ?: 0.0,
+            row.numberOrNull("gpus_max") ?: 0.0,
+        )
+}
--- a/src/main/kotlin/micatally/standin/LoopbackFleet.kt
+++ b/src/main/kotlin/micatally/standin/LoopbackFleet.kt
@@ -3,7 +3,6 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.JsonArray
-import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.buildJsonArray
 import kotlinx.serialization.json.buildJsonObject
@@ -16,9 +15,9 @@
 import micatally.http.Outcome
 import micatally.http.Server
 import micatally.settings.Team
+import micatally.settings.TeamJson
 import micatally.state.StateLimits
 import micatally.wire.Flavor
-import micatally.wire.JobSpec
 import kotlin.random.Random
 
 /**
@@ -68,30 +67,6 @@
     enum class Interface { STATE, CLOUD, REPORT, ORDER, USER }
 }
 
-/** What the tasks of a fleet do and who hears of their starts and ends. */
-interface FleetTasks {
-    fun spec(ref: String): JobSpec?
-
-    /** How long a task takes without its image, in milliseconds; null: until it is stopped. */
-    fun runMs(
-        ref: String,
-        taskIndex: Int,
-    ): Long?
-
-    fun started(
-        machine: WorkerStandin,
-        ref: String,
-        taskIndex: Int,
-    )
-
-    fun left(
-        machine: WorkerStandin,
-        ref: String,
-        taskIndex: Int,
-        done: Boolean,
-    )
-}
-
 /** A fleet of stand-ins on loopback: state service, cloud and workers, each speaking the protocol over sockets.
  *
  * @param workerLoop carries workers and cloud, [stateLoop] the state service; they may be the same */
@@ -265,7 +240,7 @@
         buildJsonObject {
             put("initial_size", controllers)
             put("zones", JsonArray(plan.zones.map { JsonPrimitive(it) }))
-            put("teams", JsonArray(plan.teams.map { team(it) }))
+            put("teams", JsonArray(plan.teams.map { TeamJson.encode(it) }))
             put(
                 "workers",
                 buildJsonObject {
@@ -301,15 +276,6 @@
             put("time_bound_ms", 100)
         }
 
-    private fun team(team: Team): JsonObject =
-        buildJsonObject {
-            put("name", team.name)
-            put("cpus", team.cores)
-            put("cpus_max", team.coresMax)
-            put("gpus", team.cards)
-            put("gpus_max", team.cardsMax)
-        }
-
     private companion object {
         const val ANY_PORT = "127.0.0.1:0"
         const val MAX_BODY = 1L shl 20
--- a/src/main/kotlin/micatally/standin/WorkerStandin.kt
+++ b/src/main/kotlin/micatally/standin/WorkerStandin.kt
@@ -28,26 +28,16 @@
 import micatally.wire.textOrNull
 import kotlin.random.Random
 
-/** What tells the stand-in of a worker about jobs, and what hears of starts and ends. */
-interface WorkerWorld {
+/** What the tasks of a fleet do and who hears of their starts and ends. */
+interface FleetTasks {
     fun spec(ref: String): JobSpec?
 
-    /** How long a task takes without its image; null: until it is stopped. */
+    /** How long a task takes without its image, in milliseconds; null: until it is stopped. */
     fun runMs(
         ref: String,
         taskIndex: Int,
     ): Long?
 
-    fun completed(
-        ref: String,
-        taskIndex: Int,
-    ): Boolean
-
-    /** Whether the job was submitted with a mistake: its tasks fail on every machine. */
-    fun isBroken(ref: String): Boolean = false
-
-    val gangs: GangTable
-
     fun started(
         machine: WorkerStandin,
         ref: String,
@@ -62,6 +52,19 @@
     )
 }
 
+/** What tells the stand-in of a worker about jobs, and what hears of starts and ends. */
+interface WorkerWorld : FleetTasks {
+    fun completed(
+        ref: String,
+        taskIndex: Int,
+    ): Boolean
+
+    /** Whether the job was submitted with a mistake: its tasks fail on every machine. */
+    fun isBroken(ref: String): Boolean = false
+
+    val gangs: GangTable
+}
+
 /** A worker as the protocol page describes it. */
 class WorkerStandin(
     private val scope: CoroutineScope,
