--- a/src/test/kotlin/micatally/sim/ConfigurationTest.kt
+++ b/src/test/kotlin/micatally/sim/ConfigurationTest.kt
@@ -6,6 +6,7 @@
 import kotlinx.serialization.protobuf.ProtoBuf
 import micatally.config.ConfigurationPaths
 import micatally.config.ConfigurationWriter
+import micatally.job.AttemptState
 import micatally.ledger.Keys
 import micatally.settings.Operator
 import micatally.settings.Team
@@ -264,6 +265,28 @@
             assertEquals(15, services.sumOf { tasks(it).size })
         }
 
+    /** Node 1 starts tasks all the time within what it was allotted, and learns nothing of a limit that falls, and rises again. */
+    private fun Meeting.unawareNode(refusesRead: (Int, String) -> Boolean) {
+        val array = submit(1, "sweep", 300, "loaners" to false, "cores" to 1.0, runMs = 2500)
+        runUntil(f.lease * 4, "the node holds much of the limit") { usedCores("vision") > 40 }
+        f.refusesRead = refusesRead
+        f.runFor(200)
+        assertEquals(ChangeStatus.APPLIED, apply(0, change(1, team("vision", 20.0))).status)
+        val at = f.now
+        assertTrue("pitbox-1" in status(0, 2).missing)
+        assertFalse(status(0, 2).isInForce)
+        inForce(0, 2)
+        assertTrue(f.now - at <= f.lease, "${f.now - at} ms")
+        f.runFor(f.settings[0].reportMs)
+        f.limitsInForce["vision"] = Team("vision", 1.0, 20.0, 0.0, 20.0)
+        f.runFor(f.lease)
+        assertEquals(ChangeStatus.APPLIED, apply(2, change(2, team("vision", 60.0))).status)
+        f.limitsInForce["vision"] = Team("vision", 1.0, 60.0, 0.0, 20.0)
+        f.refusesRead = { _, _ -> false }
+        runUntil(f.lease * 12, "the array ends") { f.rules.completed[array]?.size == 300 }
+        assertEquals(emptyList<String>(), status(0, 3).missing)
+    }
+
     /**
      * Guard: no start without a recent view of the shared keys ([micatally.config.LiveConfiguration.mayStart]). The news of the
      * other controllers is proof enough for cancellations, but says nothing of teams: without the guard the node goes on
@@ -271,25 +294,67 @@
      */
     @Test
     fun `a controller that can't see the keys starts nothing beyond a limit that is in force, then raised again`() =
+        each { unawareNode { node, _ -> node == 1 } }
+
+    /** Guard: no decision while a newer version is known to exist ([micatally.config.ConfigurationPhase.BEHIND]). */
+    @Test
+    fun `a controller that can't read a change starts nothing beyond a limit that is in force, then raised again`() =
+        each { unawareNode { node, target -> node == 1 && "config" in target && "watch" !in target } }
+
+    /** A machine with room on which a task of another team runs, and a job of four tasks for it that are not to start. */
+    private fun Meeting.withMachine(test: Meeting.(machine: String) -> Unit) {
+        val other = submit(1, "daemon", 1, "loaners" to false, "crew" to "text")
+        allRun(listOf(other))
+        test(tasks(other).single().machine)
+    }
+
+    private fun Meeting.attempts(ref: String) =
+        f.live[1]!!
+            .owner
+            .job(ref)!!
+            .attempts.values
+
+    private fun Meeting.lowerTo(coresMax: Double) {
+        assertEquals(ChangeStatus.APPLIED, apply(0, change(1, team("vision", coresMax))).status)
+        inForce(0, 2, maxMs = 2000)
+        f.limitsInForce["vision"] = Team("vision", 1.0, coresMax, 0.0, 20.0)
+    }
+
+    /** Guard: what was decided and not sent is given up before a version is confirmed ([micatally.job.Owner.endUnsent]). */
+    @Test
+    fun `what waits to be sent to a busy machine is not sent after the limit has fallen`() =
         each {
-            val array = submit(1, "sweep", 300, "loaners" to false, "cores" to 1.0, runMs = 2500)
-            runUntil(f.lease * 4, "the node holds much of the limit") { usedCores("vision") > 40 }
-            f.viewRefuses.add("n1")
-            f.runFor(200)
-            assertEquals(ChangeStatus.APPLIED, apply(0, change(1, team("vision", 20.0))).status)
-            val at = f.now
-            assertTrue("pitbox-1" in status(0, 2).missing)
-            assertFalse(status(0, 2).isInForce)
-            inForce(0, 2)
-            assertTrue(f.now - at <= f.lease, "${f.now - at} ms")
-            f.runFor(f.settings[0].reportMs)
-            f.limitsInForce["vision"] = Team("vision", 1.0, 20.0, 0.0, 20.0)
-            f.runFor(f.lease)
-            assertEquals(ChangeStatus.APPLIED, apply(2, change(2, team("vision", 60.0))).status)
-            f.limitsInForce["vision"] = Team("vision", 1.0, 60.0, 0.0, 20.0)
-            f.viewRefuses.clear()
-            runUntil(f.lease * 12, "the array ends") { f.rules.completed[array]?.size == 300 }
-            assertEquals(emptyList<String>(), status(0, 3).missing)
+            withMachine { machine ->
+                f.net.heldCommandsMs[machine] = 3500
+                submit(1, "sweep", 1, "loaners" to false, "crew" to "text", runMs = 60_000)
+                val array = submit(1, "sweep", 4, "loaners" to false, runMs = 60_000)
+                runUntil(1000, "its tasks wait behind the order that is under way") {
+                    attempts(array).count { it.state == AttemptState.RECORDED && it.machine.name == machine } == 4
+                }
+                lowerTo(2.0)
+                f.net.heldCommandsMs.clear()
+                f.runFor(f.lease * 3)
+                assertTrue(usedCores("vision") <= 2.0)
+                runUntil(f.lease * 4, "it goes on within the limit") { tasks(array).size == 2 }
+            }
+        }
+
+    /** Guard: a run without an answer is not repeated for a team that is over its limit ([micatally.worker.Orders]). */
+    @Test
+    fun `a start that was lost is not repeated after the limit has fallen`() =
+        each {
+            withMachine { machine ->
+                f.net.deaf.add(machine)
+                val array = submit(1, "sweep", 4, "loaners" to false, runMs = 60_000)
+                runUntil(1000, "its runs have left") {
+                    attempts(array).count { it.state == AttemptState.ORDERED && it.machine.name == machine } == 4
+                }
+                lowerTo(2.0)
+                f.net.deaf.clear()
+                f.runFor(f.lease * 3)
+                assertTrue(usedCores("vision") <= 2.0)
+                runUntil(f.lease * 4, "it goes on within the limit") { tasks(array).size == 2 }
+            }
         }
 
     @Test
@@ -320,13 +385,13 @@
     @Test
     fun `a job of a new team is never refused on an old view`() =
         each {
-            f.viewRefuses.add("n2")
+            f.refusesRead = { node, _ -> node == 2 }
             f.runFor(100)
             assertEquals(ChangeStatus.APPLIED, apply(0, change(1, team("newcomer", 10.0))).status)
             f.limitsInForce["newcomer"] = Team("newcomer", 1.0, 10.0, 0.0, 20.0)
             val job = spec("daemon", 1, "crew" to "newcomer")
             assertEquals(503, f.asked(2, "POST", "/work", job.source.bytes()).first)
-            f.viewRefuses.clear()
+            f.refusesRead = { _, _ -> false }
             val (status, _) = f.asked(2, "POST", "/work", job.source.bytes())
             assertTrue(status == 201 || status == 503, "$status")
             runUntil(f.lease, "it is accepted") { f.asked(2, "POST", "/work", job.source.bytes()).first in 200..201 }
--- a/src/test/kotlin/micatally/sim/SimFleet.kt
+++ b/src/test/kotlin/micatally/sim/SimFleet.kt
@@ -139,8 +139,8 @@
 
     val stateRefuses = HashSet<String>()
 
-    /** Hosts that the state service refuses to show keys to, while it takes their writes. */
-    val viewRefuses = HashSet<String>()
+    /** Reads (node, target) that the state service refuses, while it takes all writes. */
+    var refusesRead: (Int, String) -> Boolean = { _, _ -> false }
 
     /** Share of transactions that get no answer and are carried out later, after newer ones; or at once. */
     var lateWrites = 0.0
@@ -324,9 +324,9 @@
                     } else {
                         null
                     }
-                val isView = addr == "state:1" && m == "GET"
+                val isRead = addr == "state:1" && m == "GET"
                 when {
-                    isView && host.name in viewRefuses -> {
+                    isRead && refusesRead(i, t) -> {
                         delay(3)
                         Outcome.Answer(503, ByteArray(0))
                     }
