--- a/src/main/kotlin/micatally/cli/Main.kt
+++ b/src/main/kotlin/micatally/cli/Main.kt
@@ -1,20 +1,6 @@
 package micatally.cli
 
-import com.google.common.util.concurrent.MoreExecutors
-import kotlinx.coroutines.CancellableContinuation
-import kotlinx.coroutines.CoroutineDispatcher
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Delay
-import kotlinx.coroutines.DisposableHandle
-import kotlinx.coroutines.InternalCoroutinesApi
-import kotlinx.coroutines.Runnable
-import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
-import micatally.http.Client
-import micatally.http.Server
-import micatally.node.Controller
 import micatally.settings.Operator
 import micatally.settings.Settings
 import micatally.settings.SettingsError
@@ -23,254 +9,153 @@
 import picocli.CommandLine
 import picocli.CommandLine.Model.CommandSpec
 import picocli.CommandLine.Model.OptionSpec
-import java.nio.channels.AsynchronousChannelGroup
+import picocli.CommandLine.ParseResult
+import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
-import java.util.concurrent.ScheduledThreadPoolExecutor
-import java.util.concurrent.TimeUnit
-import kotlin.coroutines.CoroutineContext
-import kotlin.random.Random
+import java.util.Properties
 import kotlin.system.exitProcess
 
 const val VERSION = "0.1.0"
 
-/** Runs one thing at a time, on whichever thread brings it: the one that waits for the kernel or the one that keeps the timers.
- * Handing each event to a thread of its own cost more system calls than the event itself. */
-@OptIn(InternalCoroutinesApi::class)
-private class Serial(
-    private val timers: ScheduledThreadPoolExecutor,
-) : CoroutineDispatcher(),
-    Delay {
-    private val inTurn = MoreExecutors.newSequentialExecutor(MoreExecutors.directExecutor())
+private const val OK = 0
+private const val FAILED = 1
+private const val MISUSED = 2
 
-    override fun dispatch(
-        context: CoroutineContext,
-        block: Runnable,
-    ) = inTurn.execute(block)
-
-    override fun scheduleResumeAfterDelay(
-        timeMillis: Long,
-        continuation: CancellableContinuation<Unit>,
-    ) {
-        val timer =
-            timers.schedule({
-                inTurn.execute { with(continuation) { resumeUndispatched(Unit) } }
-            }, timeMillis, TimeUnit.MILLISECONDS)
-        continuation.invokeOnCancellation { timer.cancel(false) }
-    }
-
-    override fun invokeOnTimeout(
-        timeMillis: Long,
-        block: Runnable,
-        context: CoroutineContext,
-    ): DisposableHandle {
-        val timer = timers.schedule({ inTurn.execute(block) }, timeMillis, TimeUnit.MILLISECONDS)
-        return DisposableHandle { timer.cancel(false) }
-    }
-}
-
-/** The event loop and its channel group: what one thread reads and another one times is decided in turn.
- *
- * @param name prefix of the names of both threads, so that processor time can be told apart by loop */
-class Loop(
-    val name: String = "node",
-) {
-    private val timers =
-        ScheduledThreadPoolExecutor(1) { Thread(it, "$name-timers") }.apply { removeOnCancelPolicy = true }
-    val group: AsynchronousChannelGroup =
-        AsynchronousChannelGroup.withFixedThreadPool(1) { Thread(it, "$name-io").apply { isDaemon = true } }
-    private val log = LoggerFactory.getLogger("micatally.node")
-    val scope =
-        CoroutineScope(
-            SupervisorJob() + Serial(timers) +
-                kotlinx.coroutines.CoroutineExceptionHandler {
-                    _,
-                    e,
-                    ->
-                    log.error("a task of the event loop failed", e)
-                },
-        )
-
-    fun nowMs() = System.nanoTime() / 1_000_000
-}
-
-/** Starts a controller on the loop; returns its two servers. */
-fun startController(
-    loop: Loop,
-    settings: Settings,
-    operator: Operator = Operator.DEFAULT,
-): Pair<Server, Server> {
-    val client = Client(loop.group, settings.maxSockets * 42 / 100, loop::nowMs)
-    val controller =
-        Controller(
-            loop.scope,
-            settings,
-            client,
-            Random(System.nanoTime()),
-            loop::nowMs,
-            System::currentTimeMillis,
-            operator,
-            System::nanoTime,
-        )
-    val front = Server(loop.scope, loop.group, settings.listen, settings.maxSockets / 2, 64 * 1024L, controller::handle)
-    val back =
-        Server(
-            loop.scope,
-            loop.group,
-            settings.back,
-            settings.maxSockets / 20 + 4,
-            4L * 1024 * 1024,
-            controller::handlePeer,
-        )
-    loop.scope.launch {
-        controller.start()
-        front.start()
-        back.start()
-        while (true) {
-            delay(settings.leaseMs)
-            client.sweep()
-        }
-    }
-    return front to back
-}
+/** What the arguments of a controller begin with. */
+private val CONTROLLER_OPTIONS = setOf("--config", "--properties")
+private val LOG_LEVELS = setOf("error", "info", "debug", "warn", "trace")
 
 private fun readSettings(file: String): Settings =
     try {
         Settings.parse(Files.readAllBytes(Path.of(file)))
-    } catch (e: java.io.IOException) {
+    } catch (e: IOException) {
         throw SettingsError("settings file $file can't be read")
     }
 
 private fun readOperator(file: String?): Operator {
     if (file == null) return Operator.DEFAULT
-    val p = java.util.Properties()
+    val properties = Properties()
     try {
-        Files.newBufferedReader(Path.of(file)).use { p.load(it) }
-    } catch (
-        e: java.io.IOException,
-    ) {
+        Files.newBufferedReader(Path.of(file)).use { properties.load(it) }
+    } catch (e: IOException) {
         throw SettingsError("properties file $file can't be read")
     }
-    return Operator.parse(p)
+    return Operator.parse(properties)
 }
 
-private fun serve(
-    file: String,
-    properties: String?,
-): Int {
-    val settings = readSettings(file)
-    val operator = readOperator(properties)
-    val loop = Loop()
-    startController(loop, settings, operator)
+/** Runs a controller until the process is killed. */
+private fun serve(parsed: ParseResult): Int {
+    val settings = readSettings(parsed.matchedOptionValue("--config", ""))
+    val operator = readOperator(parsed.matchedOptionValue("--properties", null as String?))
+    startController(Loop(), settings, operator)
     LoggerFactory.getLogger("micatally.node").info("{} {} listens on {}", settings.host, VERSION, settings.listen)
     Thread.currentThread().join()
-    return 0
+    return OK
 }
 
-/** Options are described to picocli in code, not by annotations: reading those costs a start more than the parsing. */
-fun main(args: Array<String>) {
-    val level =
-        System.getenv("LOG_LEVEL")?.lowercase()?.takeIf { it in setOf("error", "info", "debug", "warn", "trace") }
-            ?: "info"
-    System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level)
-    System.setProperty("org.slf4j.simpleLogger.showThreadName", "false")
-    System.setProperty("org.slf4j.simpleLogger.showLogName", "true")
-    System.setProperty("java.net.preferIPv4Stack", "true")
-    // A read that is tried at once finds nothing: requests come seconds apart, answers after a round trip.
-    System.setProperty("sun.nio.ch.disableSynchronousRead", "true")
-    val spec =
-        CommandSpec
-            .create()
-            .name("micatally")
-            .version("micatally $VERSION")
-            .mixinStandardHelpOptions(true)
-    spec.usageMessage().description("A scheduler for fleets that serve language models.")
-    spec.addOption(
-        OptionSpec
-            .builder(
-                "--config",
-            ).paramLabel(
-                "FILE",
-            ).type(String::class.java)
-            .description("the platform's settings file (JSON); starts a controller")
-            .build(),
-    )
-    val properties = {
-        OptionSpec
-            .builder(
-                "--properties",
-            ).paramLabel("FILE")
-            .type(String::class.java)
-            .description("operators' own settings (Java properties)")
-            .build()
+private fun checkConfig(parsed: ParseResult): Int {
+    readSettings(parsed.matchedOptionValue("--config", ""))
+    readOperator(parsed.matchedOptionValue("--properties", null as String?))
+    println("ok")
+    return OK
+}
+
+private fun rehearse(): Int =
+    runBlocking {
+        if (Rehearsal.run()) return@runBlocking OK
+        System.err.println("micatally: the rehearsal failed")
+        FAILED
     }
-    spec.addOption(properties())
+
+private fun fileOption(
+    name: String,
+    description: String,
+    isRequired: Boolean = false,
+): OptionSpec =
+    OptionSpec
+        .builder(name)
+        .paramLabel("FILE")
+        .type(String::class.java)
+        .required(isRequired)
+        .description(description)
+        .build()
+
+private fun propertiesOption() = fileOption("--properties", "operators' own settings (Java properties)")
+
+private fun described(
+    description: String,
+    vararg options: OptionSpec,
+): CommandSpec {
+    val spec = CommandSpec.create()
+    spec.usageMessage().description(description)
+    for (option in options) spec.addOption(option)
+    return spec
+}
+
+/** Options are described to picocli in code, not by annotations: reading those costs a start more than the parsing. For
+ * the same reason a controller's start knows nothing of the other commands. */
+private fun commandSpec(hasCommands: Boolean): CommandSpec {
+    val spec =
+        described(
+            "A scheduler for fleets that serve language models.",
+            fileOption("--config", "the platform's settings file (JSON); starts a controller"),
+            propertiesOption(),
+        ).name("micatally").version("micatally $VERSION").mixinStandardHelpOptions(true)
+    if (!hasCommands) return spec
+    val settingsFile = fileOption("--config", "the settings file to check", isRequired = true)
     spec.addSubcommand(
         "check-config",
-        CommandSpec
-            .create()
-            .addOption(
-                OptionSpec
-                    .builder(
-                        "--config",
-                    ).paramLabel("FILE")
-                    .type(String::class.java)
-                    .required(true)
-                    .description("the settings file to check")
-                    .build(),
-            ).addOption(
-                properties(),
-            ).apply { usageMessage().description("Checks a settings file and says what is wrong with it.") },
+        described("Checks a settings file and says what is wrong with it.", settingsFile, propertiesOption()),
     )
     spec.addSubcommand(
         "rehearse",
-        CommandSpec.create().apply {
-            usageMessage().description(
-                "Runs a controller against stand-ins for a few seconds, for the build's class archive.",
-            )
-        },
+        described("Runs a controller against stand-ins for a few seconds, for the build's class archive."),
     )
     spec.addSubcommand("scale", ScaleCommand.spec())
     spec.addSubcommand("config", ConfigCommand.spec())
-    val line = CommandLine(spec)
+    return spec
+}
+
+private fun carryOut(
+    line: CommandLine,
+    parsed: ParseResult,
+): Int {
+    val sub = parsed.subcommand()
+    return when (sub?.commandSpec()?.name()) {
+        "check-config" -> checkConfig(sub)
+        "rehearse" -> rehearse()
+        "scale" -> ScaleCommand.run(sub)
+        "config" -> ConfigCommand.run(sub)
+        else -> {
+            if (parsed.hasMatchedOption("--config")) return serve(parsed)
+            line.usage(System.err)
+            MISUSED
+        }
+    }
+}
+
+/** System properties that have to be set before the classes that read them are loaded. */
+private fun setSystemProperties() {
+    val level = System.getenv("LOG_LEVEL")?.lowercase()?.takeIf { it in LOG_LEVELS } ?: "info"
+    System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level)
+    System.setProperty("org.slf4j.simpleLogger.showThreadName", "false")
+    System.setProperty("org.slf4j.simpleLogger.showLogName", "true")
+    System.setProperty("java.net.preferIPv4Stack", "true")
+    // A read that is tried at once finds nothing: requests come seconds apart, answers after a round trip.
+    System.setProperty("sun.nio.ch.disableSynchronousRead", "true")
+}
+
+fun main(args: Array<String>) {
+    setSystemProperties()
+    val isController = args.firstOrNull() in CONTROLLER_OPTIONS
+    val line = CommandLine(commandSpec(hasCommands = !isController))
     line.setExecutionStrategy { parsed ->
-        CommandLine.executeHelpRequest(parsed) ?: run {
-            val sub = parsed.subcommand()
-            try {
-                when {
-                    sub != null && sub.commandSpec().name() == "check-config" -> {
-                        readSettings(sub.matchedOptionValue("--config", ""))
-                        readOperator(sub.matchedOptionValue("--properties", null as String?))
-                        println("ok")
-                        0
-                    }
-                    sub != null && sub.commandSpec().name() == "scale" -> ScaleCommand.run(sub)
-                    sub != null && sub.commandSpec().name() == "config" -> ConfigCommand.run(sub)
-                    sub != null ->
-                        runBlocking {
-                            if (Rehearsal.run()) {
-                                0
-                            } else {
-                                System.err.println("micatally: the rehearsal failed")
-                                1
-                            }
-                        }
-                    parsed.hasMatchedOption(
-                        "--config",
-                    ) ->
-                        serve(
-                            parsed.matchedOptionValue("--config", ""),
-                            parsed.matchedOptionValue("--properties", null as String?),
-                        )
-                    else -> {
-                        line.usage(System.err)
-                        2
-                    }
-                }
-            } catch (e: SettingsError) {
-                System.err.println("micatally: ${e.message}")
-                2
-            }
+        CommandLine.executeHelpRequest(parsed) ?: try {
+            carryOut(line, parsed)
+        } catch (e: SettingsError) {
+            System.err.println("micatally: ${e.message}")
+            MISUSED
         }
     }
     // An Error is nobody's to catch inside, and the loop's threads would keep a process without a main thread alive: a build
@@ -280,7 +165,7 @@
             line.execute(*args)
         } catch (e: Throwable) {
             System.err.println("micatally: $e")
-            1
+            FAILED
         },
     )
 }
--- a/src/main/kotlin/micatally/scale/Sweep.kt
+++ b/src/main/kotlin/micatally/scale/Sweep.kt
@@ -50,7 +50,11 @@
 
 /** Scales a scenario to other sizes, and fits lines through the figures of its runs. */
 object Sweep {
-    /** The same scenario at another size: jobs come in proportion to the workers. */
+    /**
+     * The same scenario at another size: jobs come in proportion to the workers.
+     *
+     * @throws ScenarioError if it is too large or too small
+     */
     fun scaled(
         scenario: Scenario,
         size: SweepSize,
@@ -61,12 +65,14 @@
             scenario.jobs.map {
                 it.copy(atStart = (it.atStart * factor).roundToInt(), perSecond = it.perSecond * factor)
             }
-        return scenario.copy(
-            controllers = size.controllers,
-            workers = scenario.workers.copy(types = types),
-            teams = scenario.teams.copy(count = size.teams),
-            jobs = jobs,
-        )
+        val scaled =
+            scenario.copy(
+                controllers = size.controllers,
+                workers = scenario.workers.copy(types = types),
+                teams = scenario.teams.copy(count = size.teams),
+                jobs = jobs,
+            )
+        return scaled.also { ScenarioCheck.check(it) }
     }
 
     /** The runs in which only [axis] differs from [base], with the base itself. */
--- a/src/test/kotlin/micatally/scale/SweepTest.kt
+++ b/src/test/kotlin/micatally/scale/SweepTest.kt
@@ -2,6 +2,7 @@
 
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertThrows
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import kotlin.math.pow
@@ -50,6 +51,7 @@
         assertEquals(60, half.teams.count)
         val rates = listOf(target, half).map { scenario -> scenario.jobs.first { it.name == "sweep" }.perSecond }
         assertEquals(rates[0] / 2, rates[1], 1e-9)
+        assertThrows(ScenarioError::class.java) { Sweep.scaled(target, SweepSize(850, 12, 60)) }
     }
 
     @Test
