A start no longer keeps the records of all former jobs in memory

Cause: a ledger's load parsed and kept the records of all jobs there ever were. Change: the list is gone through page by page; only records with something left to do are kept.

--- a/src/main/kotlin/micatally/job/LedgerRecords.kt
+++ b/src/main/kotlin/micatally/job/LedgerRecords.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.json.JsonObject
 import micatally.ledger.Keys
 import micatally.ledger.Ledger
+import micatally.state.Item
 import micatally.state.StateClient
 import micatally.state.Urgency
 
@@ -23,22 +24,48 @@
     private val state: StateClient,
 ) {
     /**
-     * All records, whoever owns them; null if they could not be read. A record's further values have its revision, since one
-     * transaction writes them. Nobody else writes records of a ledger that is held, so for those the two listings agree.
+     * The records that something may still have to be done for: those of the ledger, and withdrawn ones of others; null if
+     * they could not be read. Jobs that are over stay in the state service for good, so that there are far more of them than
+     * fit in memory: the ledger's are shown to [onSettled] as they come, and not kept.
      */
-    suspend fun of(ledger: Ledger): List<LedgerRecord>? {
-        val listing = state.list(Keys.JOB, Urgency.LEASE) ?: return null
-        val isSplit = listing.items.any { RecordPacking.overflowCount(it.value) > 0 }
+    suspend fun of(
+        ledger: Ledger,
+        onSettled: (ref: String, record: JsonObject) -> Unit,
+    ): List<LedgerRecord>? {
+        val open = ArrayList<Item>()
+        state.eachPage(Keys.JOB, Urgency.LEASE) { page ->
+            for (item in page) {
+                val isOwn = JobRecord.ledgerOf(item.value) == ledger.name
+                if (!JobRecord.isSettled(item.value)) {
+                    if (isOwn || JobRecord.state(item.value) == JobState.WITHDRAWN) open.add(item)
+                } else if (isOwn) {
+                    onSettled(refOf(item), item.value)
+                }
+            }
+        } ?: return null
+        return unpacked(open, ledger)
+    }
+
+    private fun refOf(item: Item) = item.key.removePrefix(Keys.JOB)
+
+    /**
+     * A record's further values have its revision, since one transaction writes them. Nobody else writes records of a ledger
+     * that is held, so for those the two listings agree; null if they don't.
+     */
+    private suspend fun unpacked(
+        items: List<Item>,
+        ledger: Ledger,
+    ): List<LedgerRecord>? {
+        val isSplit = items.any { RecordPacking.overflowCount(it.value) > 0 }
         val parts = if (isSplit) state.list(Keys.JOB_PART, Urgency.LEASE) ?: return null else null
         val partOf = parts?.items?.associateBy { it.key } ?: emptyMap()
-        return listing.items.map { item ->
-            val ref = item.key.removePrefix(Keys.JOB)
+        return items.map { item ->
+            val ref = refOf(item)
             val isOwn = JobRecord.ledgerOf(item.value) == ledger.name
             val overflow = (0 until RecordPacking.overflowCount(item.value)).map { partOf[Keys.jobPart(ref, it)] }
             val isWhole = overflow.all { it != null && it.mark == item.mark }
             if (!isWhole && isOwn && ref !in ledger.jobs) return null
-            val isNeeded = isOwn || JobRecord.state(item.value) == JobState.WITHDRAWN
-            val plain = if (isWhole && isNeeded) RecordPacking.unpack(item.value, overflow.map { it!!.value }) else null
+            val plain = if (isWhole) RecordPacking.unpack(item.value, overflow.map { it!!.value }) else null
             LedgerRecord(ref, item.value, plain, item.mark)
         }
     }
--- a/src/main/kotlin/micatally/job/Owner.kt
+++ b/src/main/kotlin/micatally/job/Owner.kt
@@ -160,7 +160,7 @@
     private suspend fun load(l: Ledger) {
         val began = nowMs()
         while (l.mine) {
-            val records = records.of(l)
+            val records = records.of(l) { ref, record -> settled(l, ref, record) }
             if (records == null) {
                 delay(settings.reportMs / 8)
                 continue
@@ -195,16 +195,7 @@
             )
         }
         if (JobRecord.ledgerOf(record.stored) != l.name) return
-        // Accepted here while the list was on its way; or it was accepted before, and its user has just repeated the
-        // submission here: then the record counts, or nobody would own the job.
-        val present = l.jobs[ref]
-        if (present?.durableState == JobState.NEW &&
-            JobRecord.holdOf(record.stored) != l.hold
-        ) {
-            store.drop(present)
-        } else if (present != null) {
-            return
-        }
+        if (isKnown(l, ref, record.stored)) return
         val plain = record.plain ?: return
         val job = JobRecord.decode(ref, plain, l, record.mark)
         if (JobRecord.isSettled(plain)) {
@@ -220,6 +211,29 @@
         }
     }
 
+    /** Whether the job is here already. One that was accepted here while the list was on its way is; one whose user has just
+     * repeated here what was accepted before is given up: then the record counts, or nobody would own the job. */
+    private fun isKnown(
+        l: Ledger,
+        ref: String,
+        record: JsonObject,
+    ): Boolean {
+        val present = l.jobs[ref] ?: return false
+        if (present.durableState != JobState.NEW || JobRecord.holdOf(record) == l.hold) return true
+        store.drop(present)
+        return false
+    }
+
+    /** A job of the ledger that is over, with nothing left to do. */
+    private fun settled(
+        l: Ledger,
+        ref: String,
+        record: JsonObject,
+    ) {
+        if (!l.mine || isKnown(l, ref, record)) return
+        rememberFinal(JobRecord.decode(ref, record, l, 0L).answer())
+    }
+
     private fun adoptAttempt(
         job: Job,
         placed: JobRecord.Placed,
--- a/src/main/kotlin/micatally/scale/ScaleRun.kt
+++ b/src/main/kotlin/micatally/scale/ScaleRun.kt
@@ -5,6 +5,12 @@
 import kotlinx.coroutines.withContext
 import micatally.cli.Loop
 import micatally.http.Client
+import micatally.job.Job
+import micatally.job.JobRecord
+import micatally.job.JobState
+import micatally.ledger.Holder
+import micatally.ledger.Keys
+import micatally.ledger.Ledger
 import micatally.settings.Team
 import micatally.standin.ControllerPlace
 import micatally.standin.FleetPlan
@@ -149,8 +155,31 @@
         return file.toString()
     }
 
+    /** Records of jobs that were done days ago, as controllers leave them. */
+    private fun storeFormerJobs() {
+        val taskCount = 40
+        val records =
+            (0 until scenario.storedJobs).associate { i ->
+                val spec = jobs.first().spec
+                val holder = Holder(places[i % places.size].host, "former", 1, 1)
+                val job =
+                    Job(
+                        "j-%09d".format(FORMER_JOBS + i),
+                        spec,
+                        Ledger(holder.host, holder),
+                        taskCount,
+                        0,
+                        JobState.DONE,
+                    )
+                for (task in 0 until taskCount) job.markDone(task)
+                Keys.job(job.ref) to JobRecord.encode(job)
+            }
+        fleet.state.preload(records)
+    }
+
     /** Runs the scenario to its end, or to the first broken rule. */
     fun run(): ScaleReport {
+        storeFormerJobs()
         fleet.controllers = places.associate { it.host to it.listen }
         for (controller in controllers) controller.start()
         startWorkers()
@@ -252,6 +281,9 @@
         const val STEP_MS = 250L
         const val LINE_SECONDS = 5L
         const val HEALTHY_SECONDS = 60L
+
+        /** Jobs of earlier days have numbers of their own. */
+        const val FORMER_JOBS = 500_000_000
         const val FRONT_PORT = 8080
         const val BACK_PORT = 8081
         const val LIST_LAG_MS = 2000L
--- a/src/main/kotlin/micatally/scale/Scenario.kt
+++ b/src/main/kotlin/micatally/scale/Scenario.kt
@@ -13,6 +13,7 @@
  * @property seed the same seed gives the same load
  * @property seconds length of the measured part
  * @property warmupSeconds load before the measurement begins
+ * @property storedJobs jobs of earlier days that the state service holds from the start, all done
  * @property drainSeconds how long accepted work may take to end after the last submission
  */
 @Serializable
@@ -21,6 +22,7 @@
     val seconds: Int,
     val warmupSeconds: Int,
     val drainSeconds: Int = 120,
+    val storedJobs: Int = 0,
     val controllers: Int,
     val zones: List<String>,
     val workers: WorkerPlan,
--- a/src/main/kotlin/micatally/scale/ScenarioFile.kt
+++ b/src/main/kotlin/micatally/scale/ScenarioFile.kt
@@ -96,6 +96,7 @@
         require(scenario.warmupSeconds in 0..MOST_SECONDS) { "warmupSeconds must be from 0 to $MOST_SECONDS" }
         require(scenario.drainSeconds in 0..MOST_SECONDS) { "drainSeconds must be from 0 to $MOST_SECONDS" }
         require(scenario.controllers in 1..MOST_CONTROLLERS) { "controllers must be from 1 to $MOST_CONTROLLERS" }
+        require(scenario.storedJobs in 0..MOST_STORED_JOBS) { "storedJobs must be from 0 to $MOST_STORED_JOBS" }
         require(scenario.zones.isNotEmpty()) { "zones must not be empty" }
         require(scenario.workerCount in 1..MOST_WORKERS) { "workers must be from 1 to $MOST_WORKERS in all" }
         require(scenario.teams.count in 1..MOST_TEAMS) { "teams.count must be from 1 to $MOST_TEAMS" }
@@ -149,4 +150,5 @@
     private const val MOST_CONTROLLERS = 11
     private const val MOST_WORKERS = 2000
     private const val MOST_TEAMS = 1000
+    private const val MOST_STORED_JOBS = 1_000_000
 }
--- a/src/main/kotlin/micatally/standin/StateStandin.kt
+++ b/src/main/kotlin/micatally/standin/StateStandin.kt
@@ -124,6 +124,12 @@
 
     fun value(key: String) = keys[key]?.value
 
+    /** Keys that are there from the start, under one revision. */
+    fun preload(values: Map<String, JsonObject>) {
+        revision++
+        for ((key, value) in values) keys[key] = Entry(value, revision, null)
+    }
+
     fun keysUnder(prefix: String) = keys.keys.filter { it.startsWith(prefix) }
 
     fun expire() {
--- a/src/main/kotlin/micatally/state/StateClient.kt
+++ b/src/main/kotlin/micatally/state/StateClient.kt
@@ -155,8 +155,8 @@
 
     private fun item(o: JsonObject) = Item(o.text("k"), o.child("value") ?: EMPTY_OBJECT, o.long("mark"))
 
-    /** All keys under [prefix], page by page, or null when a page could not be had. The revision is that of the
-     * first page, so that a watch from there misses nothing.
+    /** All keys under [prefix], or null when a page could not be had. The revision is that of the first page, so that a watch
+     * from there misses nothing.
      *
      * @param after only keys behind this one */
     suspend fun list(
@@ -166,6 +166,19 @@
         after: String? = null,
     ): Listing? {
         val items = ArrayList<Item>()
+        val revision = eachPage(prefix, urgency, pageSize, after) { items.addAll(it) } ?: return null
+        return Listing(items, revision)
+    }
+
+    /** Shows [visit] all keys under [prefix] a page at a time, so that no more than a page is held; returns the revision of
+     * the first page, or null when a page could not be had. */
+    suspend fun eachPage(
+        prefix: String,
+        urgency: Urgency,
+        pageSize: Int = 500,
+        after: String? = null,
+        visit: (List<Item>) -> Unit,
+    ): Long? {
         var since: String? = after
         var revision = -1L
         while (true) {
@@ -175,8 +188,8 @@
             val o = parseObject(out.body)
             if (revision < 0) revision = o.long("odometer")
             val page = (o.listOrNull("items") ?: emptyList()).map { item(it.asObject()) }
-            items.addAll(page)
-            if (o["more"]?.toString() != "true" || page.isEmpty()) return Listing(items, revision)
+            visit(page)
+            if (o["more"]?.toString() != "true" || page.isEmpty()) return revision
             since = page.last().key
         }
     }
