--- a/src/main/kotlin/micatally/standin/StateStandin.kt
+++ b/src/main/kotlin/micatally/standin/StateStandin.kt
@@ -308,7 +308,10 @@
                     },
                     since == null || since < prefix,
                 ).entries
+                .asSequence()
                 .takeWhile { it.key.startsWith(prefix) }
+                .take(page + 1)
+                .toList()
         return json(
             200,
             buildJsonObject {
