--- a/src/main/kotlin/micatally/scale/Users.kt
+++ b/src/main/kotlin/micatally/scale/Users.kt
@@ -75,6 +75,7 @@
         val ref = job.spec.ref
         val pollMs = (plan.pollSeconds * 1000).toLong()
         var nextPollMs = nowMs() + random.nextLong(pollMs)
+        var isCompletionSeen = false
         val spreadMs = random.nextLong(END_SPREAD_MS)
         var endingSinceMs: Long? = null
         while (!history.isFinal(ref)) {
@@ -84,9 +85,15 @@
             val isDueByEnd = job.spec.isService && endingSinceMs != null && nowMs() - endingSinceMs >= spreadMs
             when {
                 isDueByPlan || isDueByEnd -> cancel(ref)
-                history.completedAtMs(ref) != null || nowMs() >= nextPollMs -> {
+                // Asked at once, so that the time to `done` is seen, then once a second: more would be a load of its own.
+                !isCompletionSeen && history.completedAtMs(ref) != null -> {
+                    isCompletionSeen = true
                     poll(ref)
-                    nextPollMs = nowMs() + pollMs
+                    nextPollMs = nowMs() + COMPLETED_POLL_MS
+                }
+                nowMs() >= nextPollMs -> {
+                    poll(ref)
+                    nextPollMs = nowMs() + if (isCompletionSeen) COMPLETED_POLL_MS else pollMs
                 }
             }
         }
@@ -145,6 +152,7 @@
         const val POLL_TIMEOUT_MS = 2000L
         const val RETRY_MS = 1000L
         const val STEP_MS = 150L
+        const val COMPLETED_POLL_MS = 1000L
 
         /** Over so long the services are cancelled at the end. */
         const val END_SPREAD_MS = 20_000L
