Clean-up on rereading: a scale run ends its loops; conversions, bounds and loops that stood twice stand once

The bound for starts is one setting, a team and its message convert in one place, a change is followed by one loop.

--- a/src/main/kotlin/micatally/cli/Loop.kt
+++ b/src/main/kotlin/micatally/cli/Loop.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.InternalCoroutinesApi
 import kotlinx.coroutines.Runnable
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
 import org.slf4j.LoggerFactory
 import java.nio.channels.AsynchronousChannelGroup
 import java.util.concurrent.ScheduledThreadPoolExecutor
@@ -56,7 +57,7 @@
  * @param name prefix of the names of both threads, so that processor time can be told apart by loop */
 class Loop(
     val name: String = "node",
-) {
+) : AutoCloseable {
     private val timers =
         ScheduledThreadPoolExecutor(1) { Thread(it, "$name-timers") }.apply { removeOnCancelPolicy = true }
     val group: AsynchronousChannelGroup =
@@ -66,4 +67,11 @@
     val scope = CoroutineScope(SupervisorJob() + Serial(timers) + onFailure)
 
     fun nowMs() = System.nanoTime() / 1_000_000
+
+    /** Ends all that runs on the loop, closes its channels and lets its threads go. */
+    override fun close() {
+        scope.cancel()
+        group.shutdownNow()
+        timers.shutdownNow()
+    }
 }
--- a/src/main/kotlin/micatally/config/ChangeCheck.kt
+++ b/src/main/kotlin/micatally/config/ChangeCheck.kt
@@ -13,12 +13,8 @@
         present: Configuration,
     ): List<LineError> {
         val errors = ArrayList<LineError>()
-        if (!NAME.matches(
-                change.id,
-            )
-        ) {
-            errors.add(LineError("", "the change has no id, or one with other signs than a name"))
-        }
+        val hasId = NAME.matches(change.id)
+        if (!hasId) errors.add(LineError("", "the change has no id, or one with other signs than a name"))
         if (change.author.isBlank()) errors.add(LineError("", "author is missing"))
         if (change.reason.isBlank()) errors.add(LineError("", "reason is missing"))
         if (change.author.length > MOST_TEXT) errors.add(LineError("", "author is longer than $MOST_TEXT characters"))
--- a/src/main/kotlin/micatally/config/Configuration.kt
+++ b/src/main/kotlin/micatally/config/Configuration.kt
@@ -3,6 +3,7 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import micatally.settings.Team
+import micatally.wire.TeamSetting
 
 /**
  * What a team was changed to last. A removed team keeps its last values: work that it had still counts against them
@@ -67,6 +68,10 @@
     }
 }
 
+fun Team.toSetting() = TeamSetting(name, cores, coresMax, cards, cardsMax)
+
+fun TeamSetting.toTeam() = Team(name, cores, coresMax, cards, cardsMax)
+
 /**
  * One change as it is stored.
  *
--- a/src/main/kotlin/micatally/config/ConfigurationApi.kt
+++ b/src/main/kotlin/micatally/config/ConfigurationApi.kt
@@ -10,7 +10,6 @@
 import micatally.http.Outcome
 import micatally.settings.Peer
 import micatally.settings.Settings
-import micatally.settings.Team
 import micatally.wire.AppliedVersion
 import micatally.wire.ChangeAnswer
 import micatally.wire.ChangeStatus
@@ -22,7 +21,6 @@
 import micatally.wire.LineError
 import micatally.wire.RollbackRequest
 import micatally.wire.StatusRequest
-import micatally.wire.TeamSetting
 
 /** What operators and other controllers ask about the configuration, on the address for controllers. */
 class ConfigurationApi(
@@ -53,11 +51,9 @@
 
     private suspend fun view(): ConfigurationView {
         live.refresh()
-        return ConfigurationView(live.isOn, live.configuration.version, live.all().map { setting(it) })
+        return ConfigurationView(live.isOn, live.configuration.version, live.all().map { it.toSetting() })
     }
 
-    private fun setting(team: Team) = TeamSetting(team.name, team.cores, team.coresMax, team.cards, team.cardsMax)
-
     private fun applied() = AppliedVersion(settings.host, if (live.isOn) live.configuration.version else 0L)
 
     private suspend fun history(): HistoryAnswer {
@@ -90,7 +86,7 @@
                 base = present.version,
                 author = request.author,
                 reason = request.reason,
-                set = former.teams.map { setting(it) }.filter { it != present.team(it.name)?.let(::setting) },
+                set = former.teams.map { it.toSetting() }.filter { it != present.team(it.name)?.toSetting() },
                 remove = present.teams.map { it.name }.filter { former.team(it) == null },
             )
         return writer.apply(change)
@@ -124,7 +120,7 @@
 
     /** How long a controller that lacks the version may still start something; the drift of both clocks included. */
     private fun timeLeftMs(version: Long): Long {
-        val boundMs = LiveConfiguration.startBoundMs(settings) * (1 + MOST_DRIFT * 2)
+        val boundMs = settings.startBoundMs * (1 + MOST_DRIFT * 2)
         val seenAtMs = live.appliedAtMs(version) ?: return boundMs.toLong()
         return maxOf(0L, (seenAtMs + boundMs - nowMs()).toLong())
     }
--- a/src/main/kotlin/micatally/config/ConfigurationStore.kt
+++ b/src/main/kotlin/micatally/config/ConfigurationStore.kt
@@ -60,10 +60,14 @@
         return Configuration.of(version, items.flatMap { ChangeCodec.entries(it.value) })
     }
 
-    /** [from] with all later changes; null if they can't be read now or are not there any more. */
-    suspend fun follow(from: Configuration): Configuration? {
+    /** [from] with all later changes up to [last]; null if they can't be read now or are not there any more. */
+    suspend fun follow(
+        from: Configuration,
+        last: Long = Long.MAX_VALUE,
+    ): Configuration? {
         var configuration = from
         for (change in changesAfter(from.version) ?: return null) {
+            if (configuration.version == last) break
             if (change.record.version != configuration.version + 1) return null
             configuration = configuration.with(whole(change) ?: return null)
         }
@@ -76,13 +80,7 @@
         head: ConfigurationHead,
     ): Configuration? {
         val start = startBefore(version, head) ?: return null
-        var configuration = start
-        for (change in changesAfter(start.version) ?: return null) {
-            if (configuration.version == version) break
-            if (change.record.version != configuration.version + 1) return null
-            configuration = configuration.with(whole(change) ?: return null)
-        }
-        return configuration.takeIf { it.version == version }
+        return follow(start, last = version)?.takeIf { it.version == version }
     }
 
     private suspend fun startBefore(
--- a/src/main/kotlin/micatally/config/ConfigurationWriter.kt
+++ b/src/main/kotlin/micatally/config/ConfigurationWriter.kt
@@ -9,7 +9,6 @@
 import micatally.ledger.Cluster
 import micatally.ledger.Keys
 import micatally.settings.Settings
-import micatally.settings.Team
 import micatally.state.Condition
 import micatally.state.Put
 import micatally.state.StateClient
@@ -133,7 +132,7 @@
         var bytes = 0
         while (waiting.isNotEmpty() && bytes < settings.valueBytes / 2 - ENVELOPE_BYTES) {
             val pending = waiting.removeFirst()
-            if (pending.isGivenUp && !pending.hasLeft) continue
+            if (pending.isGivenUp) continue
             val known = working.versionOf(pending.change.id)
             val answer =
                 known?.let { ChangeAnswer(ChangeStatus.APPLIED, it) } ?: refusal(pending.change, working)
@@ -163,7 +162,7 @@
         change.author,
         change.reason,
         wallMs(),
-        change.set.map { Team(it.name, it.cores, it.coresMax, it.cards, it.cardsMax) },
+        change.set.map { it.toTeam() },
         change.remove,
     )
 
--- a/src/main/kotlin/micatally/config/LiveConfiguration.kt
+++ b/src/main/kotlin/micatally/config/LiveConfiguration.kt
@@ -114,7 +114,7 @@
      */
     fun mayStart(viewAgeMs: Long): Boolean {
         if (!isOn && !mayBeOn()) return true
-        return isCurrent && viewAgeMs < startBoundMs(settings)
+        return isCurrent && viewAgeMs < settings.startBoundMs
     }
 
     override suspend fun refresh(): Boolean {
@@ -143,8 +143,5 @@
         private const val REFRESHES_A_LEASE = 10
         private const val STEP_MS = 10L
         private const val MOST_TIMES = 1000
-
-        /** For how long after its last contact a controller may start tasks, on its own clock, in milliseconds. */
-        fun startBoundMs(settings: Settings) = settings.withdrawalDelayMs * 9 / 10
     }
 }
--- a/src/main/kotlin/micatally/ledger/Membership.kt
+++ b/src/main/kotlin/micatally/ledger/Membership.kt
@@ -79,7 +79,7 @@
 
     /** Whether a task may be started now. A cancellation that this node has neither seen nor confirmed was published after it
      * last knew of all, and is told [Settings.withdrawalDelayMs] after that at the earliest: until then no start comes after it. */
-    val mayStart get() = nowMs() - toldAt < settings.withdrawalDelayMs * 9 / 10 && startGate()
+    val mayStart get() = nowMs() - toldAt < settings.startBoundMs && startGate()
 
     val viewAgeMs get() = nowMs() - viewProvenAt
 
--- a/src/main/kotlin/micatally/scale/ConfigurationLoad.kt
+++ b/src/main/kotlin/micatally/scale/ConfigurationLoad.kt
@@ -5,12 +5,12 @@
 import kotlinx.coroutines.launch
 import micatally.config.ConfigurationClient
 import micatally.config.NoAnswer
+import micatally.config.toSetting
 import micatally.http.HttpCaller
 import micatally.settings.Team
 import micatally.wire.ChangeStatus
 import micatally.wire.ConfigurationChange
 import micatally.wire.ConfigurationStatus
-import micatally.wire.TeamSetting
 import kotlin.random.Random
 
 /**
@@ -85,7 +85,7 @@
         val lowered = Team(team.name, team.cores, team.coresMax * LOWERED, team.cards, team.cardsMax)
         val wanted = if (presentOf(team.name).coresMax < team.coresMax) team else lowered
         val sentAtMs = nowMs()
-        val setting = TeamSetting(wanted.name, wanted.cores, wanted.coresMax, wanted.cards, wanted.cardsMax)
+        val setting = wanted.toSetting()
         val id = "scale-${changes++}"
         while (nowMs() - sentAtMs < GIVE_UP_MS) {
             val client = clients.random(random)
--- a/src/main/kotlin/micatally/scale/Measurement.kt
+++ b/src/main/kotlin/micatally/scale/Measurement.kt
@@ -137,23 +137,23 @@
         StoredFigures(prefix, stored[prefix]?.count ?: 0, stored[prefix]?.bytes ?: 0, changes / seconds)
     }
 
-    /** The seconds that the effort lines of all controllers tell of, as seconds of one controller. */
-    private fun toldSeconds(efforts: EffortLines) = maxOf(1, efforts.count) * leaseMs / 1000.0
+    /** What makes sums over the lines of all controllers rates of all of them together: each line tells of about one lease
+     * of one controller. */
+    private fun perSecond(efforts: EffortLines) = controllers.size / (maxOf(1, efforts.count) * leaseMs / 1000.0)
 
-    /** The rates of all controllers together: each line tells of one of them. */
     private fun workFigures(efforts: EffortLines) =
         efforts.work.map { (kind, figures) ->
-            val factor = controllers.size / toldSeconds(efforts)
+            val factor = perSecond(efforts)
             WorkShare(kind, figures.count * factor, figures.totalMs / 1000.0 * factor, figures.longestMs)
         }
 
     private fun writeFigures(efforts: EffortLines) =
         efforts.writes.map { (urgency, figures) ->
-            WriteFigures(urgency, figures.count * controllers.size / toldSeconds(efforts), figures.longestMs)
+            WriteFigures(urgency, figures.count * perSecond(efforts), figures.longestMs)
         }
 
     private fun peerFigures(efforts: EffortLines): PeerFigures {
-        val factor = controllers.size / toldSeconds(efforts)
+        val factor = perSecond(efforts)
         return PeerFigures(
             (efforts.work["news"]?.count ?: 0L) * factor,
             efforts.newsBytesReceived * factor,
--- a/src/main/kotlin/micatally/scale/ScaleRun.kt
+++ b/src/main/kotlin/micatally/scale/ScaleRun.kt
@@ -236,38 +236,42 @@
         phase: String,
         seconds: Int,
     ) {
-        val untilNs = System.nanoTime() + seconds * NS
-        var nextLineNs = 0L
-        while (System.nanoTime() < untilNs && violation == null) {
-            Thread.sleep(STEP_MS)
-            history.check()
-            if (System.nanoTime() < nextLineNs) continue
-            nextLineNs = System.nanoTime() + LINE_SECONDS * NS
-            val left = (untilNs - System.nanoTime()) / NS
-            progress.line(
-                "$phase, $left s left: ${fleet.cloud.count()} workers, ${balancer.healthyCount} of " +
-                    "${controllers.size} controllers healthy, ${history.acceptedCount} jobs accepted, " +
-                    "${history.tasksRunning} tasks running, ${history.starts} starts",
-            )
+        watch(seconds, { true }) { left ->
+            "$phase, $left s left: ${fleet.cloud.count()} workers, ${balancer.healthyCount} of " +
+                "${controllers.size} controllers healthy, ${history.acceptedCount} jobs accepted, " +
+                "${history.tasksRunning} tasks running, ${history.starts} starts"
         }
     }
 
     /** Waits until what was accepted has ended. */
     private fun drain() {
-        val untilNs = System.nanoTime() + scenario.drainSeconds * NS
+        watch(scenario.drainSeconds, { history.openJobs.isNotEmpty() }) {
+            "ending: ${history.openJobs.size} jobs are left, ${history.tasksRunning} tasks running"
+        }
+        if (violation == null) history.checkAllEnded()
+    }
+
+    /** Checks the rules for so long, or until one is broken or [goesOn] is false; [line] gets the seconds that are left. */
+    private fun watch(
+        seconds: Int,
+        goesOn: () -> Boolean,
+        line: (left: Long) -> String,
+    ) {
+        val untilNs = System.nanoTime() + seconds * NS
         var nextLineNs = 0L
-        while (System.nanoTime() < untilNs && violation == null && history.openJobs.isNotEmpty()) {
+        while (System.nanoTime() < untilNs && violation == null && goesOn()) {
             Thread.sleep(STEP_MS)
             history.check()
             if (System.nanoTime() < nextLineNs) continue
             nextLineNs = System.nanoTime() + LINE_SECONDS * NS
-            progress.line("ending: ${history.openJobs.size} jobs are left, ${history.tasksRunning} tasks running")
+            progress.line(line((untilNs - System.nanoTime()) / NS))
         }
-        if (violation == null) history.checkAllEnded()
     }
 
-    /** Ends every controller by its own id; may be called from any thread, also while the run goes on. */
+    /** Ends the load and every controller, by its own id; may be called from any thread, also while the run goes on. The
+     * loops go first: they carry failures that start controllers again, and the fleet would go on beside the next run. */
     override fun close() {
+        for (loop in loops) loop.close()
         for (controller in controllers) controller.kill()
         if (violation == null) directory.toFile().deleteRecursively()
     }
--- a/src/main/kotlin/micatally/settings/Settings.kt
+++ b/src/main/kotlin/micatally/settings/Settings.kt
@@ -69,6 +69,9 @@
     /** How long a cancellation that some controller has not confirmed lies in the state service before its user is told. */
     val withdrawalDelayMs get() = leaseMs
 
+    /** For how long after its last contact a controller may start tasks, on its own clock. */
+    val startBoundMs get() = withdrawalDelayMs * 9 / 10
+
     /** For how long a node may answer reports after its last proof of contact with the state service. What it has not heard of
      * by then is told [withdrawalDelayMs] later at the earliest; from there the worker's lease and a margin of a tenth of it fit in
      * the time that a cancellation has. */
