--- a/src/main/kotlin/micatally/cli/Main.kt
+++ b/src/main/kotlin/micatally/cli/Main.kt
@@ -69,16 +69,16 @@
     }
 }
 
-/** The event loop and its channel group: what one thread reads and another one times is decided in turn. */
-class Loop {
-    private val timers = ScheduledThreadPoolExecutor(1) { Thread(it, "timers") }.apply { removeOnCancelPolicy = true }
+/** The event loop and its channel group: what one thread reads and another one times is decided in turn.
+ *
+ * @param name prefix of the names of both threads, so that processor time can be told apart by loop */
+class Loop(
+    val name: String = "node",
+) {
+    private val timers =
+        ScheduledThreadPoolExecutor(1) { Thread(it, "$name-timers") }.apply { removeOnCancelPolicy = true }
     val group: AsynchronousChannelGroup =
-        AsynchronousChannelGroup.withFixedThreadPool(1) {
-            Thread(it, "io").apply {
-                isDaemon =
-                    true
-            }
-        }
+        AsynchronousChannelGroup.withFixedThreadPool(1) { Thread(it, "$name-io").apply { isDaemon = true } }
     private val log = LoggerFactory.getLogger("micatally.node")
     val scope =
         CoroutineScope(
@@ -230,6 +230,7 @@
             )
         },
     )
+    spec.addSubcommand("scale", ScaleCommand.spec())
     val line = CommandLine(spec)
     line.setExecutionStrategy { parsed ->
         CommandLine.executeHelpRequest(parsed) ?: run {
@@ -242,6 +243,7 @@
                         println("ok")
                         0
                     }
+                    sub != null && sub.commandSpec().name() == "scale" -> ScaleCommand.run(sub)
                     sub != null ->
                         runBlocking {
                             if (Rehearsal.run()) {
--- /dev/null
+++ b/src/main/kotlin/micatally/cli/ScaleCommand.kt
@@ -0,0 +1,217 @@
+package micatally.cli
+
+import kotlinx.serialization.json.Json
+import micatally.scale.Deployment
+import micatally.scale.MachineLimits
+import micatally.scale.NotEnough
+import micatally.scale.ReportTable
+import micatally.scale.RunFailed
+import micatally.scale.ScaleReport
+import micatally.scale.ScaleRun
+import micatally.scale.Scenario
+import micatally.scale.ScenarioError
+import micatally.scale.ScenarioFile
+import micatally.scale.Sweep
+import micatally.scale.SweepAxis
+import micatally.scale.SweepReport
+import micatally.scale.SweepSize
+import picocli.CommandLine.Model.CommandSpec
+import picocli.CommandLine.Model.OptionSpec
+import picocli.CommandLine.Model.PositionalParamSpec
+import picocli.CommandLine.ParseResult
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** `micatally scale run` and `micatally scale sweep`: our own load on controllers as processes, on loopback. */
+object ScaleCommand {
+    private const val OK = 0
+    private const val BROKEN = 1
+    private const val REFUSED = 2
+    private val JSON = Json { prettyPrint = true }
+
+    /** Machines without tasks stay, so that a run keeps the number of workers it was asked for. */
+    private val KEEP_WORKERS = listOf("fleet.idle-boots=100", "fleet.headroom=1")
+
+    fun spec(): CommandSpec {
+        val spec = CommandSpec.create()
+        spec.usageMessage().description("Runs controllers under load against stand-ins on loopback, and measures them.")
+        spec.addSubcommand("run", runSpec())
+        spec.addSubcommand("sweep", sweepSpec())
+        return spec
+    }
+
+    private fun runSpec(): CommandSpec {
+        val spec = common("Runs one scenario.")
+        spec.addOption(number("--workers", "workers; the load is scaled with them"))
+        spec.addOption(number("--controllers", "controllers, 1 to 11"))
+        spec.addOption(number("--teams", "teams"))
+        return spec
+    }
+
+    private fun sweepSpec(): CommandSpec {
+        val spec = common("Runs a scenario at several sizes and fits lines through the figures.")
+        spec.addOption(list("--workers", "sizes along the first axis, the base in front"))
+        spec.addOption(list("--controllers", "sizes along the second axis, the base in front"))
+        spec.addOption(list("--teams", "sizes along the third axis, the base in front"))
+        return spec
+    }
+
+    private fun common(description: String): CommandSpec {
+        val spec = CommandSpec.create()
+        spec.usageMessage().description(description)
+        spec.addPositional(
+            PositionalParamSpec
+                .builder()
+                .paramLabel("SCENARIO")
+                .type(String::class.java)
+                .required(true)
+                .description("${ScenarioFile.BUNDLED.joinToString(", ")}, or a TOML file")
+                .build(),
+        )
+        spec.addOption(number("--seconds", "length of the measured part"))
+        spec.addOption(number("--seed", "of the load"))
+        spec.addOption(text("--deploy", "deploy file that says how a controller is started", "deploy/service.toml"))
+        spec.addOption(text("--report", "file for all figures (JSON)", null))
+        return spec
+    }
+
+    private fun number(
+        name: String,
+        description: String,
+    ) = OptionSpec
+        .builder(name)
+        .paramLabel("N")
+        .type(Int::class.javaObjectType)
+        .description(description)
+        .build()
+
+    private fun list(
+        name: String,
+        description: String,
+    ) = OptionSpec
+        .builder(name)
+        .paramLabel("N")
+        .type(List::class.java)
+        .auxiliaryTypes(Int::class.javaObjectType)
+        .splitRegex(",")
+        .description(description)
+        .build()
+
+    private fun text(
+        name: String,
+        description: String,
+        default: String?,
+    ): OptionSpec {
+        val builder =
+            OptionSpec
+                .builder(name)
+                .paramLabel("FILE")
+                .type(String::class.java)
+                .description(description)
+        if (default != null) builder.defaultValue(default)
+        return builder.build()
+    }
+
+    /** @return the exit code */
+    fun run(parsed: ParseResult): Int {
+        val sub = parsed.subcommand() ?: return usage(parsed)
+        return try {
+            if (sub.commandSpec().name() == "sweep") sweep(sub) else runOnce(sub)
+        } catch (e: ScenarioError) {
+            refuse(e)
+        } catch (e: NotEnough) {
+            refuse(e)
+        } catch (e: RunFailed) {
+            System.err.println("micatally: ${e.message}")
+            BROKEN
+        }
+    }
+
+    private fun usage(parsed: ParseResult): Int {
+        parsed.commandSpec().commandLine().usage(System.err)
+        return REFUSED
+    }
+
+    private fun refuse(e: Exception): Int {
+        System.err.println("micatally: ${e.message}")
+        return REFUSED
+    }
+
+    private fun scenario(parsed: ParseResult): Scenario {
+        val base = ScenarioFile.load(parsed.matchedPositionalValue(0, ""))
+        return base.copy(
+            seconds = parsed.matchedOptionValue("--seconds", base.seconds),
+            seed = parsed.matchedOptionValue("--seed", base.seed),
+        )
+    }
+
+    private fun runOnce(parsed: ParseResult): Int {
+        val base = scenario(parsed)
+        val size =
+            SweepSize(
+                parsed.matchedOptionValue("--workers", base.workerCount),
+                parsed.matchedOptionValue("--controllers", base.controllers),
+                parsed.matchedOptionValue("--teams", base.teams.count),
+            )
+        val report = carryOut(Sweep.scaled(base, size), parsed) ?: return BROKEN
+        save(parsed, JSON.encodeToString(ScaleReport.serializer(), report))
+        println(ReportTable.of(report))
+        return OK
+    }
+
+    private fun sweep(parsed: ParseResult): Int {
+        val base = scenario(parsed)
+        val workers = parsed.matchedOptionValue("--workers", listOf(base.workerCount))
+        val controllers = parsed.matchedOptionValue("--controllers", listOf(base.controllers))
+        val teams = parsed.matchedOptionValue("--teams", listOf(base.teams.count))
+        val first = SweepSize(workers.first(), controllers.first(), teams.first())
+        val sizes =
+            workers.map { first.copy(workers = it) } + controllers.map { first.copy(controllers = it) } +
+                teams.map { first.copy(teams = it) }
+        val reports = LinkedHashMap<SweepSize, ScaleReport>()
+        for (size in sizes.distinct()) {
+            System.err.println("$size")
+            reports[size] = carryOut(Sweep.scaled(base, size), parsed) ?: return BROKEN
+        }
+        val slopes = SweepAxis.entries.flatMap { Sweep.fit(reports, first, it) }
+        val report = SweepReport(reports.values.toList(), slopes)
+        save(parsed, JSON.encodeToString(SweepReport.serializer(), report))
+        println(Sweep.table(report))
+        return OK
+    }
+
+    /** Null when a rule was broken; what is known of it is printed. */
+    private fun carryOut(
+        scenario: Scenario,
+        parsed: ParseResult,
+    ): ScaleReport? {
+        MachineLimits.check(scenario)
+        val properties = Files.createTempFile("micatally-scale", ".properties")
+        Files.write(properties, KEEP_WORKERS)
+        val deploy = Path.of(parsed.matchedOptionValue("--deploy", "deploy/service.toml"))
+        val command = Deployment.command(deploy, listOf("--properties", properties.toString()))
+        val run = ScaleRun(parsed.matchedPositionalValue(0, ""), scenario, command) { System.err.println(it) }
+        val hook = Thread { run.close() }
+        Runtime.getRuntime().addShutdownHook(hook)
+        try {
+            val report = run.run()
+            val violation = run.violation ?: return report
+            System.err.println("micatally: broken rule: ${violation.violation.message}")
+            violation.history.forEach { System.err.println("  $it") }
+            System.err.println("micatally: logs of the controllers are in ${run.logDirectory}")
+            return null
+        } finally {
+            run.close()
+            Files.deleteIfExists(properties)
+            Runtime.getRuntime().removeShutdownHook(hook)
+        }
+    }
+
+    private fun save(
+        parsed: ParseResult,
+        json: String,
+    ) {
+        val file = parsed.matchedOptionValue("--report", null as String?) ?: return
+        Files.writeString(Path.of(file), json + "\n")
+    }
+}
--- a/src/main/kotlin/micatally/node/Controller.kt
+++ b/src/main/kotlin/micatally/node/Controller.kt
@@ -263,7 +263,8 @@
             ) {
                 effortAt = now
                 effort.tell(
-                    " machines=${machines.byName.size} waiting=${rounds.unplaced.size} writes=${writeBudget.tell()} requests=${requestBudget.tell()}",
+                    " machines=${machines.byName.size} waiting=${rounds.unplaced.size} ${effort.news()} " +
+                        "writes=${writeBudget.tell()} requests=${requestBudget.tell()}",
                 )
             }
             if (round % 8 == 0) askForEnds(now)
@@ -332,7 +333,10 @@
         val bytes =
             try {
                 when (r.path) {
-                    Peers.NEWS -> effort.of(Effort.Kind.NEWS) { peers.takeNews(r.body) }
+                    Peers.NEWS ->
+                        effort.of(Effort.Kind.NEWS) { peers.takeNews(r.body) }.also {
+                            effort.newsTaken(r.body.size, it.size)
+                        }
                     Peers.KILLS -> peers.takeKills(r.body)
                     Peers.QUERY ->
                         ProtoBuf.encodeToByteArray(
--- a/src/main/kotlin/micatally/node/Effort.kt
+++ b/src/main/kotlin/micatally/node/Effort.kt
@@ -47,6 +47,25 @@
         }
     }
 
+    private var newsReceived = 0L
+    private var newsAnswered = 0L
+
+    /** Bytes of a peer's news and of the answer to it. */
+    fun newsTaken(
+        received: Int,
+        answered: Int,
+    ) {
+        newsReceived += received
+        newsAnswered += answered
+    }
+
+    /** Bytes of peers' news since the last call. */
+    fun news(): String =
+        "newsReceived=$newsReceived newsAnswered=$newsAnswered".also {
+            newsReceived = 0
+            newsAnswered = 0
+        }
+
     /** One line for the time since the last one. */
     fun tell(more: String) {
         log.info(
--- /dev/null
+++ b/src/main/kotlin/micatally/scale/EffortLines.kt
@@ -0,0 +1,53 @@
+package micatally.scale
+
+/** What a kind of work took over some time: how often, how long in all and at the longest. */
+class WorkFigures(
+    val count: Long,
+    val totalMs: Long,
+    val longestMs: Long,
+)
+
+/** Reads the lines that controllers log once a lease, see [micatally.node.Effort]. */
+class EffortLines(
+    lines: List<String>,
+) {
+    private val efforts = lines.filter { "micatally.effort" in it }
+
+    /** How many there are; each tells of about one lease. */
+    val count = efforts.size
+
+    /** By kind of work, for all lines together. */
+    val work: Map<String, WorkFigures> = sum(Regex("""([a-z][a-z ]*)=(\d+)x/(\d+)ms/(\d+)ms"""))
+
+    /** Writes to the state service by urgency; the longest time is how long one of them waited. */
+    val writes: Map<String, WorkFigures> = sum(Regex("""([a-z]+):(\d+)x/(\d+)ms/(\d+)ms"""), "writes=", " requests=")
+
+    val newsBytesReceived = efforts.sumOf { number(it, "newsReceived=") }
+    val newsBytesAnswered = efforts.sumOf { number(it, "newsAnswered=") }
+
+    private fun sum(
+        pattern: Regex,
+        from: String = "- effort ",
+        to: String = " machines=",
+    ): Map<String, WorkFigures> {
+        val sums = LinkedHashMap<String, WorkFigures>()
+        for (line in efforts) {
+            for (match in pattern.findAll(line.substringAfter(from).substringBefore(to))) {
+                val (name, count, total, longest) = match.destructured
+                val before = sums[name] ?: WorkFigures(0, 0, 0)
+                sums[name] =
+                    WorkFigures(
+                        before.count + count.toLong(),
+                        before.totalMs + total.toLong(),
+                        maxOf(before.longestMs, longest.toLong()),
+                    )
+            }
+        }
+        return sums
+    }
+
+    private fun number(
+        line: String,
+        name: String,
+    ) = line.substringAfter(name, "0").takeWhile { it.isDigit() }.toLong()
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/scale/JobPlan.kt
@@ -0,0 +1,102 @@
+package micatally.scale
+
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import micatally.wire.JobSpec
+import kotlin.random.Random
+
+/**
+ * A job that a user will submit.
+ *
+ * @property atMs when, from the beginning of the load
+ * @property cancelAfterMs when its user cancels it, from its submission; null: not before the end of the run
+ */
+class PlannedJob(
+    val spec: JobSpec,
+    val runMs: Long?,
+    val atMs: Long,
+    val isUrgent: Boolean,
+    val cancelAfterMs: Long?,
+)
+
+/** The load of a scenario, in the order of submission. Depends on the scenario alone. */
+object JobPlan {
+    fun of(scenario: Scenario): List<PlannedJob> {
+        val random = Random(scenario.seed)
+        val endMs = (scenario.warmupSeconds + scenario.seconds) * MS
+        val arrivals = ArrayList<Pair<Long, JobClassPlan>>()
+        for (jobs in scenario.jobs) {
+            val startSpreadMs = scenario.warmupSeconds * MS / 2
+            repeat(jobs.atStart) { arrivals.add(random.nextLong(startSpreadMs + 1) to jobs) }
+            if (jobs.perSecond <= 0) continue
+            // Independent users: the times between arrivals are distributed exponentially.
+            var atMs = exponentialMs(random, jobs.perSecond)
+            while (atMs < endMs) {
+                arrivals.add(atMs to jobs)
+                atMs += exponentialMs(random, jobs.perSecond)
+            }
+        }
+        return arrivals.sortedBy { it.first }.mapIndexed { i, (atMs, jobs) ->
+            plan(i + 1, atMs, jobs, scenario.teams.count, random)
+        }
+    }
+
+    fun teamName(index: Int) = "team-%03d".format(index)
+
+    private fun exponentialMs(
+        random: Random,
+        perSecond: Double,
+    ): Long = (-Math.log(1 - random.nextDouble()) / perSecond * MS).toLong()
+
+    private fun plan(
+        number: Int,
+        atMs: Long,
+        jobs: JobClassPlan,
+        teams: Int,
+        random: Random,
+    ): PlannedJob {
+        val team = teamName(random.nextInt(teams))
+        val image = "${jobs.name}-${random.nextInt(jobs.images)}"
+        val isCancelled = jobs.cancelAfterSeconds != null && random.nextDouble() < jobs.cancelShare
+        return PlannedJob(
+            spec = JobSpec.parse(submission(number, jobs, team, image)),
+            runMs = if (jobs.format == "daemon") null else (jobs.runSeconds * MS).toLong(),
+            atMs = atMs,
+            isUrgent = jobs.urgent,
+            cancelAfterMs = if (isCancelled) (jobs.cancelAfterSeconds * MS).toLong() else null,
+        )
+    }
+
+    private fun submission(
+        number: Int,
+        jobs: JobClassPlan,
+        team: String,
+        image: String,
+    ): JsonObject =
+        buildJsonObject {
+            put("ref", "j-%06d".format(number))
+            put("lane", jobs.name)
+            put("crew", team)
+            put("format", jobs.format)
+            put("grid", jobs.priority)
+            put("laps", jobs.tasks)
+            put("cores", jobs.cores)
+            put("cards", jobs.cards)
+            put("ram_gb", jobs.ramGb)
+            put("livery", image)
+            put("size_gb", jobs.imageGb)
+            put("chassis", JsonNull)
+            put("circuit", JsonNull)
+            put("together", false)
+            put("scatter", jobs.spreadOverZones && jobs.tasks > 1)
+            put("loaners", false)
+            put("lap_time_s", jobs.runSeconds)
+            put("sector_s", 0.0)
+            put("pit_stop_s", 0.0)
+            put("flag_s", JsonNull)
+        }
+
+    private const val MS = 1000L
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/scale/MachineLimits.kt
@@ -0,0 +1,43 @@
+package micatally.scale
+
+import com.sun.management.UnixOperatingSystemMXBean
+import java.lang.management.ManagementFactory
+
+/** What a run needs that this machine does not have; found before anything is started. */
+class NotEnough(
+    message: String,
+) : Exception(message)
+
+/** Keeps a run to half of the machine's memory and to the sockets that a process may open. */
+object MachineLimits {
+    fun check(scenario: Scenario) {
+        val bean = ManagementFactory.getOperatingSystemMXBean() as? UnixOperatingSystemMXBean ?: return
+        val memory = scenario.controllers * CONTROLLER_BYTES + STANDIN_BYTES + scenario.workerCount * WORKER_BYTES
+        val half = bean.totalMemorySize / 2
+        if (memory > half) {
+            throw NotEnough(
+                "needs about ${memory.mebibytes} MB of memory; half of this machine's is ${half.mebibytes} MB",
+            )
+        }
+        val sockets = socketsNeeded(scenario)
+        if (sockets > bean.maxFileDescriptorCount) {
+            throw NotEnough("needs about $sockets sockets; this process may open ${bean.maxFileDescriptorCount}")
+        }
+    }
+
+    /** A worker listens and reports; each controller keeps connections to workers within its share of sockets. */
+    private fun socketsNeeded(scenario: Scenario): Int {
+        val orders = scenario.controllers * minOf(scenario.workerCount, MAX_SOCKETS * CLIENT_SHARE_PERCENT / 100)
+        return scenario.workerCount * 2 + orders + OTHER_SOCKETS
+    }
+
+    private val Long.mebibytes get() = this / (1024 * 1024)
+
+    /** `max_sockets` in the settings of the controllers. */
+    const val MAX_SOCKETS = 2400
+    private const val CLIENT_SHARE_PERCENT = 42
+    private const val OTHER_SOCKETS = 1000
+    private const val CONTROLLER_BYTES = 250L * 1024 * 1024
+    private const val STANDIN_BYTES = 1024L * 1024 * 1024
+    private const val WORKER_BYTES = 256L * 1024
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/scale/Measurement.kt
@@ -0,0 +1,167 @@
+package micatally.scale
+
+import micatally.cli.Loop
+import micatally.standin.LoopbackFleet
+import micatally.standin.StoredKeys
+import java.lang.management.ManagementFactory
+
+/** The figures of all roles at one moment. */
+private class Snapshot(
+    val atNs: Long,
+    val starts: Int,
+    val messages: Map<MessageKind, MessageCount>,
+    val changes: Map<String, Long>,
+    val controllers: List<ProcessSample?>,
+    val loops: Map<String, Long>,
+    val logOffsets: List<Long>,
+)
+
+/** Takes the figures of a run between [begin] and [end]. */
+class Measurement(
+    private val loops: List<Loop>,
+    private val fleet: LoopbackFleet,
+    private val controllers: List<ControllerProcess>,
+    private val history: RunHistory,
+    private val traffic: Traffic,
+    private val latencies: Latencies,
+    private val leaseMs: Long,
+) {
+    private val threads = ManagementFactory.getThreadMXBean()
+    private lateinit var first: Snapshot
+
+    fun begin() {
+        first = take()
+        latencies.isRecording = true
+    }
+
+    /** @param stored what the state service holds now, taken on its own loop */
+    fun end(
+        origin: RunOrigin,
+        restarts: IntArray,
+        stored: Map<String, StoredKeys>,
+    ): ScaleReport {
+        latencies.isRecording = false
+        val last = take()
+        val seconds = (last.atNs - first.atNs) / 1e9
+        val efforts = EffortLines(controllers.indices.flatMap { controllers[it].logLinesSince(first.logOffsets[it]) })
+        return ScaleReport(
+            origin = origin.copy(measuredSeconds = seconds),
+            load = load(last, seconds),
+            controllers = controllerFigures(last, seconds, restarts),
+            messages = messageFigures(last, seconds),
+            stored = storedFigures(last, seconds, stored),
+            work = workFigures(efforts),
+            writes = writeFigures(efforts),
+            peers = peerFigures(efforts),
+            latencies = latencies.figures(),
+            standins = standinFigures(last, seconds),
+        )
+    }
+
+    private fun take() =
+        Snapshot(
+            System.nanoTime(),
+            history.starts,
+            traffic.counts(),
+            fleet.state.changesByPrefix(),
+            controllers.map { it.sample() },
+            loops.associate { it.name to loopMs(it) },
+            controllers.map { it.logBytes },
+        )
+
+    /** Processor time of a loop's two threads. */
+    private fun loopMs(loop: Loop): Long =
+        threads.allThreadIds
+            .filter { threads.getThreadInfo(it)?.threadName?.startsWith("${loop.name}-") == true }
+            .sumOf { threads.getThreadCpuTime(it) } / 1_000_000
+
+    private fun load(
+        last: Snapshot,
+        seconds: Double,
+    ) = LoadFigures(
+        startsPerSecond = (last.starts - first.starts) / seconds,
+        tasksRunningAtEnd = history.tasksRunning,
+        jobsAccepted = history.acceptedCount,
+        jobsNotEnded = 0,
+        workersAtEnd = fleet.cloud.count(),
+    )
+
+    private fun controllerFigures(
+        last: Snapshot,
+        seconds: Double,
+        restarts: IntArray,
+    ) = controllers.mapIndexed { i, controller ->
+        val now = last.controllers[i]
+        val before = first.controllers[i]?.processorMs ?: 0L
+        // A process that was started anew has only its own time.
+        val usedMs = (now?.processorMs ?: 0L) - if (restarts[i] > 0) 0L else before
+        ControllerFigures(
+            controller.place.host,
+            usedMs / 1000.0 / seconds,
+            (now?.residentBytes ?: 0L) / BYTES_A_MB,
+            (now?.peakResidentBytes ?: 0L) / BYTES_A_MB,
+            restarts[i],
+        )
+    }
+
+    private fun standinFigures(
+        last: Snapshot,
+        seconds: Double,
+    ) = last.loops.map { (name, ms) ->
+        val usedMs = ms - (first.loops[name] ?: 0L)
+        StandinFigures(name, usedMs / 1000.0 / seconds)
+    }
+
+    private fun messageFigures(
+        last: Snapshot,
+        seconds: Double,
+    ) = last.messages
+        .map { (kind, count) ->
+            val during = count - (first.messages[kind] ?: MessageCount.NONE)
+            MessageFigures(
+                kind.peer.name.lowercase(),
+                kind.name,
+                during.requests / seconds,
+                during.refused / seconds,
+                during.requestBytes / seconds,
+                during.answerBytes / seconds,
+            )
+        }.sortedWith(compareBy({ it.peer }, { it.kind }))
+
+    private fun storedFigures(
+        last: Snapshot,
+        seconds: Double,
+        stored: Map<String, StoredKeys>,
+    ) = (stored.keys + last.changes.keys).sorted().map { prefix ->
+        val changes = (last.changes[prefix] ?: 0L) - (first.changes[prefix] ?: 0L)
+        StoredFigures(prefix, stored[prefix]?.count ?: 0, stored[prefix]?.bytes ?: 0, changes / seconds)
+    }
+
+    /** The seconds that the effort lines of all controllers tell of, as seconds of one controller. */
+    private fun toldSeconds(efforts: EffortLines) = maxOf(1, efforts.count) * leaseMs / 1000.0
+
+    /** The rates of all controllers together: each line tells of one of them. */
+    private fun workFigures(efforts: EffortLines) =
+        efforts.work.map { (kind, figures) ->
+            val factor = controllers.size / toldSeconds(efforts)
+            WorkShare(kind, figures.count * factor, figures.totalMs / 1000.0 * factor, figures.longestMs)
+        }
+
+    private fun writeFigures(efforts: EffortLines) =
+        efforts.writes.map { (urgency, figures) ->
+            WriteFigures(urgency, figures.count * controllers.size / toldSeconds(efforts), figures.longestMs)
+        }
+
+    private fun peerFigures(efforts: EffortLines): PeerFigures {
+        val factor = controllers.size / toldSeconds(efforts)
+        return PeerFigures(
+            (efforts.work["news"]?.count ?: 0L) * factor,
+            efforts.newsBytesReceived * factor,
+            efforts.newsBytesAnswered * factor,
+        )
+    }
+
+    private companion object {
+        const val BYTES_A_MB = 1024.0 * 1024.0
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/scale/RunHistory.kt
@@ -0,0 +1,185 @@
+package micatally.scale
+
+import micatally.settings.Team
+import micatally.standin.FleetTasks
+import micatally.standin.OnMachine
+import micatally.standin.RuleChecker
+import micatally.standin.RuleViolation
+import micatally.standin.WorkerStandin
+import micatally.wire.JobSpec
+
+/** A broken rule together with all that is known of the job that broke it. */
+class ViolationReport(
+    val violation: RuleViolation,
+    val ref: String?,
+    val history: List<String>,
+)
+
+/**
+ * Everything that happens to jobs in a run: what users are told and what machines do, checked against the rules as it
+ * happens. Safe on all loops at once.
+ */
+class RunHistory(
+    planned: List<PlannedJob>,
+    teamInForce: (String) -> Team?,
+    cancelMs: Long,
+    private val latencies: Latencies,
+    private val nowMs: () -> Long,
+) : FleetTasks {
+    private class JobHistory(
+        val planned: PlannedJob,
+    ) {
+        var submittedAtMs = 0L
+        var isSubmitted = false
+        var lastCompletedAtMs: Long? = null
+        val completedTasks = HashSet<Int>()
+        val events = ArrayList<String>()
+    }
+
+    private val rules = RuleChecker(teamInForce, cancelMs)
+    private val jobs = planned.associate { it.spec.ref to JobHistory(it) }
+    private val beganMs = nowMs()
+
+    /** The first broken rule. */
+    @Volatile
+    var violation: ViolationReport? = null
+        private set
+
+    val starts @Synchronized get() = rules.starts
+    val tasksRunning @Synchronized get() = rules.running.size
+    val acceptedCount @Synchronized get() = rules.acceptedJobs.size
+
+    /** Accepted jobs that are neither done nor cancelled. */
+    val openJobs @Synchronized get() = rules.acceptedJobs.filter { !rules.isFinal(it) }
+
+    private fun note(
+        ref: String,
+        event: String,
+    ) {
+        jobs[ref]?.events?.add("${nowMs() - beganMs} ms $event")
+    }
+
+    private fun checked(
+        ref: String?,
+        check: () -> Unit,
+    ) {
+        try {
+            check()
+        } catch (e: RuleViolation) {
+            if (violation == null) violation = ViolationReport(e, ref, jobs[ref]?.events?.toList() ?: emptyList())
+        }
+    }
+
+    // What users do and hear
+
+    @Synchronized
+    fun submitted(spec: JobSpec) {
+        val job = jobs.getValue(spec.ref)
+        if (!job.isSubmitted) {
+            job.isSubmitted = true
+            job.submittedAtMs = nowMs()
+        }
+        rules.submitted(spec)
+    }
+
+    @Synchronized
+    fun answeredSubmission(
+        ref: String,
+        status: Int,
+        word: String?,
+        sentAtMs: Long,
+    ) {
+        note(ref, "submission answered $status $word")
+        checked(ref) { rules.answeredSubmit(ref, status, word, nowMs(), sentAtMs) }
+    }
+
+    @Synchronized
+    fun answeredPoll(
+        ref: String,
+        status: Int,
+        word: String?,
+        sentAtMs: Long,
+    ) {
+        if (status != 200 || word != "running") note(ref, "poll answered $status $word")
+        checked(ref) { rules.answeredPoll(ref, status, word, nowMs(), sentAtMs) }
+    }
+
+    @Synchronized
+    fun asksToCancel(ref: String) {
+        note(ref, "asks to cancel")
+        rules.asksToCancel(ref)
+    }
+
+    @Synchronized
+    fun answeredCancel(
+        ref: String,
+        status: Int,
+        word: String?,
+        sentAtMs: Long,
+    ) {
+        note(ref, "cancellation answered $status $word")
+        if (status == 200) checked(ref) { rules.told(ref, word, nowMs(), sentAtMs) }
+    }
+
+    @Synchronized
+    fun isFinal(ref: String) = rules.isFinal(ref)
+
+    /** When the last task of the job completed; null while some have not. */
+    @Synchronized
+    fun completedAtMs(ref: String): Long? = jobs.getValue(ref).lastCompletedAtMs
+
+    /** What can only be seen by looking: tasks that stay after a cancellation. */
+    @Synchronized
+    fun check() = checked(null) { rules.check(nowMs()) }
+
+    /** Breaks the rule that every accepted job ends, for the first one that has not. */
+    @Synchronized
+    fun checkAllEnded() {
+        val ref = openJobs.firstOrNull() ?: return
+        checked(ref) { throw RuleViolation("not_ended", "${openJobs.size} accepted jobs have not ended, $ref first") }
+    }
+
+    // What machines do
+
+    @Synchronized
+    override fun spec(ref: String): JobSpec? = jobs[ref]?.takeIf { it.isSubmitted }?.planned?.spec
+
+    override fun runMs(
+        ref: String,
+        taskIndex: Int,
+    ): Long? = jobs[ref]?.planned?.runMs
+
+    @Synchronized
+    override fun started(
+        machine: WorkerStandin,
+        ref: String,
+        taskIndex: Int,
+    ) {
+        val job = jobs.getValue(ref)
+        note(ref, "task $taskIndex starts on ${machine.name}")
+        val kind = if (job.planned.isUrgent) LatencyKind.URGENT_START else LatencyKind.START
+        latencies.record(kind, nowMs() - job.submittedAtMs)
+        checked(ref) { rules.started(onMachine(machine, ref, taskIndex), nowMs()) }
+    }
+
+    @Synchronized
+    override fun left(
+        machine: WorkerStandin,
+        ref: String,
+        taskIndex: Int,
+        done: Boolean,
+    ) {
+        note(ref, "task $taskIndex leaves ${machine.name}" + if (done) ", completed" else "")
+        rules.left(onMachine(machine, ref, taskIndex), done)
+        val job = jobs.getValue(ref)
+        if (done && job.completedTasks.add(taskIndex) && job.completedTasks.size == job.planned.spec.taskCount) {
+            job.lastCompletedAtMs = nowMs()
+        }
+    }
+
+    private fun onMachine(
+        machine: WorkerStandin,
+        ref: String,
+        taskIndex: Int,
+    ) = OnMachine(ref, taskIndex, machine.name, machine.type, machine.zone, machine.spot)
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/scale/ScaleRun.kt
@@ -0,0 +1,249 @@
+package micatally.scale
+
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import micatally.cli.Loop
+import micatally.http.Client
+import micatally.settings.Team
+import micatally.standin.ControllerPlace
+import micatally.standin.FleetPlan
+import micatally.standin.LoopbackFleet
+import micatally.standin.Rehearsal
+import micatally.state.StateLimits
+import micatally.wire.Amount
+import micatally.wire.Flavor
+import micatally.wire.bytes
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.random.Random
+
+/** A run that could not be carried through; not a broken rule. */
+class RunFailed(
+    message: String,
+) : Exception(message)
+
+/** How a run is told to its user: a line every few seconds. */
+fun interface ProgressLog {
+    fun line(text: String)
+}
+
+/**
+ * One scale run: controllers as processes of the packaged program, everything else as stand-ins in this process, on
+ * loopback only. Every process it starts is ended by [close].
+ *
+ * @param command starts a controller; the settings file is appended
+ */
+class ScaleRun(
+    private val name: String,
+    private val scenario: Scenario,
+    private val command: List<String>,
+    private val progress: ProgressLog,
+) : AutoCloseable {
+    private val workerLoop = Loop("workers")
+    private val stateLoop = Loop("state")
+    private val userLoop = Loop("users")
+    private val loops = listOf(workerLoop, stateLoop, userLoop)
+    private val directory = Files.createTempDirectory("micatally-scale")
+    private val latencies = Latencies()
+    private val traffic = Traffic()
+    private val jobs = JobPlan.of(scenario)
+    private val teams =
+        List(scenario.teams.count) {
+            val plan = scenario.teams
+            Team(JobPlan.teamName(it), plan.cores, plan.coresMax, plan.cards, plan.cardsMax)
+        }
+    private val teamByName = teams.associateBy { it.name }
+    private val cancelMs = (scenario.workers.cancelSeconds * MS).toLong()
+    private val leaseMs = (scenario.workers.leaseSeconds * MS).toLong()
+    private val history = RunHistory(jobs, { teamByName[it] }, cancelMs, latencies, workerLoop::nowMs)
+    private val flavors =
+        scenario.workers.types.map {
+            Flavor(
+                label = it.name,
+                amount = Amount(it.cores, it.cards, it.ramGb),
+                cacheGb = CACHE_GB,
+                pullGbPerS = it.pullGbPerSecond,
+                hourly = it.cores,
+                spotHourly = it.cores,
+                readyS = scenario.workers.bootSeconds,
+                zones = scenario.zones,
+            )
+        }
+    private val fleet = LoopbackFleet(workerLoop, stateLoop, fleetPlan(), history, traffic)
+    private val places = places()
+    private val controllers =
+        places.map { ControllerProcess(it, command + settingsFile(it), directory.resolve("${it.host}.log")) }
+    private val userClient = Client(userLoop.group, USER_SOCKETS, userLoop::nowMs)
+    private val balancer =
+        LoadBalancer(userLoop.scope, userClient, places.map { it.listen }, Random(scenario.seed + 1))
+    private val users =
+        Users(
+            userLoop.scope,
+            userClient,
+            balancer,
+            scenario.users,
+            history,
+            latencies,
+            traffic,
+            Random(scenario.seed + 2),
+            userLoop::nowMs,
+        )
+    private val failures =
+        Failures(workerLoop.scope, stateLoop.scope, fleet, controllers, Random(scenario.seed + 3))
+
+    /** What broke a rule, if anything did. */
+    val violation get() = history.violation
+
+    private fun fleetPlan(): FleetPlan {
+        val state = scenario.stateService
+        val limits =
+            StateLimits(
+                state.requestsPerSecond,
+                state.writesPerSecond,
+                (state.valueKb * 1024).toInt(),
+                state.transactionOperations,
+            )
+        return FleetPlan(
+            zones = scenario.zones,
+            flavors = flavors,
+            teams = teams,
+            machinesOfEachKind = scenario.workerCount,
+            reportMs = (scenario.workers.reportSeconds * MS).toLong(),
+            leaseMs = leaseMs,
+            cancelMs = cancelMs,
+            bootMs = (scenario.workers.bootSeconds * MS).toLong(),
+            listLagMs = LIST_LAG_MS,
+            settingsLimits = limits,
+            stateLimits = limits,
+            cloudRps = CLOUD_RPS,
+            maxSockets = MachineLimits.MAX_SOCKETS,
+            maxConnections = scenario.workerCount * 2 + STANDIN_CONNECTIONS,
+        )
+    }
+
+    private fun places() =
+        List(scenario.controllers) {
+            ControllerPlace(
+                host = "controller-%02d".format(it),
+                zone = scenario.zones[it % scenario.zones.size],
+                listen = "127.0.0.1:${Rehearsal.freePort()}",
+                back = "127.0.0.1:${Rehearsal.freePort()}",
+            )
+        }
+
+    private fun settingsFile(place: ControllerPlace): String {
+        val file = directory.resolve("${place.host}.json")
+        Files.write(file, fleet.settings(place, places).bytes())
+        return file.toString()
+    }
+
+    /** Runs the scenario to its end, or to the first broken rule. */
+    fun run(): ScaleReport {
+        fleet.controllers = places.associate { it.host to it.listen }
+        for (controller in controllers) controller.start()
+        startWorkers()
+        userLoop.scope.launch { balancer.start() }
+        awaitHealthy()
+        userLoop.scope.launch { users.start(jobs) }
+        val measurement = Measurement(loops, fleet, controllers, history, traffic, latencies, leaseMs)
+        pass("warm-up", scenario.warmupSeconds)
+        measurement.begin()
+        failures.start(scenario.failures)
+        pass("measured", scenario.seconds)
+        val stored = runBlocking { withContext(stateLoop.scope.coroutineContext) { fleet.state.storedByPrefix() } }
+        val report = measurement.end(origin(), failures.restarts, stored)
+        users.isEnding = true
+        drain()
+        return report.copy(
+            load =
+                report.load.copy(
+                    jobsNotEnded = history.openJobs.size,
+                    brokenRule = violation?.violation?.message,
+                ),
+        )
+    }
+
+    private fun origin() =
+        RunOrigin(name, scenario.seed, scenario.workerCount, scenario.controllers, scenario.teams.count, 0.0)
+
+    private fun startWorkers() {
+        workerLoop.scope.launch {
+            for ((type, flavor) in scenario.workers.types.zip(flavors)) {
+                for ((i, zone) in scenario.zones.withIndex()) {
+                    val share = type.count / scenario.zones.size + if (i < type.count % scenario.zones.size) 1 else 0
+                    fleet.cloud.addRunning(flavor, zone, false, share)
+                }
+            }
+        }
+    }
+
+    private fun awaitHealthy() {
+        val untilNs = System.nanoTime() + HEALTHY_SECONDS * NS
+        while (balancer.healthyCount < controllers.size) {
+            controllers.find { !it.isAlive }?.let { throw RunFailed("${it.place.host} has ended; see $directory") }
+            if (System.nanoTime() > untilNs) {
+                val healthy = "${balancer.healthyCount} of ${controllers.size} controllers"
+                throw RunFailed("only $healthy are healthy after $HEALTHY_SECONDS s")
+            }
+            Thread.sleep(STEP_MS)
+        }
+    }
+
+    /** Lets the load go on for so long, with a line every few seconds. */
+    private fun pass(
+        phase: String,
+        seconds: Int,
+    ) {
+        val untilNs = System.nanoTime() + seconds * NS
+        var nextLineNs = 0L
+        while (System.nanoTime() < untilNs && violation == null) {
+            Thread.sleep(STEP_MS)
+            history.check()
+            if (System.nanoTime() < nextLineNs) continue
+            nextLineNs = System.nanoTime() + LINE_SECONDS * NS
+            val left = (untilNs - System.nanoTime()) / NS
+            progress.line(
+                "$phase, $left s left: ${fleet.cloud.count()} workers, ${balancer.healthyCount} of " +
+                    "${controllers.size} controllers healthy, ${history.acceptedCount} jobs accepted, " +
+                    "${history.tasksRunning} tasks running, ${history.starts} starts",
+            )
+        }
+    }
+
+    /** Waits until what was accepted has ended. */
+    private fun drain() {
+        val untilNs = System.nanoTime() + scenario.drainSeconds * NS
+        var nextLineNs = 0L
+        while (System.nanoTime() < untilNs && violation == null && history.openJobs.isNotEmpty()) {
+            Thread.sleep(STEP_MS)
+            history.check()
+            if (System.nanoTime() < nextLineNs) continue
+            nextLineNs = System.nanoTime() + LINE_SECONDS * NS
+            progress.line("ending: ${history.openJobs.size} jobs are left, ${history.tasksRunning} tasks running")
+        }
+        if (violation == null) history.checkAllEnded()
+    }
+
+    /** Ends every controller by its own id; may be called from any thread, also while the run goes on. */
+    override fun close() {
+        for (controller in controllers) controller.kill()
+        if (violation == null) directory.toFile().deleteRecursively()
+    }
+
+    /** Where the controllers' logs are kept after a broken rule. */
+    val logDirectory: Path get() = directory
+
+    private companion object {
+        const val MS = 1000.0
+        const val NS = 1_000_000_000L
+        const val STEP_MS = 250L
+        const val LINE_SECONDS = 5L
+        const val HEALTHY_SECONDS = 60L
+        const val LIST_LAG_MS = 2000L
+        const val CLOUD_RPS = 12.0
+        const val CACHE_GB = 400.0
+        const val USER_SOCKETS = 1500
+        const val STANDIN_CONNECTIONS = 1000
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/scale/ScenarioFile.kt
@@ -0,0 +1,151 @@
+package micatally.scale
+
+import com.fasterxml.jackson.core.JsonProcessingException
+import com.fasterxml.jackson.dataformat.toml.TomlMapper
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.descriptors.SerialDescriptor
+import kotlinx.serialization.descriptors.elementNames
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.decodeFromJsonElement
+import micatally.settings.nearestName
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** Reads scenarios: TOML files, or those that come with the program. */
+object ScenarioFile {
+    /** The scenarios that come with the program. */
+    val BUNDLED = listOf("target", "today", "smoke")
+
+    /** @param name a scenario that comes with the program, or a file */
+    fun load(name: String): Scenario = parse(text(name))
+
+    private fun text(name: String): String {
+        if (name in BUNDLED) {
+            val resource = checkNotNull(javaClass.getResourceAsStream("/scale/$name.toml")) { "scenario $name is lost" }
+            return resource.use { it.readBytes().decodeToString() }
+        }
+        try {
+            return Files.readString(Path.of(name))
+        } catch (e: IOException) {
+            throw ScenarioError("no scenario $name: neither a file nor one of ${BUNDLED.joinToString(", ")}")
+        }
+    }
+
+    fun parse(toml: String): Scenario {
+        val tree =
+            try {
+                Json.parseToJsonElement(TomlMapper().readTree(toml).toString())
+            } catch (e: JsonProcessingException) {
+                throw ScenarioError("not TOML: ${e.originalMessage}")
+            }
+        checkNames(tree, Scenario.serializer().descriptor, "")
+        val scenario =
+            try {
+                Json.decodeFromJsonElement<Scenario>(tree)
+            } catch (e: SerializationException) {
+                throw ScenarioError(e.message?.lineSequence()?.first() ?: "a value has the wrong type")
+            } catch (e: IllegalArgumentException) {
+                throw ScenarioError(e.message?.lineSequence()?.first() ?: "a value has the wrong type")
+            }
+        ScenarioCheck.check(scenario)
+        return scenario
+    }
+
+    /** Refuses keys that the scenario does not have, with the name that was probably meant. */
+    private fun checkNames(
+        element: JsonElement,
+        descriptor: SerialDescriptor,
+        path: String,
+    ) {
+        when (element) {
+            is JsonObject ->
+                for ((name, value) in element) {
+                    val index = descriptor.getElementIndex(name)
+                    if (index < 0) throw unknown(path + name, name, descriptor)
+                    checkNames(value, descriptor.getElementDescriptor(index), "$path$name.")
+                }
+            is JsonArray ->
+                for ((i, value) in element.withIndex()) {
+                    checkNames(value, descriptor.getElementDescriptor(0), "${path.removeSuffix(".")}[$i].")
+                }
+            else -> {}
+        }
+    }
+
+    private fun unknown(
+        path: String,
+        name: String,
+        descriptor: SerialDescriptor,
+    ): ScenarioError {
+        val known = descriptor.elementNames.toList()
+        return ScenarioError("unknown key $path; did you mean ${nearestName(name, known) ?: "nothing"}?")
+    }
+}
+
+/** Checks that a scenario's values make sense together. */
+internal object ScenarioCheck {
+    private val FORMATS = listOf("sweep", "daemon")
+    private val PRIORITIES = listOf("production", "high", "standard", "low")
+
+    fun check(scenario: Scenario) {
+        require(scenario.seconds in 1..MOST_SECONDS) { "seconds must be from 1 to $MOST_SECONDS" }
+        require(scenario.warmupSeconds in 0..MOST_SECONDS) { "warmupSeconds must be from 0 to $MOST_SECONDS" }
+        require(scenario.drainSeconds in 0..MOST_SECONDS) { "drainSeconds must be from 0 to $MOST_SECONDS" }
+        require(scenario.controllers in 1..MOST_CONTROLLERS) { "controllers must be from 1 to $MOST_CONTROLLERS" }
+        require(scenario.zones.isNotEmpty()) { "zones must not be empty" }
+        require(scenario.workerCount in 1..MOST_WORKERS) { "workers must be from 1 to $MOST_WORKERS in all" }
+        require(scenario.teams.count in 1..MOST_TEAMS) { "teams.count must be from 1 to $MOST_TEAMS" }
+        require(scenario.users.pollSeconds > 0) { "users.pollSeconds must be above 0" }
+        require(scenario.stateService.requestsPerSecond > 0 && scenario.stateService.writesPerSecond > 0) {
+            "stateService.requestsPerSecond and writesPerSecond must be above 0"
+        }
+        checkTimes(scenario.workers)
+        scenario.jobs.forEach { checkJobs(it) }
+        scenario.failures.forEach { checkFailure(it, scenario) }
+    }
+
+    private fun checkTimes(workers: WorkerPlan) {
+        require(workers.reportSeconds > 0) { "workers.reportSeconds must be above 0" }
+        require(workers.leaseSeconds >= workers.reportSeconds * 2) {
+            "workers.leaseSeconds must be at least twice reportSeconds"
+        }
+        require(workers.cancelSeconds >= workers.leaseSeconds) { "workers.cancelSeconds must be at least leaseSeconds" }
+    }
+
+    private fun checkJobs(jobs: JobClassPlan) {
+        val name = jobs.name
+        require(jobs.format in FORMATS) { "jobs $name: format must be one of ${FORMATS.joinToString(", ")}" }
+        require(jobs.priority in PRIORITIES) { "jobs $name: priority must be one of ${PRIORITIES.joinToString(", ")}" }
+        require(jobs.tasks > 0 && jobs.images > 0) { "jobs $name: tasks and images must be above 0" }
+        require(jobs.cores >= 0 && jobs.cards >= 0 && jobs.ramGb >= 0) { "jobs $name: amounts must not be negative" }
+        require(jobs.atStart >= 0 && jobs.perSecond >= 0) { "jobs $name: atStart and perSecond must not be negative" }
+        require(jobs.cancelShare in 0.0..1.0) { "jobs $name: cancelShare must be from 0 to 1" }
+        require(jobs.format == "daemon" || jobs.runSeconds > 0) { "jobs $name: runSeconds must be above 0" }
+    }
+
+    private fun checkFailure(
+        failure: FailurePlan,
+        scenario: Scenario,
+    ) {
+        require(failure.kind in FailurePlan.KINDS) {
+            "failures: kind ${failure.kind} is not known; did you mean ${nearestName(failure.kind, FailurePlan.KINDS)}?"
+        }
+        require(failure.zone == null || failure.zone in scenario.zones) { "failures: no zone ${failure.zone}" }
+    }
+
+    private fun require(
+        holds: Boolean,
+        message: () -> String,
+    ) {
+        if (!holds) throw ScenarioError(message())
+    }
+
+    private const val MOST_SECONDS = 3600
+    private const val MOST_CONTROLLERS = 11
+    private const val MOST_WORKERS = 2000
+    private const val MOST_TEAMS = 1000
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/scale/Users.kt
@@ -0,0 +1,152 @@
+package micatally.scale
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import micatally.http.HttpCaller
+import micatally.http.Outcome
+import micatally.standin.MessageObserver
+import micatally.wire.JobAnswer
+import micatally.wire.WireError
+import micatally.wire.bytes
+import micatally.wire.parseObject
+import micatally.wire.textOrNull
+import kotlin.random.Random
+
+/** Users who submit the planned jobs, ask for them and cancel some. All run on the loop of [scope]. */
+class Users(
+    private val scope: CoroutineScope,
+    private val http: HttpCaller,
+    private val balancer: LoadBalancer,
+    private val plan: UserPlan,
+    private val history: RunHistory,
+    private val latencies: Latencies,
+    private val traffic: Traffic,
+    private val random: Random,
+    private val nowMs: () -> Long,
+) {
+    /** Set when the load is over: nothing new is submitted, and services are cancelled. */
+    @Volatile
+    var isEnding = false
+
+    private class Answer(
+        val status: Int,
+        val word: String?,
+        val sentAtMs: Long,
+    )
+
+    fun start(jobs: List<PlannedJob>) {
+        val beganMs = nowMs()
+        for (job in jobs) {
+            scope.launch {
+                delay(beganMs + job.atMs - nowMs())
+                if (!isEnding) serve(job)
+            }
+        }
+    }
+
+    private suspend fun serve(job: PlannedJob) {
+        val submittedAtMs = nowMs()
+        history.submitted(job.spec)
+        if (submit(job)) follow(job, submittedAtMs)
+    }
+
+    /** Whether the job was accepted; repeated for a minute, as the protocol says. */
+    private suspend fun submit(job: PlannedJob): Boolean {
+        val ref = job.spec.ref
+        val firstMs = nowMs()
+        while (nowMs() - firstMs < SUBMIT_MS) {
+            val answer = ask("POST", "/work", job.spec.source.bytes(), SUBMIT_TIMEOUT_MS)
+            history.answeredSubmission(ref, answer.status, answer.word, answer.sentAtMs)
+            if (answer.status == 200 || answer.status == 201) {
+                latencies.record(LatencyKind.SUBMISSION, nowMs() - firstMs)
+                return true
+            }
+            if (answer.status == 400 || answer.status == 422) return false
+            delay(RETRY_MS + random.nextLong(RETRY_MS))
+        }
+        return false
+    }
+
+    private suspend fun follow(
+        job: PlannedJob,
+        submittedAtMs: Long,
+    ) {
+        val ref = job.spec.ref
+        val pollMs = (plan.pollSeconds * 1000).toLong()
+        var nextPollMs = nowMs() + random.nextLong(pollMs)
+        val spreadMs = random.nextLong(END_SPREAD_MS)
+        var endingSinceMs: Long? = null
+        while (!history.isFinal(ref)) {
+            delay(STEP_MS + random.nextLong(STEP_MS))
+            if (isEnding && endingSinceMs == null) endingSinceMs = nowMs()
+            val isDueByPlan = job.cancelAfterMs?.let { nowMs() - submittedAtMs >= it } ?: false
+            val isDueByEnd = job.spec.isService && endingSinceMs != null && nowMs() - endingSinceMs >= spreadMs
+            when {
+                isDueByPlan || isDueByEnd -> cancel(ref)
+                history.completedAtMs(ref) != null || nowMs() >= nextPollMs -> {
+                    poll(ref)
+                    nextPollMs = nowMs() + pollMs
+                }
+            }
+        }
+    }
+
+    private suspend fun poll(ref: String) {
+        val answer = ask("GET", "/work/$ref", null, POLL_TIMEOUT_MS)
+        history.answeredPoll(ref, answer.status, answer.word, answer.sentAtMs)
+        if (answer.status == 200) latencies.record(LatencyKind.POLL, nowMs() - answer.sentAtMs)
+        if (answer.word != JobAnswer.DONE) return
+        history.completedAtMs(ref)?.let { latencies.record(LatencyKind.FINISH_TO_DONE, nowMs() - it) }
+    }
+
+    private suspend fun cancel(ref: String) {
+        val firstMs = nowMs()
+        history.asksToCancel(ref)
+        while (!history.isFinal(ref)) {
+            val answer = ask("POST", "/work/$ref/cancel", null, SUBMIT_TIMEOUT_MS)
+            history.answeredCancel(ref, answer.status, answer.word, answer.sentAtMs)
+            if (answer.status == 200) latencies.record(LatencyKind.CANCEL, nowMs() - firstMs)
+            if (!history.isFinal(ref)) delay(RETRY_MS)
+        }
+    }
+
+    private suspend fun ask(
+        method: String,
+        target: String,
+        body: ByteArray?,
+        timeoutMs: Long,
+    ): Answer {
+        val sentAtMs = nowMs()
+        val outcome = http.call(balancer.choose(), method, target, body, timeoutMs)
+        val answer = outcome as? Outcome.Answer
+        val status = answer?.status ?: 0
+        traffic.seen(
+            MessageObserver.Interface.USER,
+            method,
+            target,
+            body?.size ?: 0,
+            status,
+            answer?.body?.size ?: 0,
+        )
+        return Answer(status, answer?.let { statusWord(it.body) }, sentAtMs)
+    }
+
+    private fun statusWord(body: ByteArray): String? =
+        try {
+            parseObject(body).textOrNull("status")
+        } catch (e: WireError) {
+            null
+        }
+
+    private companion object {
+        const val SUBMIT_MS = 60_000L
+        const val SUBMIT_TIMEOUT_MS = 5000L
+        const val POLL_TIMEOUT_MS = 2000L
+        const val RETRY_MS = 1000L
+        const val STEP_MS = 150L
+
+        /** Over so long the services are cancelled at the end. */
+        const val END_SPREAD_MS = 20_000L
+    }
+}
--- a/src/main/kotlin/micatally/settings/Operator.kt
+++ b/src/main/kotlin/micatally/settings/Operator.kt
@@ -24,7 +24,7 @@
             for (key in p.stringPropertyNames()) {
                 if (key !in KEYS) {
                     throw SettingsError(
-                        "unknown property $key; did you mean ${KEYS.minByOrNull { distance(key, it) }}?",
+                        "unknown property $key; did you mean ${nearestName(key, KEYS)}?",
                     )
                 }
             }
@@ -60,23 +60,5 @@
                 number(IDLE, DEFAULT.fleetIdleBoots, 0.1..100.0),
             )
         }
-
-        /** How many letters have to change to make one word of the other. */
-        private fun distance(
-            a: String,
-            b: String,
-        ): Int {
-            var row = IntArray(b.length + 1) { it }
-            for (i in 1..a.length) {
-                val next = IntArray(b.length + 1)
-                next[0] = i
-                for (j in 1..b.length) {
-                    next[j] =
-                        minOf(row[j] + 1, next[j - 1] + 1, row[j - 1] + if (a[i - 1] == b[j - 1]) 0 else 1)
-                }
-                row = next
-            }
-            return row[b.length]
-        }
     }
 }
--- a/src/main/kotlin/micatally/standin/CloudStandin.kt
+++ b/src/main/kotlin/micatally/standin/CloudStandin.kt
@@ -113,6 +113,21 @@
         return json(cars(names))
     }
 
+    /** Machines that are up from the start, beside those that are rented later. */
+    suspend fun addRunning(
+        flavor: Flavor,
+        zone: String,
+        spot: Boolean,
+        count: Int,
+    ) {
+        repeat(count) {
+            val car = Car("m-%06d".format(next++), flavor.label, zone, spot, nowMs())
+            cars[car.name] = car
+            car.upAt = nowMs()
+            car.worker = boot(car.name, flavor, zone, spot).also { it.start() }
+        }
+    }
+
     private fun cars(names: List<String>) = buildJsonObject { put("cars", JsonArray(names.map { JsonPrimitive(it) })) }
 
     private fun remove(name: String) {
--- /dev/null
+++ b/src/main/kotlin/micatally/standin/LoopbackFleet.kt
@@ -0,0 +1,318 @@
+package micatally.standin
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonArray
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import micatally.cli.Loop
+import micatally.http.Client
+import micatally.http.HttpCaller
+import micatally.http.HttpRequest
+import micatally.http.HttpResponse
+import micatally.http.Outcome
+import micatally.http.Server
+import micatally.settings.Team
+import micatally.state.StateLimits
+import micatally.wire.Flavor
+import micatally.wire.JobSpec
+import kotlin.random.Random
+
+/**
+ * What a fleet of stand-ins consists of, and its times.
+ *
+ * @property machinesOfEachKind how many machines of each type, zone and kind (spot or ordinary) can be rented
+ * @property stateLimits limits of the state service that its stand-in enforces; null: none
+ * @property maxConnections of each of the stand-ins' servers
+ */
+class FleetPlan(
+    val zones: List<String>,
+    val flavors: List<Flavor>,
+    val teams: List<Team>,
+    val machinesOfEachKind: Int,
+    val reportMs: Long,
+    val leaseMs: Long,
+    val cancelMs: Long,
+    val bootMs: Long,
+    val listLagMs: Long,
+    val settingsLimits: StateLimits,
+    val stateLimits: StateLimits?,
+    val cloudRps: Double,
+    val maxSockets: Int,
+    val maxConnections: Int,
+)
+
+/** The host name, zone and addresses of one controller. */
+class ControllerPlace(
+    val host: String,
+    val zone: String,
+    val listen: String,
+    val back: String,
+)
+
+/** Sees the messages of the stand-ins pass, with their sizes. */
+fun interface MessageObserver {
+    /** [peer] is the stand-in; a message without an answer has the status 0. */
+    fun seen(
+        peer: Interface,
+        method: String,
+        target: String,
+        requestBytes: Int,
+        status: Int,
+        answerBytes: Int,
+    )
+
+    enum class Interface { STATE, CLOUD, REPORT, ORDER, USER }
+}
+
+/** What the tasks of a fleet do and who hears of their starts and ends. */
+interface FleetTasks {
+    fun spec(ref: String): JobSpec?
+
+    /** How long a task takes without its image, in milliseconds; null: until it is stopped. */
+    fun runMs(
+        ref: String,
+        taskIndex: Int,
+    ): Long?
+
+    fun started(
+        machine: WorkerStandin,
+        ref: String,
+        taskIndex: Int,
+    )
+
+    fun left(
+        machine: WorkerStandin,
+        ref: String,
+        taskIndex: Int,
+        done: Boolean,
+    )
+}
+
+/** A fleet of stand-ins on loopback: state service, cloud and workers, each speaking the protocol over sockets.
+ *
+ * @param workerLoop carries workers and cloud, [stateLoop] the state service; they may be the same */
+class LoopbackFleet(
+    private val workerLoop: Loop,
+    private val stateLoop: Loop,
+    private val plan: FleetPlan,
+    private val tasks: FleetTasks,
+    private val observer: MessageObserver = MessageObserver { _, _, _, _, _, _ -> },
+) : WorkerWorld {
+    private val client = Client(workerLoop.group, plan.maxConnections, workerLoop::nowMs)
+    private val completed = HashSet<Pair<String, Int>>()
+    override val gangs =
+        GangTable(workerLoop.scope, GangTimes(plan.leaseMs * 2, plan.leaseMs / 4), Random(1), workerLoop::nowMs)
+
+    /** Front addresses of the controllers by host name; set before the first worker boots. */
+    var controllers: Map<String, String> = emptyMap()
+
+    val cloud =
+        CloudStandin(
+            workerLoop.scope,
+            plan.flavors,
+            capacity(),
+            plan.listLagMs,
+            workerLoop::nowMs,
+            { name, flavor, zone, spot -> worker(name, flavor, zone, spot) },
+        ).also { it.bootMs = { _ -> plan.bootMs } }
+    val state = StateStandin(plan.stateLimits, stateLoop::nowMs)
+    val cloudAddr = "127.0.0.1:" + serve(workerLoop, MessageObserver.Interface.CLOUD) { cloud.handle(it) }.port
+    val stateAddr = "127.0.0.1:" + serve(stateLoop, MessageObserver.Interface.STATE) { state.handle(it) }.port
+
+    init {
+        stateLoop.scope.launch {
+            while (true) {
+                delay(LEASE_CHECK_MS)
+                state.expire()
+            }
+        }
+    }
+
+    private fun capacity(): MutableMap<Triple<String, String, Boolean>, Int> {
+        val capacity = HashMap<Triple<String, String, Boolean>, Int>()
+        for (zone in plan.zones) {
+            for (flavor in plan.flavors) {
+                for (spot in listOf(true, false)) capacity[Triple(flavor.label, zone, spot)] = plan.machinesOfEachKind
+            }
+        }
+        return capacity
+    }
+
+    private fun serve(
+        loop: Loop,
+        peer: MessageObserver.Interface,
+        handle: suspend (HttpRequest) -> HttpResponse,
+    ): Server {
+        val observed: suspend (HttpRequest) -> HttpResponse = { request ->
+            handle(request).also {
+                observer.seen(peer, request.method, request.target, request.body.size, it.status, it.body.size)
+            }
+        }
+        return Server(loop.scope, loop.group, ANY_PORT, plan.maxConnections, MAX_BODY, observed).also { it.start() }
+    }
+
+    /** Sees the reports of the workers and their answers pass. */
+    private val reporting =
+        HttpCaller { addr, method, target, body, timeoutMs ->
+            val outcome = client.call(addr, method, target, body, timeoutMs)
+            val answer = outcome as? Outcome.Answer
+            observer.seen(
+                MessageObserver.Interface.REPORT,
+                method,
+                target,
+                body?.size ?: 0,
+                answer?.status ?: 0,
+                answer?.body?.size ?: 0,
+            )
+            outcome
+        }
+
+    private fun worker(
+        name: String,
+        flavor: Flavor,
+        zone: String,
+        spot: Boolean,
+    ): WorkerStandin {
+        lateinit var worker: WorkerStandin
+        val addr = "127.0.0.1:" + serve(workerLoop, MessageObserver.Interface.ORDER) { worker.handle(it) }.port
+        worker =
+            WorkerStandin(
+                workerLoop.scope,
+                reporting,
+                this,
+                Random(name.hashCode()),
+                name,
+                addr,
+                flavor.label,
+                zone,
+                spot,
+                flavor.amount,
+                flavor.pullGbPerS,
+                plan.reportMs,
+                plan.leaseMs,
+                controllers,
+                workerLoop::nowMs,
+            )
+        return worker
+    }
+
+    override fun spec(ref: String) = tasks.spec(ref)
+
+    override fun runMs(
+        ref: String,
+        taskIndex: Int,
+    ) = tasks.runMs(ref, taskIndex)
+
+    override fun completed(
+        ref: String,
+        taskIndex: Int,
+    ) = (ref to taskIndex) in completed
+
+    override fun started(
+        machine: WorkerStandin,
+        ref: String,
+        taskIndex: Int,
+    ) = tasks.started(machine, ref, taskIndex)
+
+    override fun left(
+        machine: WorkerStandin,
+        ref: String,
+        taskIndex: Int,
+        done: Boolean,
+    ) {
+        if (done) completed.add(ref to taskIndex)
+        tasks.left(machine, ref, taskIndex, done)
+    }
+
+    /** The settings file of a controller among [all]. */
+    fun settings(
+        place: ControllerPlace,
+        all: List<ControllerPlace> = listOf(place),
+    ) = buildJsonObject {
+        put("host_name", place.host)
+        put("location", place.zone)
+        put("listen", place.listen)
+        put("back", place.back)
+        put("seeds", seeds(all.filter { it !== place }))
+        put(
+            "services",
+            buildJsonObject {
+                put("cloud", cloudAddr)
+                put("state", stateAddr)
+            },
+        )
+        put("params", params(all.size))
+    }
+
+    private fun seeds(others: List<ControllerPlace>) =
+        buildJsonArray {
+            for (other in others) {
+                add(
+                    buildJsonObject {
+                        put("host_name", other.host)
+                        put("location", other.zone)
+                        put("peer_addr", other.back)
+                    },
+                )
+            }
+        }
+
+    private fun params(controllers: Int) =
+        buildJsonObject {
+            put("initial_size", controllers)
+            put("zones", JsonArray(plan.zones.map { JsonPrimitive(it) }))
+            put("teams", JsonArray(plan.teams.map { team(it) }))
+            put(
+                "workers",
+                buildJsonObject {
+                    put("report_s", plan.reportMs / 1000.0)
+                    put("lease_s", plan.leaseMs / 1000.0)
+                    put("cancel_s", plan.cancelMs / 1000.0)
+                },
+            )
+            put(
+                "state",
+                buildJsonObject {
+                    put("rps", plan.settingsLimits.rps)
+                    put("write_rps", plan.settingsLimits.writeRps)
+                    put("value_kb", plan.settingsLimits.valueBytes / 1024)
+                    put("txn_ops", plan.settingsLimits.txnOps)
+                },
+            )
+            put(
+                "cloud",
+                buildJsonObject {
+                    put("rps", plan.cloudRps)
+                    put("list_lag_s", plan.listLagMs / 1000.0)
+                },
+            )
+            put(
+                "machine_limits",
+                buildJsonObject {
+                    put("core_share", 1.0)
+                    put("memory_mb", 200)
+                    put("max_sockets", plan.maxSockets)
+                },
+            )
+            put("time_bound_ms", 100)
+        }
+
+    private fun team(team: Team): JsonObject =
+        buildJsonObject {
+            put("name", team.name)
+            put("cpus", team.cores)
+            put("cpus_max", team.coresMax)
+            put("gpus", team.cards)
+            put("gpus_max", team.cardsMax)
+        }
+
+    private companion object {
+        const val ANY_PORT = "127.0.0.1:0"
+        const val MAX_BODY = 1L shl 20
+        const val LEASE_CHECK_MS = 100L
+    }
+}
--- a/src/main/kotlin/micatally/standin/StateStandin.kt
+++ b/src/main/kotlin/micatally/standin/StateStandin.kt
@@ -22,6 +22,12 @@
 import micatally.wire.textOrNull
 import java.util.TreeMap
 
+/** Keys of one prefix: how many, and their size with their values. */
+class StoredKeys(
+    val count: Int,
+    val bytes: Long,
+)
+
 /** The state service as the protocol page describes it, kept in memory. */
 class StateStandin(
     limits: StateLimits? = null,
@@ -61,6 +67,25 @@
     var limited = 0
         private set
 
+    private val changesByPrefix = java.util.TreeMap<String, Long>()
+
+    /** How many changes were made, by the prefix of their keys. */
+    fun changesByPrefix(): Map<String, Long> = java.util.TreeMap(changesByPrefix)
+
+    /** What is stored, by the prefix of the keys. */
+    fun storedByPrefix(): Map<String, StoredKeys> =
+        keys.entries.groupBy { prefixOf(it.key) }.mapValues { (_, entries) ->
+            StoredKeys(
+                entries.size,
+                entries.sumOf {
+                    it.key.length.toLong() +
+                        it.value.value
+                            .toString()
+                            .length
+                },
+            )
+        }
+
     private fun overLimit(): HttpResponse {
         limited++
         return errorResponse(429, "too many")
@@ -120,6 +145,7 @@
     }
 
     private fun log(c: Change) {
+        changesByPrefix.merge(prefixOf(c.key), 1L, Long::plus)
         changes.addLast(c)
         while (changes.size > 10_000) dropped = changes.removeFirst().mark
     }
@@ -295,7 +321,7 @@
             if (!down) {
                 expire()
                 if (since < dropped) return errorResponse(410, "too old")
-                val news = changes.filter { it.mark > since && it.key.startsWith(prefix) }
+                val news = changes.takeLastWhile { it.mark > since }.filter { it.key.startsWith(prefix) }
                 if (news.isNotEmpty() || nowMs() >= until) {
                     return json(
                         200,
@@ -327,4 +353,12 @@
             waiters.remove(d)
         }
     }
+
+    private companion object {
+        /** What the keys of one kind share: the first two parts, without the last part of the key. */
+        fun prefixOf(key: String): String {
+            val parts = key.split('/')
+            return parts.take(minOf(2, maxOf(1, parts.size - 1))).joinToString("/")
+        }
+    }
 }
--- /dev/null
+++ b/src/test/kotlin/micatally/scale/RunHistoryTest.kt
@@ -0,0 +1,132 @@
+package micatally.scale
+
+import kotlinx.coroutines.test.TestScope
+import micatally.http.HttpCaller
+import micatally.http.Outcome
+import micatally.settings.Team
+import micatally.standin.GangTable
+import micatally.standin.GangTimes
+import micatally.standin.WorkerStandin
+import micatally.standin.WorkerWorld
+import micatally.wire.Amount
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+/** The rules that a scale run checks while it goes on: each is broken here once. */
+class RunHistoryTest {
+    private val scenario = ScenarioFile.load("smoke")
+    private val jobs = JobPlan.of(scenario)
+    private val sweep = jobs.first { !it.spec.isService }.spec
+    private val service = jobs.first { it.spec.isService }.spec
+    private var nowMs = 0L
+    private val cancelMs = 1000L
+
+    private fun history(coresMax: Double = 0.0) =
+        RunHistory(jobs, { Team(it, 0.0, coresMax, 0.0, 0.0) }, cancelMs, Latencies()) { nowMs }.also {
+            it.submitted(sweep)
+            it.submitted(service)
+        }
+
+    private fun machine(name: String): WorkerStandin {
+        val scope = TestScope()
+        val world =
+            object : WorkerWorld {
+                override fun spec(ref: String) = null
+
+                override fun runMs(
+                    ref: String,
+                    taskIndex: Int,
+                ) = null
+
+                override fun completed(
+                    ref: String,
+                    taskIndex: Int,
+                ) = false
+
+                override val gangs = GangTable(scope, GangTimes(1, 1), Random(1)) { nowMs }
+
+                override fun started(
+                    machine: WorkerStandin,
+                    ref: String,
+                    taskIndex: Int,
+                ) {}
+
+                override fun left(
+                    machine: WorkerStandin,
+                    ref: String,
+                    taskIndex: Int,
+                    done: Boolean,
+                ) {}
+            }
+        return WorkerStandin(
+            scope,
+            HttpCaller { _, _, _, _, _ -> Outcome.NotSent },
+            world,
+            Random(1),
+            name,
+            "$name:1",
+            "box",
+            "a",
+            false,
+            Amount(8.0, 0.0, 8.0),
+            1.0,
+            1000,
+            10_000,
+            mapOf("c" to "c:1"),
+        ) { nowMs }
+    }
+
+    private fun RunHistory.rule() = violation?.violation?.rule
+
+    @Test
+    fun `a task that starts on a second machine breaks the run, with the job's history`() {
+        val history = history()
+        history.started(machine("m-1"), sweep.ref, 0)
+        assertNull(history.violation)
+        history.started(machine("m-2"), sweep.ref, 0)
+        assertEquals("ran_twice", history.rule())
+        assertTrue(history.violation!!.history.any { "starts on m-1" in it })
+    }
+
+    @Test
+    fun `a team beyond its limit in force breaks the run`() {
+        val history = history(coresMax = sweep.amount.cores)
+        history.started(machine("m-1"), sweep.ref, 0)
+        assertNull(history.violation)
+        history.started(machine("m-1"), sweep.ref, 1)
+        assertEquals("quota", history.rule())
+    }
+
+    @Test
+    fun `a task that stays after a cancellation breaks the run`() {
+        val history = history()
+        history.started(machine("m-1"), service.ref, 0)
+        history.asksToCancel(service.ref)
+        history.answeredCancel(service.ref, 200, "withdrawn", nowMs)
+        nowMs += cancelMs
+        history.check()
+        assertNull(history.violation)
+        nowMs++
+        history.check()
+        assertEquals("ran_cancelled", history.rule())
+    }
+
+    @Test
+    fun `an accepted job that has not ended breaks the run at its end`() {
+        val history = history()
+        history.answeredSubmission(sweep.ref, 201, "pending", nowMs)
+        history.checkAllEnded()
+        assertEquals("not_ended", history.rule())
+    }
+
+    @Test
+    fun `a job called done before its last task has completed breaks the run`() {
+        val history = history()
+        history.answeredSubmission(sweep.ref, 201, "pending", nowMs)
+        history.answeredPoll(sweep.ref, 200, "done", nowMs)
+        assertEquals("not_done", history.rule())
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/micatally/scale/SweepTest.kt
@@ -0,0 +1,68 @@
+package micatally.scale
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.math.pow
+
+/** Lines through the figures of runs, and the figures that controllers log. */
+class SweepTest {
+    private fun report(
+        size: SweepSize,
+        coreShare: Double,
+        reports: Double,
+    ) = ScaleReport(
+        RunOrigin("target", 1, size.workers, size.controllers, size.teams, 60.0),
+        LoadFigures(1.0, 1, 1, 0, size.workers),
+        listOf(ControllerFigures("c", coreShare, 60.0, 60.0, 0)),
+        listOf(MessageFigures("report", "report", reports, 0.0, 0.0, 0.0)),
+        emptyList(),
+        emptyList(),
+        emptyList(),
+        PeerFigures(0.0, 0.0, 0.0),
+        emptyList(),
+        emptyList(),
+    )
+
+    @Test
+    fun `slopes are those of the runs in which one input changes`() {
+        val base = SweepSize(100, 3, 6)
+        val sizes = listOf(base, base.copy(workers = 200), base.copy(workers = 400), base.copy(teams = 60))
+        val reports = sizes.associateWith { report(it, 0.1 * (it.workers / 100.0).pow(2), 0.25 * it.workers) }
+        val slopes = Sweep.fit(reports, base, SweepAxis.WORKERS).associateBy { it.figure }
+        val linear = slopes.getValue("reports a second")
+        assertEquals(0.25, linear.slope, 1e-9)
+        assertEquals(1.0, linear.goodness, 1e-9)
+        assertFalse(linear.growsFaster)
+        val square = slopes.getValue("controller, share of a core")
+        assertEquals(2.0, square.exponent, 1e-9)
+        assertTrue(square.growsFaster)
+        assertTrue(Sweep.fit(reports, base, SweepAxis.TEAMS).isEmpty(), "two runs make no line")
+    }
+
+    @Test
+    fun `a scenario at another size keeps its load per worker`() {
+        val target = ScenarioFile.load("target")
+        val half = Sweep.scaled(target, SweepSize(850, 5, 60))
+        assertEquals(850.0, half.workerCount.toDouble(), 2.0)
+        assertEquals(5, half.controllers)
+        assertEquals(60, half.teams.count)
+        assertEquals(0.8, half.jobs.first { it.name == "sweep" }.perSecond, 1e-9)
+    }
+
+    @Test
+    fun `effort lines are summed by kind of work and by urgency`() {
+        val line =
+            "[x] INFO micatally.effort - effort reports=10x/20ms/3ms shared keys=4x/8ms/5ms machines=20 waiting=0 " +
+                "newsReceived=100 newsAnswered=7 writes=lease:2x/0ms/1ms,intent:6x/1ms/9ms requests=lease:30x/0ms/0ms"
+        val efforts = EffortLines(listOf(line, line, "something else"))
+        assertEquals(2, efforts.count)
+        assertEquals(20, efforts.work.getValue("reports").count)
+        assertEquals(16, efforts.work.getValue("shared keys").totalMs)
+        assertEquals(12, efforts.writes.getValue("intent").count)
+        assertEquals(9, efforts.writes.getValue("intent").longestMs)
+        assertEquals(200, efforts.newsBytesReceived)
+        assertEquals(14, efforts.newsBytesAnswered)
+    }
+}
--- a/src/test/kotlin/micatally/sim/GangTest.kt
+++ b/src/test/kotlin/micatally/sim/GangTest.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.launch
 import micatally.gang.GangPhase
 import micatally.job.AttemptState
+import micatally.standin.OnMachine
 import micatally.wire.ExitReason
 import micatally.wire.ListedTask
 import micatally.wire.Report
