Fixed limits below 4,000 machines grow with the fleet; orders leave sockets to the rest

Cause: one job held 400 tasks at most whatever its record had room for; ids of changes were forgotten within a change of all teams; 256 connections could wait to be accepted; an answer of 16 MB was read into a heap of 88 and, beyond that, asked for again without end; and requests with orders took every outgoing socket when two zones of six hang, those of the state service too. Change: ratios to the fleet, the teams, the heap and max_sockets; OrderGate holds orders to half of the outgoing sockets, cancellations first, machines that don't answer half of that. A controller whose address is taken ends with a message instead of staying up deaf.

--- a/src/main/kotlin/micatally/cli/ControllerStart.kt
+++ b/src/main/kotlin/micatally/cli/ControllerStart.kt
@@ -7,24 +7,53 @@
 import micatally.node.Controller
 import micatally.settings.Operator
 import micatally.settings.Settings
+import java.io.IOException
 import kotlin.random.Random
 
-/** Of a controller's sockets, those that it opens itself; half are for users and workers, the rest for other controllers. */
-private const val CLIENT_SHARE_PERCENT = 42
-
 /** What other controllers have sockets for: a twentieth, and a few that a small deployment needs too. */
 private const val PEER_SHARE = 20
 private const val LEAST_PEER_SOCKETS = 4
 private const val MOST_REQUEST_BYTES = 64 * 1024L
 private const val MOST_PEER_BYTES = 4L * 1024 * 1024
 
-/** Starts a controller on the loop; returns its two servers. */
+/** One of the controller's addresses belongs to another process. */
+class AddressTaken(
+    message: String,
+) : Exception(message)
+
+/** A former process of this host may be about to end; another program stays. */
+private const val BIND_TRIES = 8
+
+/**
+ * Binds the server's address, or tries again for a quarter of a worker's lease.
+ *
+ * @throws AddressTaken if it is still another process's then
+ */
+private fun bind(
+    server: Server,
+    addr: String,
+    leaseMs: Long,
+) {
+    repeat(BIND_TRIES) { attempt ->
+        try {
+            server.bind()
+            return
+        } catch (e: IOException) {
+            if (attempt == BIND_TRIES - 1) throw AddressTaken("address $addr can't be used: ${e.message}")
+            Thread.sleep(leaseMs / 4 / BIND_TRIES)
+        }
+    }
+}
+
+/** Starts a controller on the loop; returns its two servers. Does nothing before both addresses are its own.
+ *
+ * @throws AddressTaken if they don't become so */
 fun startController(
     loop: Loop,
     settings: Settings,
     operator: Operator = Operator.DEFAULT,
 ): Pair<Server, Server> {
-    val client = Client(loop.group, settings.maxSockets * CLIENT_SHARE_PERCENT / 100, loop::nowMs)
+    val client = Client(loop.group, settings.outgoingSockets, loop::nowMs)
     val controller =
         Controller(
             loop.scope,
@@ -47,6 +76,8 @@
             MOST_PEER_BYTES,
             controller::handlePeer,
         )
+    bind(front, settings.listen, settings.leaseMs)
+    bind(back, settings.back, settings.leaseMs)
     loop.scope.launch {
         controller.start()
         front.start()
--- a/src/main/kotlin/micatally/cli/Main.kt
+++ b/src/main/kotlin/micatally/cli/Main.kt
@@ -156,6 +156,9 @@
         } catch (e: SettingsError) {
             System.err.println("micatally: ${e.message}")
             MISUSED
+        } catch (e: AddressTaken) {
+            System.err.println("micatally: ${e.message}")
+            FAILED
         }
     }
     // An Error is nobody's to catch inside, and the loop's threads would keep a process without a main thread alive: a build
--- a/src/main/kotlin/micatally/config/Configuration.kt
+++ b/src/main/kotlin/micatally/config/Configuration.kt
@@ -47,15 +47,17 @@
         return Configuration(change.version, next, recentIds(change.version).put(change.id, change.version))
     }
 
-    /** Repeats come soon; ids of long ago are forgotten, many at a time. */
+    /** Repeats come soon; ids of long ago are forgotten, many at a time. All teams may be changed at once, and repeated. */
     private fun recentIds(version: Long): PersistentMap<String, Long> {
-        if (changeIds.size < MOST_IDS) return changeIds
-        val kept = changeIds.filterValues { it > version - MOST_IDS / 2 }
+        val most = maxOf(LEAST_IDS, entries.size * IDS_A_TEAM)
+        if (changeIds.size < most) return changeIds
+        val kept = changeIds.filterValues { it > version - most / 2 }
         return persistentMapOf<String, Long>().putAll(kept)
     }
 
     companion object {
-        private const val MOST_IDS = 2000
+        private const val LEAST_IDS = 2000
+        private const val IDS_A_TEAM = 4
         val EMPTY = Configuration(0, persistentMapOf(), persistentMapOf())
 
         fun of(
--- a/src/main/kotlin/micatally/fleet/CloudClient.kt
+++ b/src/main/kotlin/micatally/fleet/CloudClient.kt
@@ -72,7 +72,7 @@
             }
         return when (val out = send("POST", "/machines", body, Urgency.ACCEPTANCE)) {
             is Outcome.NotSent -> RentResult.Refused
-            is Outcome.Silence -> RentResult.Unknown
+            is Outcome.Silence, is Outcome.TooLarge -> RentResult.Unknown
             is Outcome.Answer ->
                 when {
                     out.status == 200 ->
--- a/src/main/kotlin/micatally/fleet/SilentMachines.kt
+++ b/src/main/kotlin/micatally/fleet/SilentMachines.kt
@@ -138,7 +138,7 @@
         m: Machine,
         now: Long,
     ) {
-        val isTooSoon = m.addr.isEmpty() || probing.size >= settings.maxSockets / 8 || now - m.probedAt < probeMs
+        val isTooSoon = m.addr.isEmpty() || probing.size >= settings.probesAtOnce || now - m.probedAt < probeMs
         if (isTooSoon || !probing.add(m.name)) return
         m.probedAt = now
         scope.launch {
@@ -165,7 +165,7 @@
                     machines.absorb(Report.parse(parseObject(out.body)), false)
                 }
             // The first one may have gone into a connection from before; the second has made one.
-            Outcome.Silence -> {
+            Outcome.Silence, Outcome.TooLarge -> {
                 m.dark = 0
                 if (++m.mute >= 2) m.connectedAt = nowMs()
             }
--- a/src/main/kotlin/micatally/http/Client.kt
+++ b/src/main/kotlin/micatally/http/Client.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
+import org.slf4j.LoggerFactory
 import java.net.StandardSocketOptions
 import java.nio.channels.AsynchronousChannelGroup
 import java.nio.channels.AsynchronousSocketChannel
@@ -12,7 +13,10 @@
     private val group: AsynchronousChannelGroup,
     private val maxSockets: Int,
     private val nowMs: () -> Long,
+    private val maxResponseBytes: Long = Runtime.getRuntime().maxMemory() / HEAP_SHARE,
 ) : HttpCaller {
+    private val log = LoggerFactory.getLogger("micatally.http")
+
     private class Link(
         val channel: AsynchronousSocketChannel,
         val parser: Parser,
@@ -57,7 +61,7 @@
                             .split(' ')
                             .getOrNull(1)
                             ?.toIntOrNull() ?: throw HttpError(400, "bad status line")
-                    val bytes = l.parser.body(h, MAX_RESPONSE)
+                    val bytes = l.parser.body(h, maxResponseBytes)
                     if (!h.close && !l.parser.pending) {
                         link = null
                         keep(addr, l)
@@ -66,6 +70,11 @@
                 }
         } catch (e: CancellationException) {
             throw e
+        } catch (e: HttpError) {
+            if (e.status == CONTENT_TOO_LARGE) {
+                log.warn("{} {}{}: the answer has more than {} bytes", method, addr, target, maxResponseBytes)
+                answer = Outcome.TooLarge
+            }
         } catch (e: Exception) {
             // Reset, refused or not HTTP: what it proves depends only on whether bytes may have left.
         } finally {
@@ -141,7 +150,10 @@
 
     private companion object {
         const val IDLE_MS = 20_000L
-        const val MAX_RESPONSE = 16L * 1024 * 1024
+        const val CONTENT_TOO_LARGE = 413
+
+        /** An answer may take this share of the heap: what is made of its text takes several times as much. */
+        const val HEAP_SHARE = 16
         val NOTHING = ByteArray(0)
     }
 }
--- a/src/main/kotlin/micatally/http/Messages.kt
+++ b/src/main/kotlin/micatally/http/Messages.kt
@@ -42,6 +42,9 @@
     data object NotSent : Outcome
 
     data object Silence : Outcome
+
+    /** The request was answered, but the answer is larger than this process takes. */
+    data object TooLarge : Outcome
 }
 
 /** How requests leave a node: sockets in a process, function calls in the simulation. */
--- a/src/main/kotlin/micatally/http/Server.kt
+++ b/src/main/kotlin/micatally/http/Server.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
+import java.io.IOException
 import java.net.StandardSocketOptions
 import java.nio.ByteBuffer
 import java.nio.channels.AsynchronousChannelGroup
@@ -29,10 +30,23 @@
     private lateinit var channel: AsynchronousServerSocketChannel
     val port get() = (channel.localAddress as java.net.InetSocketAddress).port
 
+    /** Takes the address; connections wait until [start].
+     *
+     * @throws java.io.IOException if another process has it */
+    fun bind() {
+        val opened = AsynchronousServerSocketChannel.open(group)
+        try {
+            opened.setOption(StandardSocketOptions.SO_REUSEADDR, true)
+            opened.bind(socketAddress(addr), maxOf(LEAST_BACKLOG, maxConnections))
+        } catch (e: IOException) {
+            opened.close()
+            throw e
+        }
+        channel = opened
+    }
+
     fun start(): Job {
-        channel = AsynchronousServerSocketChannel.open(group)
-        channel.setOption(StandardSocketOptions.SO_REUSEADDR, true)
-        channel.bind(socketAddress(addr), 256)
+        if (!::channel.isInitialized) bind()
         return scope.launch {
             while (true) {
                 val c =
@@ -125,6 +139,8 @@
     }
 
     private companion object {
+        /** Connections that may wait to be accepted; after an outage a whole fleet comes back at once. */
+        const val LEAST_BACKLOG = 256
         const val IDLE_MS = 120_000L
         const val MESSAGE_MS = 10_000L
         const val ACCEPT_PAUSE_MS = 100L
--- a/src/main/kotlin/micatally/job/Job.kt
+++ b/src/main/kotlin/micatally/job/Job.kt
@@ -59,6 +59,9 @@
 
     /** How many attempts the record is known to have room for. */
     var attemptLimit = Int.MAX_VALUE
+
+    /** Whether it has been logged that more tasks wait than may be on machines at once. */
+    var isBoundLogged = false
     var version = 0L
     var durableVersion = 0L
     var writing = false
--- a/src/main/kotlin/micatally/placement/Rounds.kt
+++ b/src/main/kotlin/micatally/placement/Rounds.kt
@@ -196,20 +196,16 @@
         }
     }
 
-    /** How many tasks of a job may be on machines at once: as many as its record is sure to have room for. */
-    private val mostAttempts = settings.stateLimits.attemptsOfOneJob
-
     /** How many more tasks of the job may be placed. One that fails everywhere is tried with a single task at a time. */
     private fun attemptRoom(job: Job): Int {
-        val most =
-            if (job.health.isSuspect &&
-                job.spec?.isPlacedWhole == false
-            ) {
-                TASKS_OF_SUSPECT
-            } else {
-                minOf(mostAttempts, job.attemptLimit)
-            }
-        return most - job.attempts.size
+        if (job.health.isSuspect && job.spec?.isPlacedWhole == false) return TASKS_OF_SUSPECT - job.attempts.size
+        val most = minOf(settings.stateLimits.attemptsOfOneJob(machines.byName.size), job.attemptLimit)
+        val room = most - job.attempts.size
+        if (room <= 0 && job.pendingCount > 0 && !job.isBoundLogged) {
+            job.isBoundLogged = true
+            log.warn("job {}: {} of {} tasks at once, as many as its record holds", job.ref, most, job.taskCount)
+        }
+        return room
     }
 
     /** Places what can be placed of one job. Returns whether all of it found room. */
--- a/src/main/kotlin/micatally/settings/Settings.kt
+++ b/src/main/kotlin/micatally/settings/Settings.kt
@@ -83,10 +83,25 @@
     /** How often a watch of shared keys is opened at the most: it takes this share of the requests that a controller may make. */
     val watchEveryMs get() = (1000.0 * controllers / stateLimits.rps * WATCH_SHARE).toLong()
 
+    /** Sockets that this node opens itself, for requests to machines, the state service, the cloud and other controllers. */
+    val outgoingSockets get() = outgoingSockets(maxSockets)
+
+    /** Requests with orders that may be under way at once. Together with the probes of silent machines they leave a part of
+     * [outgoingSockets] to the state service, the cloud and the other controllers, however many machines don't answer. */
+    val ordersAtOnce get() = maxOf(1, outgoingSockets / 2)
+
+    /** Probes of silent machines that may be under way at once. */
+    val probesAtOnce get() = maxSockets / 8
+
     /** How long room counts as held after its owner has changed, until the new one has loaded the ledger and told. */
     val handOverMs get() = leaseMs / 4
 
     companion object {
+        /** Half of a controller's sockets are for users and workers, a few for the questions of other controllers. */
+        private const val OUTGOING_SHARE_PERCENT = 42
+
+        fun outgoingSockets(maxSockets: Int) = maxSockets * OUTGOING_SHARE_PERCENT / 100
+
         fun parse(body: ByteArray): Settings =
             try {
                 read(parseObject(body))
--- a/src/main/kotlin/micatally/standin/Rehearsal.kt
+++ b/src/main/kotlin/micatally/standin/Rehearsal.kt
@@ -7,6 +7,7 @@
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
+import micatally.cli.AddressTaken
 import micatally.cli.Loop
 import micatally.cli.startController
 import micatally.http.Client
@@ -129,7 +130,7 @@
             try {
                 startController(Loop(), settings)
                 break
-            } catch (e: java.net.BindException) {
+            } catch (e: AddressTaken) {
                 if (tries ==
                     5
                 ) {
--- a/src/main/kotlin/micatally/state/StateClient.kt
+++ b/src/main/kotlin/micatally/state/StateClient.kt
@@ -91,6 +91,13 @@
     val revision: Long,
 )
 
+/** Where a page of a listing ended. */
+class PageEnd(
+    val lastKey: String?,
+    val hasMore: Boolean,
+    val revision: Long,
+)
+
 class News(
     val revision: Long,
     val events: List<Event>,
@@ -182,18 +189,30 @@
         var since: String? = after
         var revision = -1L
         while (true) {
-            val from = if (since == null) "" else "&since=${queryPart(since)}"
-            val out = send("GET", "/keys?under=${queryPart(prefix)}$from&page=$pageSize", null, urgency)
-            if (out !is Outcome.Answer || out.status != 200) return null
-            val o = parseObject(out.body)
-            if (revision < 0) revision = o.long("odometer")
-            val page = (o.listOrNull("items") ?: emptyList()).map { item(it.asObject()) }
-            visit(page)
-            if (o["more"]?.toString() != "true" || page.isEmpty()) return revision
-            since = page.last().key
+            val end = page(prefix, urgency, since, pageSize, visit) ?: return null
+            if (revision < 0) revision = end.revision
+            if (!end.hasMore) return revision
+            since = end.lastKey
         }
     }
 
+    /** Shows [visit] one page of the keys under [prefix] behind [after]; null when it could not be had. */
+    suspend fun page(
+        prefix: String,
+        urgency: Urgency,
+        after: String?,
+        pageSize: Int = 500,
+        visit: (List<Item>) -> Unit,
+    ): PageEnd? {
+        val from = if (after == null) "" else "&since=${queryPart(after)}"
+        val out = send("GET", "/keys?under=${queryPart(prefix)}$from&page=$pageSize", null, urgency)
+        if (out !is Outcome.Answer || out.status != 200) return null
+        val o = parseObject(out.body)
+        val page = (o.listOrNull("items") ?: emptyList()).map { item(it.asObject()) }
+        visit(page)
+        return PageEnd(page.lastOrNull()?.key, o["more"]?.toString() == "true" && page.isNotEmpty(), o.long("odometer"))
+    }
+
     /** Runs a transaction of [count] changes. It is put together only when the budget allows it to leave, so that
      * what waited meanwhile goes along. Null from [build]: nothing to do any more. */
     suspend fun txn(
@@ -259,7 +278,7 @@
             }
         return when (val out = call("POST", "/txn", body, timeoutMs)) {
             is Outcome.NotSent -> TxnResult.Refused
-            is Outcome.Silence -> TxnResult.Unknown
+            is Outcome.Silence, is Outcome.TooLarge -> TxnResult.Unknown
             is Outcome.Answer ->
                 when (out.status) {
                     200 -> TxnResult.Applied(parseObject(out.body).long("odometer"))
@@ -324,6 +343,8 @@
                 urgency,
                 holdMs + timeoutMs,
             )
+        // What is too much for one answer is read again in pages, as what the service does not keep any more.
+        if (out is Outcome.TooLarge) return News(since, emptyList(), true)
         if (out !is Outcome.Answer) return null
         if (out.status == 410) return News(since, emptyList(), true)
         if (out.status != 200) return null
--- a/src/main/kotlin/micatally/state/StateLimits.kt
+++ b/src/main/kotlin/micatally/state/StateLimits.kt
@@ -31,18 +31,24 @@
             return minOf(byOperations, byTransactionSize).coerceAtLeast(0)
         }
 
-    /** How many attempts of one job its record is sure to hold; more than the ceiling cost a round too much time. */
-    val attemptsOfOneJob: Int
-        get() {
-            val bytes = if (overflowValues == 0) PLAIN_ATTEMPT_BYTES else PACKED_ATTEMPT_BYTES
-            return minOf(MOST_ATTEMPTS, valueBytes * (1 + overflowValues) / bytes).coerceAtLeast(1)
-        }
+    /**
+     * How many attempts of one job its record is sure to hold. More than one for each machine of the fleet cost a round too
+     * much time; a small fleet may have more tasks than machines. A record that fits in one value is not compressed, as long
+     * as that holds enough.
+     */
+    fun attemptsOfOneJob(machineCount: Int): Int {
+        val wanted = maxOf(LEAST_WANTED_ATTEMPTS, machineCount)
+        val plain = valueBytes / PLAIN_ATTEMPT_BYTES
+        val packed = valueBytes * (1 + overflowValues) / PACKED_ATTEMPT_BYTES
+        val isPlainEnough = overflowValues == 0 && (wanted <= plain || machineCount <= LEAST_WANTED_ATTEMPTS)
+        return minOf(wanted, if (isPlainEnough) plain else packed).coerceAtLeast(1)
+    }
 
-    private companion object {
+    companion object {
         /** What an attempt takes in a record on average, and compressed; what does not fit after all is given up again. */
-        const val PLAIN_ATTEMPT_BYTES = 40
-        const val PACKED_ATTEMPT_BYTES = 15
-        const val MOST_ATTEMPTS = 400
+        private const val PLAIN_ATTEMPT_BYTES = 40
+        private const val PACKED_ATTEMPT_BYTES = 15
+        private const val LEAST_WANTED_ATTEMPTS = 400
 
         /** The protocol's limit of 64 KiB for a transaction, less its conditions and keys. */
         const val TRANSACTION_BYTES = 56 * 1024
--- a/src/main/kotlin/micatally/worker/Orders.kt
+++ b/src/main/kotlin/micatally/worker/Orders.kt
@@ -56,12 +56,14 @@
     private val answerMs = settings.leaseMs * 4 / 10
     private val killEveryMs = settings.reportMs
     private val killedAt = HashMap<Attempt, Long>()
+    private val gate = OrderGate(settings.ordersAtOnce)
 
     /** Set when a run may still be under way that only a higher token can stop. */
     var wantsHigherToken = false
 
     fun poke(m: Machine) {
         m.poked = true
+        if (m.flushing && gate.waitingCount > 0) gate.promote(m.name, urgencyOf(m))
         if (m.flushing || m.deleted) return
         m.flushing = true
         scope.launch {
@@ -205,53 +207,70 @@
 
     private suspend fun flush(m: Machine) {
         while (m.poked && !m.deleted) {
-            m.poked = false
-            // Without the lease a node can't tell whether its ledgers are still its own; the token guards, this saves work.
-            val b = build(m) ?: continue
-            val now = nowMs()
-            val session = m.session
-            for (c in b.commands) {
-                when (c.verb) {
-                    Verb.RUN ->
-                        attemptOf(m, c)?.let {
-                            it.sentAt = now
-                            it.become(AttemptState.ORDERED, now)
-                        }
-                    Verb.KILL -> attemptOf(m, c)?.let { killedAt[it] = now }
-                    Verb.CLEAR -> {}
-                }
-            }
-            m.mustAsk = false
-            val out = http.call(m.addr, "POST", "/orders", ordersBody(b.token, session, b.commands).bytes(), answerMs)
-            if (out is Outcome.Answer && (out.status == 200 || out.status == 409)) {
-                m.failuresInRow = 0
-                m.unreachableUntil = 0
-                answered(m, b, out.status, session, Report.parse(parseObject(out.body)))
-                continue
-            }
-            if (out is Outcome.Silence) {
-                for (c in b.commands) {
-                    if (c.verb ==
-                        Verb.RUN
-                    ) {
-                        m.unansweredRuns[AttemptId(c.ref, c.taskIndex, c.attempt)] = b.token
-                    }
-                }
-            }
+            val isReached = gate.withSlot(m.name, urgencyOf(m)) { send(m) }
+            if (isReached) continue
             m.mustAsk = true
             m.poked = true
             m.failuresInRow++
             val pause = minOf(settings.reportMs * m.failuresInRow / 4, settings.reportMs * 2)
             m.unreachableUntil = nowMs() + pause + settings.reportMs
-            if (m.failuresInRow == 1 ||
-                m.failuresInRow % 10 == 0
-            ) {
+            if (m.failuresInRow == 1 || m.failuresInRow % 10 == 0) {
                 log.info("no answer from {}: {} in a row", m.name, m.failuresInRow)
             }
             delay(pause)
         }
     }
 
+    private fun urgencyOf(m: Machine): OrderUrgency =
+        when {
+            m.failuresInRow > 0 -> OrderUrgency.REPEAT
+            m.attempts.any { it.stop != null } -> OrderUrgency.STOP
+            m.attempts.any { it.state == AttemptState.RECORDED } -> OrderUrgency.START
+            else -> OrderUrgency.ASK
+        }
+
+    /** What is wanted is worked out when the request leaves. False if the machine gave no usable answer. */
+    private suspend fun send(m: Machine): Boolean {
+        m.poked = false
+        if (m.deleted) return true
+        // Without the lease a node can't tell whether its ledgers are still its own; the token guards, this saves work.
+        val b = build(m) ?: return true
+        val session = m.session
+        markSent(m, b.commands)
+        m.mustAsk = false
+        val out = http.call(m.addr, "POST", "/orders", ordersBody(b.token, session, b.commands).bytes(), answerMs)
+        if (out is Outcome.Answer && (out.status == 200 || out.status == 409)) {
+            m.failuresInRow = 0
+            m.unreachableUntil = 0
+            answered(m, b, out.status, session, Report.parse(parseObject(out.body)))
+            return true
+        }
+        if (out is Outcome.Silence || out is Outcome.TooLarge) {
+            for (c in b.commands.filter { it.verb == Verb.RUN }) {
+                m.unansweredRuns[AttemptId(c.ref, c.taskIndex, c.attempt)] = b.token
+            }
+        }
+        return false
+    }
+
+    private fun markSent(
+        m: Machine,
+        commands: List<Command>,
+    ) {
+        val now = nowMs()
+        for (c in commands) {
+            val attempt = attemptOf(m, c) ?: continue
+            when (c.verb) {
+                Verb.RUN -> {
+                    attempt.sentAt = now
+                    attempt.become(AttemptState.ORDERED, now)
+                }
+                Verb.KILL -> killedAt[attempt] = now
+                Verb.CLEAR -> {}
+            }
+        }
+    }
+
     private fun answered(
         m: Machine,
         b: Batch,
--- /dev/null
+++ b/src/test/kotlin/micatally/config/ConfigurationIdsTest.kt
@@ -0,0 +1,30 @@
+package micatally.config
+
+import micatally.settings.Team
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+
+class ConfigurationIdsTest {
+    private fun change(version: Long) =
+        ChangeRecord(
+            version = version,
+            id = "change-$version",
+            author = "ops",
+            reason = "",
+            atMs = 0,
+            set = listOf(Team("team-${version % TEAMS}", 1.0, 2.0, 0.0, 0.0)),
+            remove = emptyList(),
+        )
+
+    /** A fixed number of ids forgot those of a change of all teams before the last of them had been repeated. */
+    @Test
+    fun `while every team is changed the ids of all changes are known`() {
+        var configuration = Configuration.EMPTY
+        for (version in 1..TEAMS * 2L) configuration = configuration.with(change(version))
+        assertEquals(TEAMS + 1L, configuration.versionOf("change-${TEAMS + 1}"))
+    }
+
+    private companion object {
+        const val TEAMS = 3000
+    }
+}
