--- /dev/null
+++ b/src/main/kotlin/micatally/peer/SummaryPieces.kt
@@ -0,0 +1,87 @@
+package micatally.peer
+
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import micatally.state.Put
+import micatally.state.StateClient
+import micatally.state.Txn
+import micatally.state.TxnResult
+import micatally.state.Urgency
+import java.util.Base64
+
+/** The piece of a list that a machine belongs to, of [buckets]. */
+internal fun bucketOf(
+    machine: String,
+    buckets: Int,
+) = Math.floorMod(machine.hashCode(), buckets)
+
+/**
+ * A list by machine in the state service. Values have a limit, so it goes in pieces, as many as it takes for each to fit;
+ * only pieces that have changed are written.
+ *
+ * @param key the piece's number is appended to it
+ */
+internal class SummaryPieces(
+    private val state: StateClient,
+    private val valueBytes: Int,
+    private val key: String,
+) {
+    var buckets = 1
+        private set
+    private var nextPiece = 0
+    private val written = HashMap<Int, Any>()
+
+    /** What was written counts for nothing any more: all pieces are due again. */
+    fun forgetWritten() = written.clear()
+
+    /**
+     * Writes up to [most] of the pieces that have changed.
+     *
+     * @param seen what a piece says, to be compared with what was written last
+     * @param encode a piece of these machines as it is stored
+     */
+    suspend fun write(
+        names: Collection<String>,
+        most: Int,
+        seen: (Int, List<String>) -> Any,
+        encode: (Int, List<String>) -> ByteArray,
+    ) {
+        var parts: List<List<String>>
+        var left = most
+        while (true) {
+            parts = List(buckets) { i -> names.filter { bucketOf(it, buckets) == i } }
+            if (parts.withIndex().all { (i, p) -> p.size < 2 || fits(encode(i, p)) }) break
+            buckets *= 2
+            written.clear()
+        }
+        // Goes round, so that each piece has its turn when only some may be written.
+        val order = parts.indices.sortedBy { Math.floorMod(it - nextPiece, parts.size) }
+        for (i in order) {
+            val machines = parts[i]
+            val now = seen(i, machines)
+            if (written[i] == now) continue
+            if (left-- <= 0) return
+            // What is told changes while the piece waits for its turn; one that has outgrown its value is left to the
+            // next time, when the pieces are measured again.
+            val result =
+                state.txn(1, Urgency.SUMMARY) {
+                    encode(i, machines).takeIf(::fits)?.let { Txn(emptyList(), listOf(Put("$key/$i", packed(it)))) }
+                }
+            if (result is TxnResult.Applied) written[i] = now
+            nextPiece = i + 1
+        }
+    }
+
+    /** Whether the bytes fit in a value as text, with the names around it. */
+    private fun fits(bytes: ByteArray) = bytes.size * 4 / 3 + ENVELOPE_BYTES <= valueBytes
+
+    private fun packed(bytes: ByteArray): JsonObject =
+        buildJsonObject {
+            put("b", Base64.getEncoder().encodeToString(bytes))
+        }
+
+    private companion object {
+        const val ENVELOPE_BYTES = 64
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/micatally/peer/SummaryPiecesTest.kt
@@ -0,0 +1,60 @@
+package micatally.peer
+
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import micatally.http.HttpCaller
+import micatally.http.Outcome
+import micatally.state.RateBudget
+import micatally.state.StateClient
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class SummaryPiecesTest {
+    private val valueBytes = 2048
+    private val sent = ArrayList<Int>()
+    private val machines = List(20) { "m-%06d".format(it) }
+
+    private fun TestScope.pieces(): SummaryPieces {
+        val http =
+            HttpCaller { _, _, _, body, _ ->
+                sent.add(body!!.size)
+                Outcome.Answer(200, "{\"odometer\":1}".encodeToByteArray())
+            }
+
+        fun budget() = RateBudget(backgroundScope, 100.0, { testScheduler.currentTime })
+        return SummaryPieces(StateClient(http, "state:1", budget(), budget(), 1000), valueBytes, "s/room/a")
+    }
+
+    @Test
+    fun `a list goes in as many pieces as fit, and only those that have changed are written again`() =
+        runTest {
+            val pieces = pieces()
+            val write = suspend { pieces.write(machines, 100, { _, p -> p }) { _, p -> ByteArray(p.size * 200) } }
+            write()
+            assertTrue(pieces.buckets > 1)
+            assertTrue(sent.all { it < valueBytes }, "$sent")
+            val first = sent.size
+            write()
+            assertEquals(first, sent.size)
+            pieces.forgetWritten()
+            write()
+            assertEquals(first * 2, sent.size)
+        }
+
+    /** Found with 4,000 workers: a summary that had fitted grew while it waited for its turn, and the state service refused
+     * it as too large. Guard: it is measured again in [SummaryPieces.write] when it leaves. */
+    @Test
+    fun `a piece that has grown beyond a value while it waited is left to the next time`() =
+        runTest {
+            val pieces = pieces()
+            var encoded = 0
+            val growing = { _: Int, _: List<String> -> ByteArray(if (encoded++ == 0) 100 else valueBytes) }
+            pieces.write(machines.take(2), 100, { _, p -> p }, growing)
+            assertEquals(emptyList<Int>(), sent)
+            pieces.write(machines.take(2), 100, { _, p -> p }) { _, _ -> ByteArray(100) }
+            assertEquals(1, sent.size, "it counts as not written")
+        }
+}
