scale: scenarios machines (4,000 workers) and restart; size bounded by memory and sockets

Cause: the tool refused more than 2,000 workers, and told nothing of a return after all controllers were down. Change: machines is target's starts and teams on 4,000 workers; restart ends all controllers at once; tasks interrupted and the times to the first acceptance and start are figures of a run; archive and storedJobs together give former jobs that are archived.

--- a/src/main/kotlin/micatally/cli/ScaleCommand.kt
+++ b/src/main/kotlin/micatally/cli/ScaleCommand.kt
@@ -33,6 +33,7 @@
     private val KEEP_WORKERS = listOf("fleet.idle-boots=100", "fleet.headroom=1")
 
     private const val STORED_TEAMS = "config.stored-teams=true"
+    private const val ARCHIVE = "recovery.archive=on"
 
     fun spec(): CommandSpec {
         val spec = CommandSpec.create()
@@ -189,7 +190,7 @@
     ): ScaleReport? {
         MachineLimits.check(scenario)
         val properties = Files.createTempFile("micatally-scale", ".properties")
-        Files.write(properties, if (scenario.configuration == null) KEEP_WORKERS else KEEP_WORKERS + STORED_TEAMS)
+        Files.write(properties, operatorProperties(scenario))
         val deploy = Path.of(parsed.matchedOptionValue("--deploy", "deploy/service.toml"))
         val command = Deployment.command(deploy, listOf("--properties", properties.toString()))
         val run = ScaleRun(parsed.matchedPositionalValue(0, ""), scenario, command) { System.err.println(it) }
@@ -209,6 +210,13 @@
         }
     }
 
+    private fun operatorProperties(scenario: Scenario): List<String> =
+        KEEP_WORKERS +
+            listOfNotNull(
+                STORED_TEAMS.takeIf { scenario.configuration != null },
+                ARCHIVE.takeIf { scenario.archive },
+            )
+
     private fun save(
         parsed: ParseResult,
         json: String,
--- a/src/main/kotlin/micatally/scale/Failures.kt
+++ b/src/main/kotlin/micatally/scale/Failures.kt
@@ -16,6 +16,7 @@
     private val fleet: LoopbackFleet,
     private val controllers: List<ControllerProcess>,
     private val random: Random,
+    private val onAllReturn: () -> Unit = {},
 ) {
     /** How often each controller was started again, by its place in the list. */
     val restarts = IntArray(controllers.size)
@@ -67,6 +68,7 @@
         val chosen = controllers.indices.shuffled(random).take(plan.count)
         withContext(Dispatchers.IO) { for (i in chosen) controllers[i].kill() }
         delay((plan.forSeconds * 1000).toLong())
+        if (chosen.size == controllers.size) onAllReturn()
         for (i in chosen) {
             restarts[i]++
             withContext(Dispatchers.IO) { controllers[i].start() }
--- a/src/main/kotlin/micatally/scale/MachineLimits.kt
+++ b/src/main/kotlin/micatally/scale/MachineLimits.kt
@@ -1,6 +1,7 @@
 package micatally.scale
 
 import com.sun.management.UnixOperatingSystemMXBean
+import micatally.settings.Settings
 import java.lang.management.ManagementFactory
 
 /** What a run needs that this machine does not have; found before anything is started. */
@@ -27,15 +28,13 @@
 
     /** A worker listens and reports; each controller keeps connections to workers within its share of sockets. */
     private fun socketsNeeded(scenario: Scenario): Int {
-        val orders = scenario.controllers * minOf(scenario.workerCount, MAX_SOCKETS * CLIENT_SHARE_PERCENT / 100)
+        val ofOneController = minOf(scenario.workerCount, Settings.outgoingSockets(scenario.controllerSockets))
+        val orders = scenario.controllers * ofOneController
         return scenario.workerCount * 2 + orders + OTHER_SOCKETS
     }
 
     private val Long.mebibytes get() = this / (1024 * 1024)
 
-    /** `max_sockets` in the settings of the controllers. */
-    const val MAX_SOCKETS = 2400
-    private const val CLIENT_SHARE_PERCENT = 42
     private const val OTHER_SOCKETS = 1000
     private const val CONTROLLER_BYTES = 250L * 1024 * 1024
     private const val STANDIN_BYTES = 1024L * 1024 * 1024
--- a/src/main/kotlin/micatally/scale/Measurement.kt
+++ b/src/main/kotlin/micatally/scale/Measurement.kt
@@ -9,6 +9,7 @@
 private class Snapshot(
     val atNs: Long,
     val starts: Int,
+    val tasksInterrupted: Int,
     val messages: Map<MessageKind, MessageCount>,
     val changes: Map<String, Long>,
     val controllers: List<ProcessSample?>,
@@ -62,6 +63,7 @@
         Snapshot(
             System.nanoTime(),
             history.starts,
+            history.tasksInterrupted,
             traffic.counts(),
             fleet.state.changesByPrefix(),
             controllers.map { it.sample() },
@@ -84,6 +86,8 @@
         jobsAccepted = history.acceptedCount,
         jobsNotEnded = 0,
         workersAtEnd = fleet.cloud.count(),
+        tasksInterrupted = last.tasksInterrupted - first.tasksInterrupted,
+        recovery = history.recoveryFigures,
     )
 
     private fun controllerFigures(
--- a/src/main/kotlin/micatally/scale/RunHistory.kt
+++ b/src/main/kotlin/micatally/scale/RunHistory.kt
@@ -40,6 +40,7 @@
     private val rules = RuleChecker(teamInForce, cancelMs)
     private val jobs = planned.associate { it.spec.ref to JobHistory(it) }
     private val beganMs = nowMs()
+    private val recovery = RecoveryClock(nowMs)
 
     /** The first broken rule. */
     @Volatile
@@ -47,6 +48,18 @@
         private set
 
     val starts @Synchronized get() = rules.starts
+
+    /** Tasks that left a machine before they had completed, though nobody had cancelled their job. */
+    @get:Synchronized
+    var tasksInterrupted = 0
+        private set
+
+    val recoveryFigures @Synchronized get() = recovery.figures
+
+    /** All controllers were down, and their processes start again. */
+    @Synchronized
+    fun controllersReturn() = recovery.begin()
+
     val tasksRunning @Synchronized get() = rules.running.size
     val acceptedCount @Synchronized get() = rules.acceptedJobs.size
 
@@ -91,6 +104,7 @@
         sentAtMs: Long,
     ) {
         note(ref, "submission answered $status $word")
+        if (status == ACCEPTED) recovery.accepted()
         checked(ref) { rules.answeredSubmit(ref, status, word, nowMs(), sentAtMs) }
     }
 
@@ -158,6 +172,7 @@
     ) {
         val job = jobs.getValue(ref)
         note(ref, "task $taskIndex starts on ${machine.name}")
+        recovery.started()
         // A replica that moves, or is lost and started again, has been waited for only once.
         if (job.startedTasks.add(taskIndex)) {
             val kind = if (job.planned.isUrgent) LatencyKind.URGENT_START else LatencyKind.START
@@ -175,6 +190,7 @@
     ) {
         note(ref, "task $taskIndex leaves ${machine.name}" + if (done) ", completed" else "")
         rules.left(onMachine(machine, ref, taskIndex), done)
+        if (!done && !rules.isAskedToCancel(ref)) tasksInterrupted++
         val job = jobs.getValue(ref)
         if (done && job.completedTasks.add(taskIndex) && job.completedTasks.size == job.planned.spec.taskCount) {
             job.lastCompletedAtMs = nowMs()
@@ -186,4 +202,8 @@
         ref: String,
         taskIndex: Int,
     ) = OnMachine(ref, taskIndex, machine.name, machine.type, machine.zone, machine.spot)
+
+    private companion object {
+        const val ACCEPTED = 201
+    }
 }
--- a/src/main/kotlin/micatally/scale/ScaleReport.kt
+++ b/src/main/kotlin/micatally/scale/ScaleReport.kt
@@ -22,6 +22,9 @@
     val jobsAccepted: Int,
     val jobsNotEnded: Int,
     val workersAtEnd: Int,
+    /** Tasks that left a machine before they had completed, though nobody had cancelled their job. */
+    val tasksInterrupted: Int = 0,
+    val recovery: RecoveryFigures = RecoveryFigures(),
     val brokenRule: String? = null,
 )
 
@@ -135,6 +138,11 @@
             row("task starts a second", number(report.load.startsPerSecond))
             row("tasks running at the end", report.load.tasksRunningAtEnd)
             row("jobs accepted; not ended", "${report.load.jobsAccepted}; ${report.load.jobsNotEnded}")
+            row("tasks interrupted", report.load.tasksInterrupted)
+            report.load.recovery.firstAcceptedMs
+                ?.let { row("all controllers back, ms to the first acceptance", it) }
+            report.load.recovery.firstStartMs
+                ?.let { row("all controllers back, ms to the first start", it) }
             row("broken rule", report.load.brokenRule ?: "none")
             row("controller, share of a core, mean", number(report.controllerCoreShare))
             row("controller, share of a core, most", number(report.controllers.maxOf { it.coreShare }))
--- a/src/main/kotlin/micatally/scale/ScaleRun.kt
+++ b/src/main/kotlin/micatally/scale/ScaleRun.kt
@@ -104,7 +104,9 @@
             userLoop::nowMs,
         )
     private val failures =
-        Failures(workerLoop.scope, stateLoop.scope, fleet, controllers, Random(scenario.seed + 3))
+        Failures(workerLoop.scope, stateLoop.scope, fleet, controllers, Random(scenario.seed + 3)) {
+            history.controllersReturn()
+        }
 
     /** What broke a rule, if anything did. */
     val violation get() = history.violation
@@ -131,7 +133,7 @@
             settingsLimits = limits,
             stateLimits = limits,
             cloudRps = CLOUD_RPS,
-            maxSockets = MachineLimits.MAX_SOCKETS,
+            maxSockets = scenario.controllerSockets,
             maxConnections = scenario.workerCount * 2 + STANDIN_CONNECTIONS,
         )
     }
@@ -172,7 +174,7 @@
                         JobState.DONE,
                     )
                 for (task in 0 until taskCount) job.markDone(task)
-                Keys.job(job.ref) to JobRecord.encode(job)
+                (if (scenario.archive) Keys.final(job.ref) else Keys.job(job.ref)) to JobRecord.encode(job)
             }
         fleet.state.preload(records)
     }
--- a/src/main/kotlin/micatally/scale/Scenario.kt
+++ b/src/main/kotlin/micatally/scale/Scenario.kt
@@ -14,6 +14,8 @@
  * @property seconds length of the measured part
  * @property warmupSeconds load before the measurement begins
  * @property storedJobs jobs of earlier days that the state service holds from the start, all done
+ * @property archive whether records of jobs that are over are kept apart, those of [storedJobs] from the start
+ * @property controllerSockets `max_sockets` in the settings of the controllers
  * @property drainSeconds how long accepted work may take to end after the last submission
  */
 @Serializable
@@ -23,7 +25,9 @@
     val warmupSeconds: Int,
     val drainSeconds: Int = 120,
     val storedJobs: Int = 0,
+    val archive: Boolean = false,
     val controllers: Int,
+    val controllerSockets: Int = 2400,
     val zones: List<String>,
     val workers: WorkerPlan,
     val teams: TeamPlan,
--- a/src/main/kotlin/micatally/scale/ScenarioFile.kt
+++ b/src/main/kotlin/micatally/scale/ScenarioFile.kt
@@ -18,7 +18,7 @@
 /** Reads scenarios: TOML files, or those that come with the program. */
 object ScenarioFile {
     /** The scenarios that come with the program. */
-    val BUNDLED = listOf("target", "failures", "today", "smoke")
+    val BUNDLED = listOf("target", "machines", "restart", "failures", "today", "smoke")
 
     /** @param name a scenario that comes with the program, or a file */
     fun load(name: String): Scenario = parse(text(name))
@@ -98,7 +98,8 @@
         require(scenario.controllers in 1..MOST_CONTROLLERS) { "controllers must be from 1 to $MOST_CONTROLLERS" }
         require(scenario.storedJobs in 0..MOST_STORED_JOBS) { "storedJobs must be from 0 to $MOST_STORED_JOBS" }
         require(scenario.zones.isNotEmpty()) { "zones must not be empty" }
-        require(scenario.workerCount in 1..MOST_WORKERS) { "workers must be from 1 to $MOST_WORKERS in all" }
+        require(scenario.workerCount >= 1) { "workers must be at least 1 in all" }
+        require(scenario.controllerSockets >= LEAST_SOCKETS) { "controllerSockets must be at least $LEAST_SOCKETS" }
         require(scenario.teams.count in 1..MOST_TEAMS) { "teams.count must be from 1 to $MOST_TEAMS" }
         require(scenario.users.pollSeconds > 0) { "users.pollSeconds must be above 0" }
         require(scenario.stateService.requestsPerSecond > 0 && scenario.stateService.writesPerSecond > 0) {
@@ -148,7 +149,7 @@
 
     private const val MOST_SECONDS = 3600
     private const val MOST_CONTROLLERS = 11
-    private const val MOST_WORKERS = 2000
+    private const val LEAST_SOCKETS = 100
     private const val MOST_TEAMS = 1000
     private const val MOST_STORED_JOBS = 1_000_000
 }
