--- a/src/main/kotlin/micatally/api/RecordReads.kt
+++ b/src/main/kotlin/micatally/api/RecordReads.kt
@@ -2,10 +2,9 @@
 
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
-import micatally.ledger.Keys
+import micatally.recovery.RecordLookup
 import micatally.state.RateBudget
 import micatally.state.ReadResult
-import micatally.state.StateClient
 import micatally.state.Urgency
 
 /**
@@ -17,7 +16,7 @@
  * told by another node meanwhile, so nobody joins it.
  */
 class RecordReads(
-    private val state: StateClient,
+    private val lookup: RecordLookup,
     private val budget: RateBudget,
     private val mostWaiting: Int,
     private val timeoutMs: Long,
@@ -32,8 +31,9 @@
         try {
             val read =
                 withTimeoutOrNull(timeoutMs) {
-                    budget.take(1, Urgency.ACCEPTANCE)
-                    state.get(Keys.job(ref), Urgency.ACCEPTANCE) { notSent.remove(ref, answer) }
+                    val withinBudget = suspend { budget.take(1, Urgency.ACCEPTANCE) }
+                    withinBudget()
+                    lookup.read(ref, Urgency.ACCEPTANCE, { withinBudget() }) { notSent.remove(ref, answer) }
                 } ?: ReadResult.Unavailable
             answer.complete(read)
             return read
--- a/src/main/kotlin/micatally/api/UserApi.kt
+++ b/src/main/kotlin/micatally/api/UserApi.kt
@@ -11,12 +11,14 @@
 import micatally.job.JobState
 import micatally.job.JobStore
 import micatally.job.Owner
+import micatally.job.UnreadableRecord
+import micatally.job.readable
 import micatally.ledger.Authority
-import micatally.ledger.Keys
 import micatally.ledger.Membership
 import micatally.peer.Peers
 import micatally.placement.Placement
 import micatally.placement.Rounds
+import micatally.recovery.RecordLookup
 import micatally.settings.Settings
 import micatally.settings.TeamDirectory
 import micatally.state.ReadResult
@@ -46,6 +48,7 @@
     private val peers: Peers,
     private val rounds: Rounds,
     private val upgrade: Upgrade,
+    private val lookup: RecordLookup,
     private val reads: RecordReads,
     private val reach: WorkerReach,
     private val nowMs: () -> Long,
@@ -66,9 +69,8 @@
     fun health(): HttpResponse =
         when {
             membership.checkAuthority() != Authority.ENTITLED || owner.own() == null || machines.flavors.isEmpty() ->
-                later(
-                    "starting",
-                )
+                later("starting")
+            owner.own()?.let { owner.isLoadOverdue(it) } == true -> later("the ledger can't be loaded")
             // Others can take what this node has to turn away. In an outage for all every node stays: polls are still answered.
             !stateReachable && (peers.somePeerHasState() || !peers.anyHeard()) ->
                 later(
@@ -125,6 +127,7 @@
         ) {
             return later("no contact with the state service")
         }
+        if (owner.isLoadOverdue(ledger)) return knownOr(ref) { later("the ledger can't be loaded") }
         if (reach.isCutOff && owner.job(ref) == null) return knownOr(ref) { later("no contact with the workers") }
         if (state.waitingWrites > settings.stateWriteRps) return later("too many submissions at once")
         owner.job(ref)?.let {
@@ -218,7 +221,7 @@
     private suspend fun look(
         ref: String,
         read: suspend () -> ReadResult = {
-            state.get(Keys.job(ref), Urgency.ACCEPTANCE)
+            lookup.read(ref, Urgency.ACCEPTANCE)
         },
     ): Look {
         val cached = ledgerOf.getIfPresent(ref)
@@ -227,15 +230,25 @@
         return when (val found = read()) {
             is ReadResult.Unavailable -> Look.Unclear
             is ReadResult.Missing -> Look.Missing
-            is ReadResult.Found -> {
-                val record = found.item.value
-                ledgerOf.put(ref, JobRecord.ledgerOf(record))
-                // Withdrawn, but not all controllers know of it yet: only its owner can tell when they do.
-                if (JobRecord.isWithdrawalConfirmable(record)) Look.Known(fromRecord(ref, record)) else Look.Unclear
-            }
+            is ReadResult.Found ->
+                try {
+                    readable(ref) { judge(ref, found.item.value) }
+                } catch (e: UnreadableRecord) {
+                    Look.Unclear
+                }
         }
     }
 
+    private fun judge(
+        ref: String,
+        record: JsonObject,
+    ): Look {
+        ledgerOf.put(ref, JobRecord.ledgerOf(record))
+        // Withdrawn, but not all controllers know of it yet: only its owner can tell when they do.
+        if (!JobRecord.isWithdrawalConfirmable(record)) return Look.Unclear
+        return Look.Known(fromRecord(ref, record))
+    }
+
     private fun fromRecord(
         ref: String,
         o: JsonObject,
--- a/src/main/kotlin/micatally/job/JobRecord.kt
+++ b/src/main/kotlin/micatally/job/JobRecord.kt
@@ -8,6 +8,7 @@
 import kotlinx.serialization.json.put
 import micatally.ledger.Ledger
 import micatally.wire.JobSpec
+import micatally.wire.WireError
 import micatally.wire.asLong
 import micatally.wire.asText
 import micatally.wire.child
@@ -126,13 +127,18 @@
 
     fun ledgerOf(o: JsonObject) = o.text("l")
 
+    /** Also of a record that can't be read otherwise; null if it names none. */
+    fun ledgerOrNull(o: JsonObject) = (o["l"] as? JsonPrimitive)?.content
+
     fun holdOf(o: JsonObject) = (o["c"])?.asText() ?: ""
 
+    /** @throws WireError if the record is of a form that this program does not know */
     fun state(o: JsonObject) =
-        when (o.text("e")) {
+        when (val name = o.text("e")) {
             DONE -> JobState.DONE
             WITHDRAWN -> JobState.WITHDRAWN
-            else -> JobState.OPEN
+            OPEN -> JobState.OPEN
+            else -> throw WireError("a job's state can't be $name")
         }
 
     fun isSettled(o: JsonObject) = state(o) != JobState.OPEN && !mayHaveAttempts(o)
--- a/src/main/kotlin/micatally/job/JobStore.kt
+++ b/src/main/kotlin/micatally/job/JobStore.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.launch
 import micatally.ledger.Keys
 import micatally.ledger.Ledger
+import micatally.recovery.RecordLookup
 import micatally.state.Condition
 import micatally.state.ReadResult
 import micatally.state.StateClient
@@ -22,9 +23,11 @@
     private val forms: RecordForms,
     private val pauseMs: Long,
     private val countsMs: Long,
+    private val mayBeArchived: () -> Boolean = { false },
     private val nowMs: () -> Long,
 ) {
     private val log = LoggerFactory.getLogger("micatally.job")
+    private val lookup = RecordLookup(state, mayBeArchived)
     var onDurable: (Job, List<Attempt>) -> Unit = { _, _ -> }
     var onLedgerLost: (Ledger) -> Unit = {}
 
@@ -152,10 +155,12 @@
         return 1 + job.storedOverflow + killList
     }
 
+    /** A new job is nowhere: the record of one that is over may have been archived. */
     private fun conditions(job: Job) =
-        listOf(
+        listOfNotNull(
             Condition(Keys.ledger(job.ledger.name), job.ledger.holder.mark),
             Condition(Keys.job(job.ref), job.mark),
+            if (job.mark == 0L && mayBeArchived()) Condition(Keys.final(job.ref), 0L) else null,
         )
 
     /** Attempts for which the record has no room are given up again before anything of them is sent. */
@@ -214,7 +219,7 @@
      * another node has accepted it. */
     private suspend fun reread(job: Job): Boolean {
         while (job.ledger.mine && job.state != JobState.DROPPED) {
-            when (val read = state.get(Keys.job(job.ref), Urgency.INTENT)) {
+            when (val read = lookup.read(job.ref, Urgency.INTENT)) {
                 is ReadResult.Unavailable -> delay(pauseMs)
                 is ReadResult.Missing -> {
                     job.mark = 0L
@@ -222,6 +227,11 @@
                 }
                 is ReadResult.Found -> {
                     val o = read.item.value
+                    if (read.item.key == Keys.final(job.ref)) {
+                        log.info("job {} is over and was archived", job.ref)
+                        drop(job)
+                        return false
+                    }
                     if (JobRecord.ledgerOf(o) != job.ledger.name ||
                         (job.mark == 0L && JobRecord.holdOf(o) != job.ledger.hold)
                     ) {
--- a/src/main/kotlin/micatally/job/LedgerRecords.kt
+++ b/src/main/kotlin/micatally/job/LedgerRecords.kt
@@ -1,11 +1,15 @@
 package micatally.job
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.serialization.json.JsonObject
 import micatally.ledger.Keys
 import micatally.ledger.Ledger
 import micatally.state.Item
 import micatally.state.StateClient
 import micatally.state.Urgency
+import micatally.wire.WireError
+import org.slf4j.LoggerFactory
+import java.io.IOException
 
 /**
  * A job's record as it was read.
@@ -19,10 +23,41 @@
     val mark: Long,
 )
 
+/** The record of a job can't be understood: it is damaged, or of a form that this program does not know. */
+class UnreadableRecord(
+    ref: String,
+    cause: Exception,
+) : Exception("the record of job $ref can't be read: $cause", cause)
+
+/** What [read] makes of a job's record.
+ *
+ * @throws UnreadableRecord if nothing can be made of it */
+inline fun <T> readable(
+    ref: String,
+    read: () -> T,
+): T =
+    try {
+        read()
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: WireError) {
+        throw UnreadableRecord(ref, e)
+    } catch (e: IllegalArgumentException) {
+        // Also what the decoders of JSON and of Base64 throw.
+        throw UnreadableRecord(ref, e)
+    } catch (e: IOException) {
+        throw UnreadableRecord(ref, e)
+    }
+
 /** Reads the records of jobs for a ledger that has just been acquired. */
 class LedgerRecords(
     private val state: StateClient,
 ) {
+    private val log = LoggerFactory.getLogger("micatally.job")
+
+    /** Records of other ledgers that have been named in the log. */
+    private val unreadable = HashSet<String>()
+
     /**
      * The records that something may still have to be done for: those of the ledger, and withdrawn ones of others; null if
      * they could not be read. Jobs that are over stay in the state service for good, so that there are far more of them than
@@ -34,18 +69,40 @@
     ): List<LedgerRecord>? {
         val open = ArrayList<Item>()
         state.eachPage(Keys.JOB, Urgency.LEASE) { page ->
-            for (item in page) {
-                val isOwn = JobRecord.ledgerOf(item.value) == ledger.name
-                if (!JobRecord.isSettled(item.value)) {
-                    if (isOwn || JobRecord.state(item.value) == JobState.WITHDRAWN) open.add(item)
-                } else if (isOwn) {
-                    onSettled(refOf(item), item.value)
-                }
-            }
+            for (item in page) visit(item, ledger, open, onSettled)
         } ?: return null
         return unpacked(open, ledger)
     }
 
+    /** What can't be read of another ledger is its holder's matter: the tasks of its withdrawn jobs stand in kill lists too. */
+    private fun visit(
+        item: Item,
+        ledger: Ledger,
+        open: MutableList<Item>,
+        onSettled: (ref: String, record: JsonObject) -> Unit,
+    ) {
+        try {
+            readable(refOf(item)) { sort(item, ledger, open, onSettled) }
+        } catch (e: UnreadableRecord) {
+            if (JobRecord.ledgerOrNull(item.value) == ledger.name) throw e
+            if (unreadable.add(refOf(item))) log.error("{}", e.message)
+        }
+    }
+
+    private fun sort(
+        item: Item,
+        ledger: Ledger,
+        open: MutableList<Item>,
+        onSettled: (ref: String, record: JsonObject) -> Unit,
+    ) {
+        val isOwn = JobRecord.ledgerOf(item.value) == ledger.name
+        if (!JobRecord.isSettled(item.value)) {
+            if (isOwn || JobRecord.state(item.value) == JobState.WITHDRAWN) open.add(item)
+        } else if (isOwn) {
+            onSettled(refOf(item), item.value)
+        }
+    }
+
     private fun refOf(item: Item) = item.key.removePrefix(Keys.JOB)
 
     /**
@@ -65,7 +122,8 @@
             val overflow = (0 until RecordPacking.overflowCount(item.value)).map { partOf[Keys.jobPart(ref, it)] }
             val isWhole = overflow.all { it != null && it.mark == item.mark }
             if (!isWhole && isOwn && ref !in ledger.jobs) return null
-            val plain = if (isWhole) RecordPacking.unpack(item.value, overflow.map { it!!.value }) else null
+            val plain =
+                if (isWhole) readable(ref) { RecordPacking.unpack(item.value, overflow.map { it!!.value }) } else null
             LedgerRecord(ref, item.value, plain, item.mark)
         }
     }
--- a/src/main/kotlin/micatally/job/Owner.kt
+++ b/src/main/kotlin/micatally/job/Owner.kt
@@ -118,7 +118,7 @@
         holder: Holder,
     ) {
         ledgers[name]?.let { if (it.mine) lose(it) }
-        val l = Ledger(name, holder)
+        val l = Ledger(name, holder, nowMs())
         ledgers[name] = l
         scope.launch { load(l) }
     }
@@ -157,30 +157,37 @@
         quota.forget(l.name)
     }
 
+    /** Whether the ledger's jobs should be known by now and are not: a new job of it might never be started. */
+    fun isLoadOverdue(l: Ledger) =
+        l.state == LedgerState.LOADING &&
+            (l.isUnreadable || nowMs() - l.acquiredAtMs > settings.leaseMs / LOADS_A_LEASE)
+
     private suspend fun load(l: Ledger) {
-        val began = nowMs()
         while (l.mine) {
-            val records = records.of(l) { ref, record -> settled(l, ref, record) }
-            if (records == null) {
-                delay(settings.reportMs / 8)
-                continue
-            }
-            if (!l.mine) return
-            for (record in records) adopt(l, record)
-            l.become(LedgerState.ACTIVE)
-            log.info(
-                "ledger {} loaded at epoch {}: {} jobs in {} ms",
-                l.name,
-                l.holder.epoch,
-                l.jobs.size,
-                nowMs() - began,
-            )
-            reconcileMachines()
-            wake()
-            return
+            if (tryLoad(l)) return
+            delay(settings.reportMs / 8)
         }
     }
 
+    /** False if the records can't be had, or can't be read: then nothing of the ledger moves, and the log names the record. */
+    private suspend fun tryLoad(l: Ledger): Boolean {
+        try {
+            val records = records.of(l) { ref, record -> settled(l, ref, record) } ?: return false
+            if (!l.mine) return true
+            for (record in records) readable(record.ref) { adopt(l, record) }
+        } catch (e: UnreadableRecord) {
+            if (!l.isUnreadable) log.error("ledger {} can't be loaded: {}", l.name, e.message)
+            l.isUnreadable = true
+            return false
+        }
+        l.become(LedgerState.ACTIVE)
+        val tookMs = nowMs() - l.acquiredAtMs
+        log.info("ledger {} loaded at epoch {}: {} jobs in {} ms", l.name, l.holder.epoch, l.jobs.size, tookMs)
+        reconcileMachines()
+        wake()
+        return true
+    }
+
     private fun adopt(
         l: Ledger,
         record: LedgerRecord,
@@ -619,6 +626,9 @@
         const val FINALS = 20_000L
         const val MOST_LOGGED_ONCE = 100
 
+        /** A ledger is to be loaded in this part of a worker's lease. */
+        const val LOADS_A_LEASE = 4
+
         /** Services of so many thirds of a boot may come while a machine boots. */
         const val RECENT_BOOTS = 4
     }
--- a/src/main/kotlin/micatally/ledger/Cluster.kt
+++ b/src/main/kotlin/micatally/ledger/Cluster.kt
@@ -30,6 +30,10 @@
     const val KILL = "c/kill/"
     const val DRAIN = "c/drain/"
     const val JOB = "job/"
+
+    /** Records of jobs that are over, and which hosts look for them there. */
+    const val FINAL = "final/"
+    const val ARCHIVE = "c/archive/"
     const val FLAVORS = "flavors"
 
     /** What does not fit in the value of a job's record. Not under [JOB], or the previous program would read it as a record. */
@@ -50,6 +54,10 @@
 
     fun job(ref: String) = JOB + ref
 
+    fun final(ref: String) = FINAL + ref
+
+    fun archive(host: String) = ARCHIVE + host
+
     fun jobPart(
         ref: String,
         index: Int,
--- a/src/main/kotlin/micatally/ledger/Ledger.kt
+++ b/src/main/kotlin/micatally/ledger/Ledger.kt
@@ -5,15 +5,21 @@
 /** ACTIVE: its jobs are known and may be moved. LOST: another node holds it; nothing may be written or sent for it. */
 enum class LedgerState { LOADING, ACTIVE, LOST }
 
-/** A ledger in this node's hands: the jobs accepted by one controller. */
+/** A ledger in this node's hands: the jobs accepted by one controller.
+ *
+ * @property acquiredAtMs when this hold on it began, on this node's clock */
 class Ledger(
     val name: String,
     val holder: Holder,
+    val acquiredAtMs: Long = 0,
 ) {
     var state = LedgerState.LOADING
         private set
     val jobs = HashMap<String, Job>()
 
+    /** Whether a record of it can't be read, so that it is not loaded before somebody mends that. */
+    var isUnreadable = false
+
     /** The one place where a ledger changes its state. */
     fun become(next: LedgerState) {
         check(next.ordinal > state.ordinal) { "ledger $name may not go from $state to $next" }
--- a/src/main/kotlin/micatally/ledger/Membership.kt
+++ b/src/main/kotlin/micatally/ledger/Membership.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
+import micatally.recovery.ArchivePlan
 import micatally.settings.Settings
 import micatally.state.Condition
 import micatally.state.Put
@@ -29,6 +30,7 @@
     val cluster: Cluster,
     private val random: Random,
     private val nowMs: () -> Long,
+    private val archives: Boolean = false,
 ) {
     private val log = LoggerFactory.getLogger("micatally.ledger")
 
@@ -141,6 +143,7 @@
                                     buildJsonObject {
                                         put("process", process)
                                         put(UpgradePlan.FORMAT_FIELD, FormatVersion.CURRENT)
+                                        if (archives) put(ArchivePlan.LIVE_FIELD, 1)
                                     },
                                     l,
                                 ),
--- a/src/main/kotlin/micatally/node/Controller.kt
+++ b/src/main/kotlin/micatally/node/Controller.kt
@@ -25,11 +25,16 @@
 import micatally.job.StopReason
 import micatally.ledger.Cluster
 import micatally.ledger.Keys
+import micatally.ledger.LedgerState
 import micatally.ledger.Membership
 import micatally.peer.Peers
 import micatally.placement.Quota
 import micatally.placement.Rounds
 import micatally.queue.Queues
+import micatally.recovery.ArchiveMode
+import micatally.recovery.LoadedLedgers
+import micatally.recovery.RecordArchive
+import micatally.recovery.RecordLookup
 import micatally.settings.Operator
 import micatally.settings.Settings
 import micatally.state.RateBudget
@@ -87,7 +92,8 @@
             RateBudget(scope, settings.cloudRps * 0.9, nowMs),
             settings.leaseMs / 2,
         )
-    val membership = Membership(scope, settings, state, Cluster(), random, nowMs)
+    val membership =
+        Membership(scope, settings, state, Cluster(), random, nowMs, operator.archiveMode == ArchiveMode.ON)
     val machines = Machines(nowMs)
     private val wantedFormat =
         if (operator.storesTeams) FormatVersion.STORED_TEAMS else FormatVersion.PACKED_RECORDS
@@ -95,7 +101,11 @@
     val configuration =
         ConfigurationService(scope, settings, state, membership, upgrade, http, nowMs, wallMs)
     private val forms = RecordForms(settings.stateLimits) { upgrade.isUniform }
-    private val store = JobStore(scope, state, forms, settings.reportMs / 4, settings.leaseMs / 10, nowMs)
+    private val archive: RecordArchive =
+        RecordArchive(scope, settings, state, membership, operator.archiveMode, loadedLedgers())
+    private val lookup = RecordLookup(state) { archive.mayBeUsed }
+    private val store =
+        JobStore(scope, state, forms, settings.reportMs / 4, settings.leaseMs / 10, { archive.mayBeUsed }, nowMs)
     val owner = Owner(scope, settings, state, membership, machines, store, nowMs, wallMs)
     private val orders = Orders(scope, http, settings, membership, machines, owner, owner.withdrawals.stopList, nowMs)
     private val quota =
@@ -129,7 +139,7 @@
     private val questionRps = settings.stateLimits.rps * share * QUESTION_SHARE
     private val reads =
         RecordReads(
-            state,
+            lookup,
             RateBudget(scope, questionRps, nowMs),
             maxOf(1, questionRps.toInt()),
             settings.leaseMs / 8,
@@ -146,12 +156,18 @@
             peers,
             rounds,
             upgrade,
+            lookup,
             reads,
             reach,
             nowMs,
         )
     private val workers = WorkerApi(settings, membership, machines, peers, owner.withdrawals.stopList, nowMs)
 
+    private fun loadedLedgers() =
+        object : LoadedLedgers {
+            override fun loaded(name: String) = owner.ledgers[name]?.takeIf { it.state == LedgerState.ACTIVE }
+        }
+
     private fun fleetDemand() =
         object : FleetDemand {
             override fun unplaced() = rounds.unplaced.values.toList() + peers.demandOfPeers()
@@ -204,6 +220,7 @@
         membership.start()
         fleetManager.start()
         peers.start()
+        archive.start()
         scope.launch { housekeeping() }
     }
 
--- /dev/null
+++ b/src/main/kotlin/micatally/recovery/ArchivePlan.kt
@@ -0,0 +1,63 @@
+package micatally.recovery
+
+import micatally.ledger.Cluster
+import micatally.ledger.Keys
+import micatally.state.Condition
+import micatally.state.StateLimits
+import micatally.wire.longOrNull
+
+/** What a controller does with the records of jobs that are over. */
+enum class ArchiveMode {
+    /** They stay where they are. */
+    OFF,
+
+    /** They are moved apart from the open ones once all controllers look for them there. */
+    ON,
+
+    /** Those that were moved are copied back, so that a program which knows nothing of the archive finds them. */
+    RESTORE,
+}
+
+/**
+ * Decides from the shared keys whether records of jobs that are over may be moved to `final/`.
+ *
+ * A host announces with a key of its own, never taken back, that each later process of it looks in both places. A live key
+ * names whether its process moves records itself, so that one process of another mind stops them all.
+ */
+object ArchivePlan {
+    /** Field of a live key: the process moves records. */
+    const val LIVE_FIELD = "archive"
+
+    fun isAnnounced(
+        cluster: Cluster,
+        host: String,
+    ): Boolean = cluster.has(Keys.archive(host))
+
+    fun mayMove(
+        cluster: Cluster,
+        hosts: Collection<String>,
+    ): Boolean = hosts.all { isAnnounced(cluster, it) && (!cluster.isLive(it) || movesRecords(cluster, it)) }
+
+    private fun movesRecords(
+        cluster: Cluster,
+        host: String,
+    ): Boolean = cluster.value(Keys.live(host))?.longOrNull(LIVE_FIELD) == 1L
+
+    /** A move takes place only while exactly these processes are live. */
+    fun conditions(
+        cluster: Cluster,
+        hosts: Collection<String>,
+    ): List<Condition> = hosts.map { Condition(Keys.live(it), cluster.mark(Keys.live(it))) }
+
+    /** Records that one transaction may move: two changes and two conditions each, beside [otherConditions]. */
+    fun recordsAtOnce(
+        limits: StateLimits,
+        otherConditions: Int,
+    ): Int {
+        val byConditions = (limits.txnOps * CONDITIONS_A_CHANGE - otherConditions) / 2
+        return minOf(limits.txnOps / 2, byConditions).coerceAtLeast(0)
+    }
+
+    /** The protocol allows four times as many conditions as changes. */
+    private const val CONDITIONS_A_CHANGE = 4
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/recovery/RecordArchive.kt
@@ -0,0 +1,271 @@
+package micatally.recovery
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import micatally.job.JobRecord
+import micatally.job.UnreadableRecord
+import micatally.job.readable
+import micatally.ledger.Keys
+import micatally.ledger.Ledger
+import micatally.ledger.Membership
+import micatally.settings.Settings
+import micatally.state.Condition
+import micatally.state.Delete
+import micatally.state.Item
+import micatally.state.Put
+import micatally.state.ReadResult
+import micatally.state.StateClient
+import micatally.state.StateLimits
+import micatally.state.Txn
+import micatally.state.TxnResult
+import micatally.state.Urgency
+import org.slf4j.LoggerFactory
+
+/** The ledgers whose jobs this node knows, and the jobs that it still has to do with. */
+interface LoadedLedgers {
+    /** The ledger if this node holds it and has loaded it. */
+    fun loaded(name: String): Ledger?
+}
+
+/**
+ * Moves the records of jobs that are over from `job/`, which a start or takeover lists, to `final/`, which it does not; or
+ * copies them back. Works through all records again and again at a small share of this node's changes, so it goes on where
+ * another process left off. Each move is one transaction on the condition that the ledger is held, that the record is the
+ * one read, and that no other process has come: late and repeated ones change nothing.
+ */
+class RecordArchive(
+    private val scope: CoroutineScope,
+    private val settings: Settings,
+    private val state: StateClient,
+    private val membership: Membership,
+    private val mode: ArchiveMode,
+    private val ledgers: LoadedLedgers,
+) {
+    private val log = LoggerFactory.getLogger("micatally.recovery")
+    private val cluster get() = membership.cluster
+    private val hosts = settings.peers.map { it.host } + settings.host
+    private val recordsAtOnce = ArchivePlan.recordsAtOnce(settings.stateLimits, hosts.size + 1)
+
+    /** Records that the state service does not take at the other place. */
+    private val refused = HashSet<String>()
+
+    /** Whether a record may be in `final/`: only if this host, too, has announced that it looks there. */
+    val mayBeUsed get() = mode == ArchiveMode.ON || ArchivePlan.isAnnounced(cluster, settings.host)
+
+    fun start() {
+        if (mode == ArchiveMode.OFF) return
+        if (recordsAtOnce == 0) {
+            log.warn("records are not archived: {} changes a transaction are too few", settings.txnOps)
+            return
+        }
+        scope.launch {
+            while (true) {
+                delay(settings.leaseMs * LEASES_BETWEEN_WALKS)
+                if (mode == ArchiveMode.ON) archive() else restore()
+            }
+        }
+    }
+
+    private suspend fun archive() {
+        announce()
+        if (!ArchivePlan.mayMove(cluster, hosts)) return
+        val moved = walk(Keys.JOB) { ledger, some -> move(ledger, some) } ?: return
+        if (moved > 0) log.info("{} records of jobs that are over were archived", moved)
+    }
+
+    private suspend fun restore() {
+        val copied = walk(Keys.FINAL) { ledger, some -> copyBack(ledger, some) } ?: return
+        if (copied == 0 && ledgers.loaded(settings.host) != null) {
+            log.info("all archived records of this node's ledgers are back")
+        } else {
+            log.info("{} archived records were copied back", copied)
+        }
+    }
+
+    /** Only by a process that holds its own ledger: what a former one wrote, and comes late, then fails on the ledger. */
+    private suspend fun announce() {
+        if (ArchivePlan.isAnnounced(cluster, settings.host)) return
+        val key = Keys.archive(settings.host)
+        val result =
+            state.txn(1, Urgency.SUMMARY) {
+                val holder = cluster.holder(settings.host)
+                if (holder == null || !membership.holds(settings.host)) return@txn null
+                val conditions = listOf(Condition(key, 0), Condition(Keys.ledger(settings.host), holder.mark))
+                Txn(conditions, listOf(Put(key, buildJsonObject { put("n", 1) })))
+            }
+        if (result is TxnResult.Applied) log.info("announced that this host looks for archived records")
+    }
+
+    /** Hands the settled records under [prefix] to [act], those of one ledger together; returns how many it dealt with, or
+     * null if not all could be read. */
+    private suspend fun walk(
+        prefix: String,
+        act: suspend (Ledger, List<Item>) -> Int,
+    ): Int? {
+        var after: String? = null
+        var count = 0
+        while (true) {
+            val page = ArrayList<Item>()
+            val listing = state.page(prefix, Urgency.SUMMARY, after) { page.addAll(it) } ?: return null
+            for ((ledger, items) in settledByLedger(page, prefix)) {
+                for (some in batches(items)) {
+                    if (!ledger.mine) break
+                    count += act(ledger, some)
+                    delay(pauseMs(some.size))
+                }
+            }
+            after = listing.lastKey
+            if (!listing.hasMore || after == null) return count
+        }
+    }
+
+    private fun settledByLedger(
+        page: List<Item>,
+        prefix: String,
+    ): Map<Ledger, List<Item>> {
+        val found = HashMap<Ledger, MutableList<Item>>()
+        for (item in page) {
+            val ref = item.key.removePrefix(prefix)
+            val ledger = ledgerOf(ref, item) ?: continue
+            // A job that this node still knows may be written once more.
+            if (ref in ledger.jobs || ref in refused) continue
+            found.getOrPut(ledger) { ArrayList() }.add(item)
+        }
+        return found
+    }
+
+    /** Null if the record is open, unreadable, or of a ledger that this node does not hold. */
+    private fun ledgerOf(
+        ref: String,
+        item: Item,
+    ): Ledger? =
+        try {
+            readable(
+                ref,
+            ) { if (JobRecord.isSettled(item.value)) ledgers.loaded(JobRecord.ledgerOf(item.value)) else null }
+        } catch (e: UnreadableRecord) {
+            log.debug("not archived: {}", e.message)
+            null
+        }
+
+    /** As many as fit in a transaction, by count and by size. */
+    private fun batches(items: List<Item>): List<List<Item>> {
+        val batches = ArrayList<MutableList<Item>>()
+        var bytes = 0
+        for (item in items) {
+            val size = item.value.toString().length + KEY_BYTES
+            val last = batches.lastOrNull()
+            if (last == null || last.size >= recordsAtOnce || bytes + size > StateLimits.TRANSACTION_BYTES) {
+                batches.add(arrayListOf(item))
+                bytes = size
+            } else {
+                last.add(item)
+                bytes += size
+            }
+        }
+        return batches
+    }
+
+    /** Keeps to a share of the changes that this node may make. */
+    private fun pauseMs(records: Int): Long {
+        val changesASecond = settings.stateWriteRps / settings.controllers * SHARE_OF_WRITES
+        return (records * 2 * MS_A_SECOND / changesASecond).toLong()
+    }
+
+    private suspend fun move(
+        ledger: Ledger,
+        items: List<Item>,
+    ): Int {
+        val result =
+            state.txn(items.size * 2, Urgency.SUMMARY) {
+                if (!ledger.mine || !ArchivePlan.mayMove(cluster, hosts)) return@txn null
+                val conditions =
+                    items.flatMap { listOf(Condition(it.key, it.mark), Condition(finalKey(it), 0)) } +
+                        Condition(Keys.ledger(ledger.name), ledger.holder.mark) + ArchivePlan.conditions(cluster, hosts)
+                Txn(conditions, items.flatMap { listOf(Delete(it.key), Put(finalKey(it), it.value)) })
+            }
+        return when (result) {
+            is TxnResult.Applied -> items.size
+            is TxnResult.Failed -> {
+                val restored = items.filter { finalKey(it) in result.keys }
+                restored.count { removeCopy(ledger, it) }
+            }
+            is TxnResult.TooLarge -> tooLarge(ledger, items)
+            else -> 0
+        }
+    }
+
+    /** What was copied back is in both places; the copy goes, if the archive has the same. */
+    private suspend fun removeCopy(
+        ledger: Ledger,
+        item: Item,
+    ): Boolean {
+        val final = state.get(finalKey(item), Urgency.SUMMARY)
+        if (final !is ReadResult.Found || final.item.value != item.value) return false
+        val result =
+            state.txn(1, Urgency.SUMMARY) {
+                if (!ledger.mine || !ArchivePlan.mayMove(cluster, hosts)) return@txn null
+                val conditions =
+                    listOf(
+                        Condition(item.key, item.mark),
+                        Condition(finalKey(item), final.item.mark),
+                        Condition(Keys.ledger(ledger.name), ledger.holder.mark),
+                    ) + ArchivePlan.conditions(cluster, hosts)
+                Txn(conditions, listOf(Delete(item.key)))
+            }
+        return result is TxnResult.Applied
+    }
+
+    /** The limits may have been lowered since the record was written: it stays where it is. */
+    private suspend fun tooLarge(
+        ledger: Ledger,
+        items: List<Item>,
+    ): Int {
+        if (items.size > 1) return items.sumOf { move(ledger, listOf(it)) }
+        refused.add(items.single().key.removePrefix(Keys.JOB))
+        return 0
+    }
+
+    private suspend fun copyBack(
+        ledger: Ledger,
+        items: List<Item>,
+    ): Int {
+        val result =
+            state.txn(items.size, Urgency.SUMMARY) {
+                if (!ledger.mine) return@txn null
+                val conditions =
+                    items.flatMap { listOf(Condition(jobKey(it), 0), Condition(it.key, it.mark)) } +
+                        Condition(Keys.ledger(ledger.name), ledger.holder.mark)
+                Txn(conditions, items.map { Put(jobKey(it), it.value) })
+            }
+        return when (result) {
+            is TxnResult.Applied -> items.size
+            is TxnResult.Failed -> {
+                val missing = items.filter { jobKey(it) !in result.keys }
+                when {
+                    missing.isEmpty() -> 0
+                    missing.size < items.size -> copyBack(ledger, missing)
+                    // The ledger has changed hands; whether they are there is not known.
+                    else -> items.size
+                }
+            }
+            else -> items.size
+        }
+    }
+
+    private fun finalKey(item: Item) = Keys.final(item.key.removePrefix(Keys.JOB))
+
+    private fun jobKey(item: Item) = Keys.job(item.key.removePrefix(Keys.FINAL))
+
+    private companion object {
+        const val LEASES_BETWEEN_WALKS = 2
+        const val SHARE_OF_WRITES = 0.125
+        const val MS_A_SECOND = 1000.0
+
+        /** The keys and conditions of one record in a transaction. */
+        const val KEY_BYTES = 250
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/recovery/RecordLookup.kt
@@ -0,0 +1,29 @@
+package micatally.recovery
+
+import micatally.ledger.Keys
+import micatally.state.ReadResult
+import micatally.state.StateClient
+import micatally.state.Urgency
+
+/**
+ * Reads a job's record wherever it is. A record moves from `job/` to `final/` in one transaction and is never taken from
+ * there, so one that is missed by the first read is found by the second.
+ */
+class RecordLookup(
+    private val state: StateClient,
+    private val mayBeArchived: () -> Boolean,
+) {
+    /** @param onSend runs when the first request leaves: what is asked from then on may be newer than the answer
+     * @param beforeSecond runs before the second request, where one is needed */
+    suspend fun read(
+        ref: String,
+        urgency: Urgency,
+        beforeSecond: suspend () -> Unit = {},
+        onSend: () -> Unit = {},
+    ): ReadResult {
+        val open = state.get(Keys.job(ref), urgency, onSend)
+        if (open !is ReadResult.Missing || !mayBeArchived()) return open
+        beforeSecond()
+        return state.get(Keys.final(ref), urgency)
+    }
+}
--- a/src/main/kotlin/micatally/settings/Operator.kt
+++ b/src/main/kotlin/micatally/settings/Operator.kt
@@ -1,5 +1,6 @@
 package micatally.settings
 
+import micatally.recovery.ArchiveMode
 import java.util.Properties
 
 /** Operators' own settings, beyond the file that the platform hands over. Durations are multiples of a worker's lease or of a machine's boot. */
@@ -10,6 +11,8 @@
     val fleetIdleBoots: Double,
     /** Whether the teams move from the settings file to the state service once all controllers are ready for it. */
     val storesTeams: Boolean = false,
+    /** Whether records of jobs that are over are kept apart from open ones. */
+    val archiveMode: ArchiveMode = ArchiveMode.OFF,
 ) {
     companion object {
         private fun flag(
@@ -22,12 +25,19 @@
                 else -> throw SettingsError("$key must be true or false")
             }
 
+        private fun archiveMode(p: Properties): ArchiveMode {
+            val name = p.getProperty(ARCHIVE)?.trim() ?: return ArchiveMode.OFF
+            return ArchiveMode.entries.find { it.name.lowercase() == name }
+                ?: throw SettingsError("$ARCHIVE must be off, on or restore")
+        }
+
         private const val BOUNDS = "queue.bounds-leases"
         private const val LIFT = "queue.lift"
         private const val HEADROOM = "fleet.headroom"
         private const val IDLE = "fleet.idle-boots"
         private const val STORED_TEAMS = "config.stored-teams"
-        private val KEYS = listOf(BOUNDS, LIFT, HEADROOM, IDLE, STORED_TEAMS)
+        private const val ARCHIVE = "recovery.archive"
+        private val KEYS = listOf(BOUNDS, LIFT, HEADROOM, IDLE, STORED_TEAMS, ARCHIVE)
 
         /** The queues' bounds: the source's own split leaves tasks of a minute in the top queue, beside the services that
          * wait for their machines. */
@@ -72,6 +82,7 @@
                 number(HEADROOM, DEFAULT.fleetHeadroom, 0.0..1.0),
                 number(IDLE, DEFAULT.fleetIdleBoots, 0.1..100.0),
                 flag(p, STORED_TEAMS),
+                archiveMode(p),
             )
         }
     }
--- /dev/null
+++ b/src/test/kotlin/micatally/sim/ArchiveTest.kt
@@ -0,0 +1,194 @@
+package micatally.sim
+
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import micatally.ledger.Keys
+import micatally.recovery.ArchiveMode
+import micatally.settings.Operator
+import micatally.wire.bytes
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Records of jobs that are over move away from the open ones, and back, while controllers come, go and differ. */
+class ArchiveTest {
+    private fun operator(mode: ArchiveMode) = Operator(listOf(0.1, 1.0, 10.0), 2.0, 0.1, 1.3, archiveMode = mode)
+
+    private fun archived(
+        seed: Int,
+        mode: ArchiveMode = ArchiveMode.ON,
+        test: Meeting.() -> Unit,
+    ) = meeting(seed, before = { operator = operator(mode) }, test = test)
+
+    /** Short jobs at all nodes, every third of them cancelled; waits until all are over. */
+    private fun Meeting.finishedJobs(count: Int): List<String> {
+        val refs = List(count) { submit(it % f.nodes, "sweep", 2, runMs = if (it % 3 == 2) 3_600_000 else 500) }
+        for ((i, ref) in refs.withIndex()) if (i % 3 == 2) cancel(ref, listOf(i % f.nodes))
+        for (ref in refs) poll(ref)
+        runUntil(f.lease * 12, "all are over") { refs.all { f.rules.isFinal(it) } }
+        return refs
+    }
+
+    private fun Meeting.isOnlyFinal(ref: String) =
+        f.state.value(Keys.job(ref)) == null && f.state.value(Keys.final(ref)) != null
+
+    private fun Meeting.restart(
+        node: Int,
+        mode: ArchiveMode,
+    ) {
+        f.crash(node)
+        f.runFor(500)
+        f.operator = operator(mode)
+        f.startNode(node)
+        runUntil(f.lease * 2, "node $node has its ledger") { holdsOf(node, node) }
+    }
+
+    /** Everybody asks about every job at every node, which has nothing of it in memory. */
+    private fun Meeting.assertKnownEverywhere(refs: List<String>) {
+        for (ref in refs) {
+            val word = if (f.rules.isCancelled(ref)) "withdrawn" else "done"
+            val body =
+                f.rules.specs
+                    .getValue(ref)
+                    .source
+            for (node in 0 until f.nodes) {
+                // The repeat first: once the node has read the record it answers from memory.
+                assertEquals(200 to word, f.asked(node, "POST", "/work", body.bytes()), "$ref at $node")
+                assertEquals(200 to word, f.asked(node, "GET", "/work/$ref"), "$ref at $node")
+                assertEquals(200 to word, f.asked(node, "POST", "/work/$ref/cancel"))
+            }
+        }
+        assertEquals(404, f.asked(0, "GET", "/work/j-777777").first)
+    }
+
+    /** Guards: the second read of [micatally.recovery.RecordLookup]; the condition on `final/` in [micatally.job.JobStore]. */
+    @Test
+    fun `jobs that are over leave the list of open ones and are known for good`() =
+        archived(1) {
+            val refs = finishedJobs(12)
+            runUntil(f.lease * 20, "all are archived") { refs.all { isOnlyFinal(it) } }
+            for (node in 0 until f.nodes) f.crash(node)
+            f.runFor(f.lease)
+            for (node in 0 until f.nodes) f.startNode(node)
+            f.runFor(f.lease)
+            assertKnownEverywhere(refs)
+            assertTrue(refs.all { isOnlyFinal(it) }, "a repeat writes nothing")
+        }
+
+    /** Guard: the condition on `final/`. Without it the write makes a finished job an open one again. */
+    @Test
+    fun `a submission that is carried out after the job was done and archived elsewhere changes nothing`() =
+        archived(2) {
+            val s = spec("sweep", 2)
+            f.runs[s.ref] = 500
+            var held = 0
+            f.holdWriteOf =
+                { node, body -> if (node == 0 && Keys.job(s.ref) in body && held++ == 0) 150_000L else null }
+            f.asked(0, "POST", "/work", s.source.bytes())
+            assertTrue(held > 0)
+            runUntil(
+                f.lease,
+                "another node takes it",
+            ) { f.asked(1, "POST", "/work", s.source.bytes()).first in 200..201 }
+            f.rules.answeredSubmit(s.ref, 201)
+            poll(s.ref)
+            runUntil(140_000, "it is archived") { isOnlyFinal(s.ref) }
+            f.runFor(150_000)
+            assertTrue(isOnlyFinal(s.ref))
+        }
+
+    /** Guards: announcements of all hosts, and the field in the live keys, in [micatally.recovery.ArchivePlan.mayMove]. */
+    @Test
+    fun `nothing moves while a host is not ready, or one of its processes is of another mind`() =
+        meeting(3, before = { operator = operator(ArchiveMode.ON) }) {
+            f.crash(2)
+            val refs = finishedJobsAt(listOf(0, 1))
+            restart(2, ArchiveMode.OFF)
+            f.runFor(f.lease * 8)
+            assertEquals(emptyList<String>(), f.state.keysUnder(Keys.FINAL), "the host has not announced")
+            restart(2, ArchiveMode.ON)
+            runUntil(f.lease * 20, "all are archived") { refs.all { isOnlyFinal(it) } }
+            restart(2, ArchiveMode.OFF)
+            val later = finishedJobsAt(listOf(0, 1))
+            f.runFor(f.lease * 8)
+            assertTrue(later.none { isOnlyFinal(it) }, "a process that moves nothing stops the others")
+            assertKnownEverywhere(refs + later)
+        }
+
+    private fun Meeting.finishedJobsAt(nodes: List<Int>): List<String> {
+        val refs = List(6) { submit(nodes[it % nodes.size], "sweep", 2, runMs = 500) }
+        for (ref in refs) poll(ref)
+        runUntil(f.lease * 12, "all are over") { refs.all { f.rules.isFinal(it) } }
+        return refs
+    }
+
+    @Test
+    fun `a host that has never announced keeps all records where they are`() =
+        archived(4, ArchiveMode.OFF) {
+            restart(0, ArchiveMode.ON)
+            restart(1, ArchiveMode.ON)
+            finishedJobs(6)
+            f.runFor(f.lease * 12)
+            assertEquals(emptyList<String>(), f.state.keysUnder(Keys.FINAL))
+        }
+
+    /** Moves that come late, answers that are lost, processes that end in the middle, ledgers that change hands. */
+    @Test
+    fun `each record stays in exactly one place through ends, late writes and takeovers`() {
+        for (seed in 5..6) {
+            archived(seed) {
+                val refs = finishedJobs(18).toMutableList()
+                f.lateWrites = 0.2
+                f.lostAnswers = 0.1
+                for (round in 0..5) {
+                    val node = round % f.nodes
+                    f.crash(node)
+                    f.runFor(f.lease * 3 / 2)
+                    f.startNode(node)
+                    f.runFor(f.lease * 2)
+                }
+                f.lateWrites = 0.0
+                f.lostAnswers = 0.0
+                refs += finishedJobs(6)
+                runUntil(f.lease * 30, "all are archived") { refs.all { isOnlyFinal(it) } }
+                assertKnownEverywhere(refs)
+            }
+        }
+    }
+
+    /** The way back to a program that looks in one place only, and forward again. */
+    @Test
+    fun `archived records are copied back whole, and archived again`() =
+        archived(7) {
+            val refs = finishedJobs(9)
+            runUntil(f.lease * 20, "all are archived") { refs.all { isOnlyFinal(it) } }
+            val records = refs.associateWith { f.state.value(Keys.final(it)) }
+            for (node in 0 until f.nodes) restart(node, ArchiveMode.RESTORE)
+            runUntil(f.lease * 20, "all are back") { refs.all { f.state.value(Keys.job(it)) != null } }
+            for (ref in refs) assertEquals(records[ref], f.state.value(Keys.job(ref)), ref)
+            assertKnownEverywhere(refs)
+            for (node in 0 until f.nodes) restart(node, ArchiveMode.ON)
+            runUntil(f.lease * 30, "all are archived again") { refs.all { isOnlyFinal(it) } }
+            assertKnownEverywhere(refs)
+        }
+
+    /** A record that can't be read used to end the loading with an exception, while the node went on accepting jobs. */
+    @Test
+    fun `a controller that can't load its ledger accepts nothing until it can`() {
+        val damaged =
+            JsonObject(mapOf("l" to JsonPrimitive("pitbox-0"), "e" to JsonPrimitive("z"), "k" to JsonPrimitive(1)))
+        val mended = JsonObject(damaged + ("e" to JsonPrimitive("d")))
+        meeting(8, before = { state.preload(mapOf(Keys.job("j-000777") to damaged)) }) {
+            f.runFor(1000)
+            val s = spec("sweep", 1)
+            assertEquals(503, f.asked(0, "POST", "/work", s.source.bytes()).first)
+            assertEquals(503, f.asked(0, "GET", "/healthz").first)
+            assertEquals(503, f.asked(1, "GET", "/work/j-000777").first)
+            assertEquals(200, f.asked(1, "GET", "/healthz").first)
+            f.state.preload(mapOf(Keys.job("j-000777") to mended))
+            f.runFor(2000)
+            assertEquals(201, f.asked(0, "POST", "/work", s.source.bytes()).first)
+            f.rules.answeredSubmit(s.ref, 201)
+        }
+    }
+}
