Log each change of an allotment with what it rested on; count use above one

The records of the incident could not tell on which revision a new share was decided and on which it was written. Each applied change is now an INFO line with both; a ledger seen to use more than its allotment is an ERROR line and a counter in the effort line. Decides nothing.

--- a/src/main/kotlin/micatally/node/Controller.kt
+++ b/src/main/kotlin/micatally/node/Controller.kt
@@ -314,7 +314,7 @@
                 effortAt = now
                 effort.tell(
                     " machines=${machines.byName.size} waiting=${rounds.unplaced.size} ${effort.news()} " +
-                        "writes=${writeBudget.tell()} requests=${requestBudget.tell()}",
+                        "allotmentOveruse=${quota.audit.overuseCount} writes=${writeBudget.tell()} requests=${requestBudget.tell()}",
                 )
             }
             if (round % 8 == 0) askForEnds(now)
--- /dev/null
+++ b/src/main/kotlin/micatally/placement/AllotmentAudit.kt
@@ -0,0 +1,66 @@
+package micatally.placement
+
+import org.slf4j.LoggerFactory
+
+/**
+ * One applied change of a ledger's allotment and what it rested on.
+ *
+ * @property decidedOn mark of the team's key from which the new share was computed
+ * @property writtenOn mark of the team's key that the write was conditional on
+ * @property revision revision of the state service at which it was applied
+ * @property use what the ledger used when the answer came
+ */
+class AllotmentChange(
+    val team: String,
+    val ledger: String,
+    val decidedOn: Long,
+    val writtenOn: Long,
+    val revision: Long,
+    val before: Share,
+    val after: Share,
+    val use: Share,
+)
+
+/** Logs what operators need to follow a team's limit: every change of an allotment, and use above one, which must never be. */
+class AllotmentAudit {
+    private val log = LoggerFactory.getLogger("micatally.quota")
+
+    /** How often a ledger was seen to use more than its allotment since the start of this process. */
+    var overuseCount = 0L
+        private set
+
+    fun changed(change: AllotmentChange) {
+        log.info(
+            "team {} ledger {} allotment {} -> {} use {} decided on {} written on {} revision {}",
+            change.team,
+            change.ledger,
+            text(change.before),
+            text(change.after),
+            text(change.use),
+            change.decidedOn,
+            change.writtenOn,
+            change.revision,
+        )
+    }
+
+    fun overused(
+        team: String,
+        ledger: String,
+        mark: Long,
+        allotted: Share,
+        use: Share,
+    ) {
+        overuseCount++
+        log.error(
+            "team {} ledger {} uses {} above its allotment {} of mark {}",
+            team,
+            ledger,
+            text(use),
+            text(allotted),
+            mark,
+        )
+    }
+
+    /** Cores and cards with a slash between. */
+    private fun text(share: Share) = "${share.cores}/${share.cards}"
+}
--- a/src/main/kotlin/micatally/placement/Quota.kt
+++ b/src/main/kotlin/micatally/placement/Quota.kt
@@ -20,7 +20,6 @@
 import micatally.state.Txn
 import micatally.state.TxnResult
 import micatally.state.Urgency
-import org.slf4j.LoggerFactory
 
 /** Cores and cards, the two things that teams are limited in. */
 data class Share(
@@ -40,10 +39,12 @@
     private val changed: () -> Unit,
 ) {
     private val chunk = SLACK / controllers
-    private val log = LoggerFactory.getLogger("micatally.quota")
     private val used = HashMap<Pair<String, String>, Share>()
     private val busy = HashSet<String>()
 
+    /** Reports changes of allotments, and use above them. */
+    val audit = AllotmentAudit()
+
     /** What an allotment is about to be lowered to: binding from before the write leaves. */
     private val lowering = HashMap<Pair<String, String>, Share>()
 
@@ -203,12 +204,15 @@
         if (!busy.add(team.name)) return
         val key = ledger.name to team.name
         if (lower) lowering[key] = to
+        val decidedOn = cluster.mark(Keys.team(team.name))
+        var before = Share(0.0, 0.0)
         scope.launch {
             try {
                 var mark = 0L
                 val r =
                     state.txn(1, if (lower) Urgency.SUMMARY else Urgency.INTENT) {
                         mark = cluster.mark(Keys.team(team.name))
+                        before = allotments(team.name)[ledger.name]?.share ?: Share(0.0, 0.0)
                         // What was placed while the write waited stays covered.
                         if (lower &&
                             !covers(team, to, used(ledger.name, team.name))
@@ -218,7 +222,10 @@
                             allotment(ledger, team, to, short, mark)
                         }
                     }
-                if (r is TxnResult.Applied) log.debug("team {} ledger {} allotted {}", team.name, ledger.name, to)
+                if (r is TxnResult.Applied) {
+                    val use = used(ledger.name, team.name)
+                    audit.changed(AllotmentChange(team.name, ledger.name, decidedOn, mark, r.revision, before, to, use))
+                }
                 if (lower && r is TxnResult.Unknown) bindUntilSeen(ledger, team, to, short, mark)
                 if (lower &&
                     r is TxnResult.Applied
@@ -323,11 +330,22 @@
      * two owners would hand the same share to and fro as fast as the state service writes. */
     fun teamChanged(team: String) {
         val mine = held().mapTo(HashSet()) { it.name }
+        reportOveruse(team)
         val short = allotments(team).filter { (name, a) -> a.short && name !in mine }.keys
         val known = shortKnown.put(team, short) ?: emptySet()
         if (!known.containsAll(short)) release()
     }
 
+    private fun reportOveruse(teamName: String) {
+        val team = teams.team(teamName)?.takeIf { limited(it) } ?: return
+        for (ledger in held().filter { it.state == LedgerState.ACTIVE }) {
+            val allotted = allotments(teamName)[ledger.name]?.share ?: Share(0.0, 0.0)
+            val use = used(ledger.name, teamName)
+            if (covers(team, allotted, use)) continue
+            audit.overused(teamName, ledger.name, cluster.mark(Keys.team(teamName)), allotted, use)
+        }
+    }
+
     private companion object {
         const val EPS = 1e-6
 
