--- a/src/test/kotlin/micatally/placement/QuotaTest.kt
+++ b/src/test/kotlin/micatally/placement/QuotaTest.kt
@@ -4,8 +4,11 @@
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.advanceTimeBy
 import kotlinx.coroutines.test.runTest
+import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.double
+import kotlinx.serialization.json.jsonPrimitive
 import micatally.http.HttpCaller
 import micatally.http.HttpRequest
 import micatally.http.Outcome
@@ -36,6 +39,7 @@
 
     private inner class Setup(
         scope: TestScope,
+        changesPerSecond: Double = 1000.0,
     ) {
         private val now = { scope.testScheduler.currentTime }
         val service = StateStandin(nowMs = now)
@@ -58,7 +62,7 @@
                 http,
                 "state",
                 RateBudget(scope.backgroundScope, 1000.0, now),
-                RateBudget(scope.backgroundScope, 1000.0, now),
+                RateBudget(scope.backgroundScope, changesPerSecond, now),
                 500,
             )
         private val copies = List(2) { Cluster() }
@@ -83,6 +87,10 @@
                 List(2) { i -> Quota(scope.backgroundScope, state, copies[i], teams, { listOf(ledgers[i]) }, 2) {} }
         }
 
+        /** What the state service holds for a ledger. */
+        fun allottedCores(i: Int) =
+            (service.value(Keys.team("vision"))?.get("l$i") as? JsonArray)?.get(0)?.jsonPrimitive?.double ?: 0.0
+
         /** The copy of one node catches up. */
         suspend fun see(i: Int) {
             copies[i].load(state.list(Keys.PREFIX, Urgency.LEASE)!!)
@@ -98,12 +106,14 @@
             ).let { Job(it.ref, it, ledgers[i], it.taskCount, 0, JobState.OPEN) }
     }
 
-    private fun setup(test: suspend TestScope.(Setup) -> Unit) =
-        runTest {
-            val s = Setup(this)
-            s.start(this)
-            test(s)
-        }
+    private fun setup(
+        changesPerSecond: Double = 1000.0,
+        test: suspend TestScope.(Setup) -> Unit,
+    ) = runTest {
+        val s = Setup(this, changesPerSecond)
+        s.start(this)
+        test(s)
+    }
 
     /** After a lowering without an answer the repeat found the key changed, and the former allotment bound again, though
      * another owner could take what had been given back. */
@@ -189,4 +199,20 @@
             }
             assertTrue(s.service.changesMade - before <= 8, "${s.service.changesMade - before} writes")
         }
+
+    /** The incident of 2 December: a raise decided before the node saw its former one, and put together after, lowered the
+     * allotment below what had been placed in between; another owner was then given the same cards. */
+    @Test
+    fun `a raise that waited does not lower what was taken meanwhile`() =
+        setup(changesPerSecond = 1.0) { s ->
+            val big = s.job(0, 16.0, 1)
+            assertFalse(s.quotas[0].allows(big))
+            advanceTimeBy(100)
+            assertFalse(s.quotas[0].allows(s.job(0, 1.0, 2)), "this node has not seen its first raise yet")
+            s.see(0)
+            assertTrue(s.quotas[0].allows(big))
+            s.quotas[0].take(big)
+            advanceTimeBy(2000)
+            assertTrue(s.allottedCores(0) >= 16.0, "allotted ${s.allottedCores(0)}, in use 16")
+        }
 }
