Quota: a row is decided when it is written, by one function, from the reading it is written on

Cause of the incident: raises and marks of being short were decided from one reading of the team's key, waited for their turn, and were written on the mark of a newer reading; the row could then be lower than what had been placed in between, and others took the difference. Only lowerings were guarded. Now AllotmentRule.decide alone turns stored rows, use and wish into a row, inside the transaction's builder; a row that lowers binds from there. A change ends when the copy shows it, so no further one leaves on a mark that is known to be old. A limit that was lowered below what several ledgers hold no longer refuses the first of them to hand back.

--- a/src/main/kotlin/micatally/job/Owner.kt
+++ b/src/main/kotlin/micatally/job/Owner.kt
@@ -13,7 +13,7 @@
 import micatally.ledger.Ledger
 import micatally.ledger.LedgerState
 import micatally.ledger.Membership
-import micatally.placement.Quota
+import micatally.quota.Quota
 import micatally.settings.Settings
 import micatally.state.StateClient
 import micatally.state.Urgency
--- a/src/main/kotlin/micatally/node/Controller.kt
+++ b/src/main/kotlin/micatally/node/Controller.kt
@@ -28,9 +28,9 @@
 import micatally.ledger.LedgerState
 import micatally.ledger.Membership
 import micatally.peer.Peers
-import micatally.placement.Quota
 import micatally.placement.Rounds
 import micatally.queue.Queues
+import micatally.quota.Quota
 import micatally.recovery.ArchiveMode
 import micatally.recovery.LoadedLedgers
 import micatally.recovery.RecordArchive
--- a/src/main/kotlin/micatally/placement/ReplicaMoves.kt
+++ b/src/main/kotlin/micatally/placement/ReplicaMoves.kt
@@ -9,6 +9,7 @@
 import micatally.job.JobStore
 import micatally.job.Owner
 import micatally.job.StopReason
+import micatally.quota.Quota
 import micatally.settings.Settings
 import micatally.wire.JobSpec
 import micatally.worker.Machine
--- a/src/main/kotlin/micatally/placement/Rounds.kt
+++ b/src/main/kotlin/micatally/placement/Rounds.kt
@@ -9,6 +9,7 @@
 import micatally.job.Owner
 import micatally.node.Effort
 import micatally.queue.Queues
+import micatally.quota.Quota
 import micatally.settings.Settings
 import micatally.wire.Amount
 import micatally.wire.Demand
--- a/src/main/kotlin/micatally/placement/WholePlacement.kt
+++ b/src/main/kotlin/micatally/placement/WholePlacement.kt
@@ -8,6 +8,7 @@
 import micatally.job.Job
 import micatally.job.JobStore
 import micatally.job.Owner
+import micatally.quota.Quota
 import micatally.settings.Settings
 import micatally.wire.Demand
 import micatally.wire.JobSpec
--- a/src/main/kotlin/micatally/placement/AllotmentAudit.kt
+++ b/src/main/kotlin/micatally/quota/AllotmentAudit.kt
@@ -1,20 +1,18 @@
-package micatally.placement
+package micatally.quota
 
 import org.slf4j.LoggerFactory
 
 /**
  * One applied change of a ledger's allotment and what it rested on.
  *
- * @property decidedOn mark of the team's key from which the new share was computed
- * @property writtenOn mark of the team's key that the write was conditional on
+ * @property decidedOn mark of the team's key from which the new share was computed and which the write was conditional on
  * @property revision revision of the state service at which it was applied
- * @property use what the ledger used when the answer came
+ * @property use what the ledger used when the share was computed
  */
 class AllotmentChange(
     val team: String,
     val ledger: String,
     val decidedOn: Long,
-    val writtenOn: Long,
     val revision: Long,
     val before: Share,
     val after: Share,
@@ -31,14 +29,13 @@
 
     fun changed(change: AllotmentChange) {
         log.info(
-            "team {} ledger {} allotment {} -> {} use {} decided on {} written on {} revision {}",
+            "team {} ledger {} allotment {} -> {} use {} decided on {} written at {}",
             change.team,
             change.ledger,
-            text(change.before),
-            text(change.after),
-            text(change.use),
+            change.before,
+            change.after,
+            change.use,
             change.decidedOn,
-            change.writtenOn,
             change.revision,
         )
     }
@@ -55,12 +52,9 @@
             "team {} ledger {} uses {} above its allotment {} of mark {}",
             team,
             ledger,
-            text(use),
-            text(allotted),
+            use,
+            allotted,
             mark,
         )
     }
-
-    /** Cores and cards with a slash between. */
-    private fun text(share: Share) = "${share.cores}/${share.cards}"
 }
--- /dev/null
+++ b/src/main/kotlin/micatally/quota/AllotmentRule.kt
@@ -0,0 +1,105 @@
+package micatally.quota
+
+import micatally.settings.Team
+
+/** What the holder of a ledger wants of its allotment. */
+sealed interface AllotmentWish {
+    /** Room for more tasks beside what is in use: at least one, at best [tasks] of them. */
+    class MoreRoom(
+        val task: Share,
+        val tasks: Int,
+    ) : AllotmentWish
+
+    /** Nothing more: what is not in use may go to the other ledgers. */
+    data object HandBack : AllotmentWish
+}
+
+/**
+ * What a ledger's holder knows when it decides; all of it has to be from the moment at which the row is written.
+ *
+ * @property use what all attempts take that are not proven gone, also those that are decided and not stored yet
+ * @property wasShort whether the ledger was found short of the team's limit lately
+ */
+class AllotmentView(
+    val team: Team,
+    val ledger: String,
+    val stored: TeamAllotments,
+    val use: Share,
+    val wasShort: Boolean,
+)
+
+/**
+ * The row that a ledger's holder writes.
+ *
+ * @property lowers whether the row holds less than the stored one in some dimension
+ * @property isEnough false if the wish was for a task that the limit has no room for now
+ */
+class AllotmentDecision(
+    val row: AllotmentRow,
+    val lowers: Boolean,
+    val isEnough: Boolean,
+)
+
+/**
+ * The one place where a row is decided. What it returns keeps two promises, whatever is wished: the ledger's use stays
+ * covered as far as the stored row covers it, and the sum of all rows does not grow beyond the limit.
+ *
+ * @param slackOfOne the part of a team's limit that a ledger keeps for its next job
+ */
+class AllotmentRule(
+    private val slackOfOne: Double,
+) {
+    /** The row to be written in place of the stored one. */
+    fun decide(
+        view: AllotmentView,
+        wish: AllotmentWish,
+    ): AllotmentDecision =
+        when (wish) {
+            is AllotmentWish.MoreRoom -> moreRoom(view, wish)
+            AllotmentWish.HandBack -> handBack(view)
+        }
+
+    /** Whether the decision differs from what is stored, so that it is worth a write. */
+    fun isWorthWriting(
+        view: AllotmentView,
+        decision: AllotmentDecision,
+    ): Boolean {
+        val stored = view.stored.of(view.ledger)
+        return decision.row.share.exceeds(stored.share) || decision.lowers || decision.row.isShort != stored.isShort
+    }
+
+    private fun moreRoom(
+        view: AllotmentView,
+        wish: AllotmentWish.MoreRoom,
+    ): AllotmentDecision {
+        val team = view.team
+        val stored = view.stored.of(view.ledger).share
+        // Where another owner waits for the limit, nothing is taken that is not needed now.
+        val isContested = view.stored.isAnotherShort(view.ledger)
+        val slack = if (isContested) 0.0 else slackOfOne
+        val tasks = if (isContested) 1 else wish.tasks.coerceIn(1, TASKS_AT_ONCE)
+        val free = team.limit - view.stored.totalOfOthers(view.ledger)
+        val wanted = (view.use + wish.task * tasks + team.limit * slack).atMost(free)
+        val raised = team.limitedPart(wanted).atLeast(stored)
+        val isEnough = team.covers(raised, view.use + wish.task)
+        // Of what does not suffice for a task nothing is taken: two owners would each hold half of what one of them needs.
+        val share = if (isEnough) raised else stored
+        return AllotmentDecision(AllotmentRow(share, view.wasShort || !isEnough), false, isEnough)
+    }
+
+    private fun handBack(view: AllotmentView): AllotmentDecision {
+        val team = view.team
+        val stored = view.stored.of(view.ledger).share
+        val isWanted = view.stored.isAnotherShort(view.ledger) || view.stored.isOver(team)
+        val slack = team.limit * (if (isWanted) 0.0 else slackOfOne)
+        val kept = team.limitedPart(view.use) + slack
+        val lowers = stored.exceeds(kept + slack)
+        val share = if (lowers) stored.atMost(kept) else stored
+        return AllotmentDecision(AllotmentRow(share, view.wasShort), lowers, true)
+    }
+
+    private companion object {
+        /** For so many tasks an allotment is asked at the most. */
+        const val TASKS_AT_ONCE = 64
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/quota/AllotmentWriter.kt
@@ -0,0 +1,206 @@
+package micatally.quota
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import micatally.ledger.Cluster
+import micatally.ledger.Keys
+import micatally.ledger.Ledger
+import micatally.ledger.LedgerState
+import micatally.settings.Team
+import micatally.settings.TeamDirectory
+import micatally.state.Condition
+import micatally.state.Put
+import micatally.state.StateClient
+import micatally.state.Txn
+import micatally.state.TxnResult
+import micatally.state.Urgency
+
+/**
+ * Brings this node's allotments to the state service, one change of a team at a time.
+ *
+ * A change waits for its turn, and meanwhile both the stored rows and the use may change. So nothing is kept from before
+ * the wait but the wish: the row is decided when the transaction is put together, from the reading whose mark the
+ * transaction is conditional on. A lowered share binds this node from before the transaction leaves until the copy of the
+ * shared keys shows the outcome.
+ */
+class AllotmentWriter(
+    private val scope: CoroutineScope,
+    private val state: StateClient,
+    private val cluster: Cluster,
+    private val teams: TeamDirectory,
+    private val rule: AllotmentRule,
+    private val audit: AllotmentAudit,
+    private val view: (Ledger, Team) -> AllotmentView,
+    private val changed: () -> Unit,
+) {
+    /** The change of a team that is under way. */
+    private val underWay = HashMap<String, Change>()
+
+    /** What an allotment is about to be lowered to. */
+    private val bounds = HashMap<AllotmentId, Share>()
+
+    /** The share that the ledger may use of its [stored] one. */
+    fun usable(
+        id: AllotmentId,
+        stored: Share,
+    ) = bounds[id]?.let { stored.atMost(it) } ?: stored
+
+    fun forget(ledger: String) {
+        bounds.keys.removeIf { it.ledger == ledger }
+    }
+
+    /**
+     * One change from the wish to the moment at which this node's copy shows its outcome.
+     *
+     * @property isSeen whether the copy shows it, once there is an outcome
+     */
+    private class Change(
+        val ledger: Ledger,
+        val id: AllotmentId,
+        val wish: AllotmentWish,
+    ) {
+        var isSeen: () -> Boolean = { false }
+    }
+
+    /** Asks for a change; nothing happens while another one of the team is under way. */
+    fun request(
+        ledger: Ledger,
+        team: Team,
+        wish: AllotmentWish,
+        urgency: Urgency,
+    ) {
+        underWay[team.name]?.let { former ->
+            if (!former.isSeen()) return
+            end(former)
+        }
+        val change = Change(ledger, AllotmentId(ledger.name, team.name), wish)
+        underWay[team.name] = change
+        scope.launch {
+            try {
+                carryOut(change, urgency)
+            } finally {
+                if (end(change)) changed()
+            }
+        }
+    }
+
+    /** The one place where a change ends, and with it what it bound. False if it had ended before. */
+    private fun end(change: Change): Boolean {
+        if (!underWay.remove(change.id.team, change)) return false
+        bounds.remove(change.id)
+        return true
+    }
+
+    /** A decided row on its way, with the readings that it rests on. */
+    private class Pending(
+        val txn: Txn,
+        val view: AllotmentView,
+        val decision: AllotmentDecision,
+    )
+
+    private suspend fun carryOut(
+        change: Change,
+        urgency: Urgency,
+    ) {
+        var pending: Pending? = null
+        val result =
+            state.txn(1, urgency) {
+                bounds.remove(change.id)
+                pending = decide(change)
+                pending?.let { bind(change.id, it) }
+                pending?.txn
+            }
+        val sent = pending ?: return
+        when (result) {
+            is TxnResult.Applied -> {
+                tell(sent, result.revision)
+                // Until the copy shows it, any other change of this node would be refused.
+                awaitSeen(change) { cluster.revision >= result.revision }
+            }
+            // After silence a lowering may yet be carried out; a raise that is carried out late is conditional on its mark.
+            is TxnResult.Unknown -> if (sent.decision.lowers) repeatUntilSeen(change, sent)
+            // The key has another mark than in the copy: until that shows it, any other change would be refused too.
+            is TxnResult.Failed -> awaitSeen(change) { hasOtherMark(sent) }
+            else -> {}
+        }
+    }
+
+    /** Null if there is nothing to be written any more, or nothing may be. */
+    private fun decide(change: Change): Pending? {
+        val ledger = change.ledger
+        if (ledger.state != LedgerState.ACTIVE || !teams.isCurrent) return null
+        val team = teams.team(change.id.team)?.takeIf { it.isLimited } ?: return null
+        val view = view(ledger, team)
+        val decision = rule.decide(view, change.wish)
+        if (!rule.isWorthWriting(view, decision)) return null
+        return Pending(transaction(ledger, view, decision), view, decision)
+    }
+
+    private fun transaction(
+        ledger: Ledger,
+        view: AllotmentView,
+        decision: AllotmentDecision,
+    ): Txn {
+        val key = Keys.team(view.team.name)
+        val conditions =
+            listOf(Condition(Keys.ledger(ledger.name), ledger.holder.mark), Condition(key, view.stored.mark))
+        return Txn(conditions, listOf(Put(key, view.stored.encodeWith(ledger.name, decision.row))))
+    }
+
+    private fun bind(
+        id: AllotmentId,
+        pending: Pending,
+    ) {
+        if (pending.decision.lowers) bounds[id] = pending.decision.row.share
+    }
+
+    private fun tell(
+        sent: Pending,
+        revision: Long,
+    ) {
+        val view = sent.view
+        val before = view.stored.of(view.ledger).share
+        audit.changed(
+            AllotmentChange(
+                view.team.name,
+                view.ledger,
+                view.stored.mark,
+                revision,
+                before,
+                sent.decision.row.share,
+                view.use,
+            ),
+        )
+    }
+
+    private suspend fun awaitSeen(
+        change: Change,
+        isShown: () -> Boolean,
+    ) {
+        change.isSeen = { !change.ledger.mine || isShown() }
+        while (!change.isSeen()) delay(SEEN_EVERY_MS)
+    }
+
+    private fun hasOtherMark(sent: Pending) = cluster.mark(Keys.team(sent.view.team.name)) != sent.view.stored.mark
+
+    /** The same transaction again until there is an answer; then until the key is seen to have changed, also when the repeat
+     * shows that it has, since this node's copy may still hold the former allotment. */
+    private suspend fun repeatUntilSeen(
+        change: Change,
+        sent: Pending,
+    ) {
+        val ledger = change.ledger
+        change.isSeen = { !ledger.mine || hasOtherMark(sent) }
+        while (!change.isSeen()) {
+            val again = state.txn(1, Urgency.SUMMARY) { sent.txn.takeIf { ledger.state == LedgerState.ACTIVE } }
+            if (again is TxnResult.Applied || again is TxnResult.Failed) return awaitSeen(change) { hasOtherMark(sent) }
+            delay(REPEAT_MS)
+        }
+    }
+
+    private companion object {
+        const val SEEN_EVERY_MS = 50L
+        const val REPEAT_MS = 1000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/quota/LedgerUse.kt
@@ -0,0 +1,34 @@
+package micatally.quota
+
+import micatally.job.Job
+
+/** A team's allotment in one ledger. */
+data class AllotmentId(
+    val ledger: String,
+    val team: String,
+)
+
+/** What the attempts of this node's ledgers take, by ledger and team. */
+class LedgerUse {
+    private val used = HashMap<AllotmentId, Share>()
+
+    fun of(id: AllotmentId) = used[id] ?: Share.NONE
+
+    fun take(job: Job) = change(job, 1)
+
+    fun release(job: Job) = change(job, -1)
+
+    private fun change(
+        job: Job,
+        tasks: Int,
+    ) {
+        // A record without a spec is that of a job that is over and has no attempts.
+        val spec = job.spec ?: return
+        val id = AllotmentId(job.ledger.name, spec.team)
+        used[id] = of(id) + Share(spec.amount.cores, spec.amount.cards) * tasks
+    }
+
+    fun forget(ledger: String) {
+        used.keys.removeIf { it.ledger == ledger }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/micatally/quota/TeamAllotments.kt
@@ -0,0 +1,76 @@
+package micatally.quota
+
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.doubleOrNull
+import micatally.settings.Team
+
+/**
+ * One ledger's part of a team's limit.
+ *
+ * @property isShort its holder has tasks that wait for nothing but the team's limit
+ */
+data class AllotmentRow(
+    val share: Share,
+    val isShort: Boolean,
+)
+
+/** The allotments of one team, as its key held them at [mark]. */
+class TeamAllotments(
+    val mark: Long,
+    private val rows: Map<String, AllotmentRow>,
+) {
+    /** The row of a ledger; an empty one if there is none. */
+    fun of(ledger: String) = rows[ledger] ?: NO_ROW
+
+    fun has(ledger: String) = ledger in rows
+
+    fun total() = rows.values.fold(Share.NONE) { sum, row -> sum + row.share }
+
+    fun totalOfOthers(ledger: String) =
+        rows.filterKeys { it != ledger }.values.fold(Share.NONE) { sum, row -> sum + row.share }
+
+    fun shortLedgers(): Set<String> = rows.filterValues { it.isShort }.keys
+
+    fun isAnotherShort(ledger: String) = rows.any { (name, row) -> row.isShort && name != ledger }
+
+    /** Whether more is allotted than the team's limit, which was lowered. */
+    fun isOver(team: Team) = !team.covers(team.limit + MARGIN, total())
+
+    /** The value of the team's key with this one row changed. */
+    fun encodeWith(
+        ledger: String,
+        row: AllotmentRow,
+    ) = JsonObject((rows + (ledger to row)).mapValues { (_, each) -> encode(each) })
+
+    companion object {
+        private val NO_ROW = AllotmentRow(Share.NONE, false)
+
+        /** A sum may differ from the limit by the rounding of its parts. */
+        private val MARGIN = Share(Share.ROUNDING, Share.ROUNDING)
+
+        private const val CORES = 0
+        private const val CARDS = 1
+        private const val SHORT = 2
+
+        fun decode(
+            mark: Long,
+            value: JsonObject?,
+        ) = TeamAllotments(mark, value?.mapValues { (_, row) -> decodeRow(row as JsonArray) } ?: emptyMap())
+
+        private fun decodeRow(row: JsonArray): AllotmentRow {
+            fun number(index: Int) = (row.getOrNull(index) as? JsonPrimitive)?.doubleOrNull ?: 0.0
+            return AllotmentRow(Share(number(CORES), number(CARDS)), number(SHORT) > 0)
+        }
+
+        private fun encode(row: AllotmentRow) =
+            JsonArray(
+                listOfNotNull(
+                    JsonPrimitive(row.share.cores),
+                    JsonPrimitive(row.share.cards),
+                    if (row.isShort) JsonPrimitive(1) else null,
+                ),
+            )
+    }
+}
--- a/src/test/kotlin/micatally/placement/QuotaTest.kt
+++ b/src/test/kotlin/micatally/quota/QuotaTest.kt
@@ -1,4 +1,4 @@
-package micatally.placement
+package micatally.quota
 
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.test.TestScope
--- a/src/test/kotlin/micatally/sim/ConfigurationTest.kt
+++ b/src/test/kotlin/micatally/sim/ConfigurationTest.kt
@@ -242,7 +242,7 @@
             }
         }
 
-    /** Guard: nothing starts while more is allotted than the limit ([micatally.placement.Quota.isSuspended]). */
+    /** Guard: nothing starts while more is allotted than the limit ([micatally.quota.Quota.isSuspended]). */
     @Test
     fun `a limit lowered below what runs stops nothing, and nothing starts until the team is under it`() =
         each {
--- a/src/test/kotlin/micatally/sim/GangTest.kt
+++ b/src/test/kotlin/micatally/sim/GangTest.kt
@@ -313,7 +313,7 @@
 
     private fun Meeting.gangOfOrNull(ref: String) = f.live.firstNotNullOfOrNull { it?.owner?.job(ref) }
 
-    /** Guard: the allotment is asked for the whole gang ([micatally.placement.Quota.allows]). */
+    /** Guard: the allotment is asked for the whole gang ([micatally.quota.Quota.allows]). */
     @Test
     fun `two gangs of two owners that each need most of a team's limit run one after the other`() =
         meeting(11) {
--- a/src/test/kotlin/micatally/sim/MeetingsTest.kt
+++ b/src/test/kotlin/micatally/sim/MeetingsTest.kt
@@ -105,7 +105,7 @@
             assertTrue(f.rules.isCancelled(gone))
         }
 
-    /** Guard: attempts that are not proven gone count ([micatally.placement.Quota]), also under the ledger's next holder, and what an
+    /** Guard: attempts that are not proven gone count ([micatally.quota.Quota]), also under the ledger's next holder, and what an
      * attempt of a lost ledger gives back counts nowhere. */
     @Test
     fun `every team is at its limit while jobs are cancelled whose machines hang or are cut off, and the leader changes`() =
