--- /dev/null
+++ b/src/test/kotlin/micatally/quota/QuotaFleet.kt
@@ -0,0 +1,385 @@
+package micatally.quota
+
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.StandardTestDispatcher
+import kotlinx.coroutines.test.TestCoroutineScheduler
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.double
+import kotlinx.serialization.json.jsonPrimitive
+import micatally.http.HttpCaller
+import micatally.http.HttpRequest
+import micatally.http.Outcome
+import micatally.job.Job
+import micatally.job.JobState
+import micatally.ledger.Cluster
+import micatally.ledger.Keys
+import micatally.ledger.Ledger
+import micatally.ledger.LedgerState
+import micatally.settings.FixedTeams
+import micatally.settings.Team
+import micatally.sim.Stoppable
+import micatally.standin.Rehearsal
+import micatally.standin.StateStandin
+import micatally.state.Condition
+import micatally.state.Put
+import micatally.state.RateBudget
+import micatally.state.StateClient
+import micatally.state.Txn
+import micatally.state.TxnResult
+import micatally.state.Urgency
+import micatally.wire.JobSpec
+import kotlin.random.Random
+
+/** Shares of transactions that go wrong, and how wrong. */
+class StateFaults(
+    val late: Double = 0.0,
+    val answerLost: Double = 0.0,
+    val refused: Double = 0.0,
+    val limited: Double = 0.0,
+) {
+    companion object {
+        val NONE = StateFaults()
+        val MANY = StateFaults(0.06, 0.06, 0.04, 0.08)
+    }
+}
+
+/**
+ * Several controllers that share teams' limits through one state service, on simulated time. Only what bears on limits is
+ * there: copies of the shared keys that lag, allotments, intents under a ledger's mark, ends that are told late, takeovers.
+ *
+ * A task counts as being on a machine from the moment at which the state service holds its intent, which is the earliest
+ * at which its start may leave.
+ */
+@OptIn(ExperimentalCoroutinesApi::class)
+class QuotaFleet(
+    seed: Int,
+    private val controllerCount: Int,
+    private val teams: List<Team>,
+    private val changesPerSecond: Double,
+) {
+    private val random = Random(seed)
+    private val scheduler = TestCoroutineScheduler()
+    private val dispatcher = StandardTestDispatcher(scheduler)
+    private var failure: Throwable? = null
+    private val handler = CoroutineExceptionHandler { _, e -> if (failure == null) failure = e }
+    private val scope = CoroutineScope(SupervisorJob() + dispatcher + handler)
+    val now get() = scheduler.currentTime
+    val service = StateStandin(nowMs = { now })
+    var faults = StateFaults.NONE
+    val controllers = List(controllerCount) { Controller(it) }
+    private var nextTask = 0
+
+    /** What a job of this fleet takes for each of its tasks, by team. */
+    private fun spec(
+        team: String,
+        cores: Double,
+        cards: Double,
+    ) = JobSpec.parse(
+        JsonObject(
+            Rehearsal.job(nextTask++, "sweep", 1) +
+                mapOf("crew" to JsonPrimitive(team), "cores" to JsonPrimitive(cores), "cards" to JsonPrimitive(cards)),
+        ),
+    )
+
+    private suspend fun apply(txn: Txn): Int = service.handle(request(txn)).status
+
+    private fun request(txn: Txn): HttpRequest {
+        val conditions = txn.conditions.joinToString(",") { "{\"k\":\"${it.key}\",\"mark\":${it.mark}}" }
+        val changes =
+            txn.changes.joinToString(",") {
+                if (it is Put) "{\"put\":\"${it.key}\",\"value\":${it.value}}" else "{\"delete\":\"${it.key}\"}"
+            }
+        return HttpRequest("POST", "/txn", "{\"when\":[$conditions],\"then\":[$changes]}".toByteArray())
+    }
+
+    /** A task that a controller has decided to start. */
+    class Placed(
+        val key: String,
+        val job: Job,
+    ) {
+        var isReleased = false
+    }
+
+    inner class Controller(
+        private val index: Int,
+    ) {
+        private val thread = Stoppable(dispatcher)
+        private val own = CoroutineScope(SupervisorJob() + thread + handler)
+        private val cluster = Cluster()
+        private val state =
+            StateClient(
+                HttpCaller { _, method, target, body, timeoutMs -> call(method, target, body, timeoutMs) },
+                "state",
+                RateBudget(own, changesPerSecond * 10, { now }),
+                RateBudget(own, changesPerSecond, { now }, changesPerSecond / 2),
+                500,
+            )
+        val ledgers = HashMap<String, Ledger>()
+        private val placed = HashMap<String, Placed>()
+        val quota =
+            Quota(
+                own,
+                state,
+                cluster,
+                FixedTeams(teams.associateBy { it.name }),
+                { ledgers.values },
+                controllerCount,
+            ) {}
+
+        var isFrozen: Boolean
+            get() = thread.frozen
+            set(value) {
+                thread.frozen = value
+            }
+
+        /** A listing as it is now arrives after a while. */
+        fun look(afterMs: Long) {
+            own.launch {
+                val listing = reader.list(Keys.PREFIX, Urgency.LEASE) ?: return@launch
+                delay(afterMs)
+                val changed = cluster.load(listing)
+                checkLedgers()
+                for (key in changed.filter { it.startsWith(Keys.TEAM) }) quota.teamChanged(key.removePrefix(Keys.TEAM))
+            }
+        }
+
+        private fun checkLedgers() {
+            for (ledger in ledgers.values.toList()) {
+                if (cluster.holder(ledger.name)?.mark != ledger.holder.mark) lose(ledger)
+            }
+            for (name in cluster.ledgers()) {
+                val holder = cluster.holder(name) ?: continue
+                if (holder.host == "host-$index" && name !in ledgers) {
+                    val ledger = Ledger(name, holder, now)
+                    ledgers[name] = ledger
+                    own.launch { load(ledger) }
+                }
+            }
+        }
+
+        private fun lose(ledger: Ledger) {
+            ledger.become(LedgerState.LOST)
+            ledgers.remove(ledger.name)
+            placed.values.removeIf { it.job.ledger === ledger }
+            quota.forget(ledger.name)
+        }
+
+        /** The records as they are stored, some of them with tasks that have just ended. */
+        private suspend fun load(ledger: Ledger) {
+            delay(random.nextLong(20, 400))
+            if (!ledger.mine) return
+            val stored = service.keysUnder(runPrefix(ledger.name))
+            for (key in stored) adopt(ledger, key, service.value(key)!!)
+            ledger.become(LedgerState.ACTIVE)
+        }
+
+        private fun adopt(
+            ledger: Ledger,
+            key: String,
+            value: JsonObject,
+        ) {
+            val spec = spec(teamOf(key), value.number("cores"), value.number("cards"))
+            val job = Job(spec.ref, spec, ledger, 1, 0, JobState.OPEN)
+            placed[key] = Placed(key, job)
+            quota.take(job)
+        }
+
+        /** Starts tasks of one job of a ledger and a team, if its allotment allows it. */
+        fun tryToStart(
+            ledger: Ledger,
+            team: String,
+            task: Share,
+            count: Int,
+        ) {
+            val spec = spec(team, task.cores, task.cards)
+            val job = Job(spec.ref, spec, ledger, count, 0, JobState.OPEN)
+            repeat(count) {
+                if (!quota.allows(job)) return
+                val key = runPrefix(ledger.name) + "$team/${nextTask++}"
+                placed[key] = Placed(key, job).also { start(it, task) }
+            }
+        }
+
+        private fun start(
+            task: Placed,
+            share: Share,
+        ) {
+            val ledger = task.job.ledger
+            quota.take(task.job)
+            own.launch {
+                val value =
+                    JsonObject(
+                        mapOf(
+                            "cores" to JsonPrimitive(share.cores),
+                            "cards" to JsonPrimitive(share.cards),
+                        ),
+                    )
+                val result =
+                    state.txn(1, Urgency.INTENT) {
+                        val conditions = listOf(Condition(Keys.ledger(ledger.name), ledger.holder.mark))
+                        Txn(conditions, listOf(Put(task.key, value))).takeIf { ledger.mine }
+                    }
+                when (result) {
+                    is TxnResult.Applied -> {}
+                    is TxnResult.Unknown -> {
+                        delay(LATEST_MS)
+                        if (service.value(task.key) == null) told(task.key)
+                    }
+                    else -> told(task.key)
+                }
+            }
+        }
+
+        /** This controller hears that a task is not on a machine any more. */
+        fun told(key: String) {
+            val task = placed.remove(key) ?: return
+            if (task.isReleased) return
+            task.isReleased = true
+            if (task.job.ledger.mine) quota.release(task.job)
+        }
+
+        /** The end of a task is told when the controller gets to it. */
+        fun tellLater(
+            key: String,
+            afterMs: Long,
+        ) {
+            own.launch {
+                delay(afterMs)
+                told(key)
+            }
+        }
+
+        private suspend fun call(
+            method: String,
+            target: String,
+            body: ByteArray?,
+            timeoutMs: Long,
+        ): Outcome {
+            val request = HttpRequest(method, target, body ?: ByteArray(0))
+            val luck = random.nextDouble()
+            val f = faults
+            return when {
+                luck < f.late -> unanswered(request, random.nextLong(timeoutMs, LATEST_MS - timeoutMs), timeoutMs)
+                luck < f.late + f.answerLost -> unanswered(request, 1, timeoutMs)
+                luck < f.late + f.answerLost + f.refused -> Outcome.Answer(503, ByteArray(0))
+                luck < f.late + f.answerLost + f.refused + f.limited -> Outcome.Answer(429, ByteArray(0))
+                else -> {
+                    delay(random.nextLong(1, 20))
+                    val response = service.handle(request)
+                    delay(random.nextLong(1, 20))
+                    Outcome.Answer(response.status, response.body)
+                }
+            }
+        }
+
+        fun end() = own.cancel()
+    }
+
+    private suspend fun unanswered(
+        request: HttpRequest,
+        afterMs: Long,
+        timeoutMs: Long,
+    ): Outcome {
+        scope.launch {
+            delay(afterMs)
+            service.handle(request)
+        }
+        delay(timeoutMs)
+        return Outcome.Silence
+    }
+
+    /** Reads without faults or limits, for what is not under test. */
+    private val reader =
+        StateClient(
+            HttpCaller { _, method, target, body, _ ->
+                val response = service.handle(HttpRequest(method, target, body ?: ByteArray(0)))
+                Outcome.Answer(response.status, response.body)
+            },
+            "state",
+            RateBudget(scope, 1e9, { now }),
+            RateBudget(scope, 1e9, { now }),
+            500,
+        )
+
+    private var epoch = 0
+
+    /** The ledger is in another controller's hands from now on, whether or not the former holder has heard of it. */
+    fun giveLedger(
+        name: String,
+        to: Int,
+    ) {
+        val holder =
+            JsonObject(
+                mapOf(
+                    "host" to JsonPrimitive("host-$to"),
+                    "process" to JsonPrimitive("p$to"),
+                    "epoch" to JsonPrimitive(++epoch),
+                ),
+            )
+        scope.launch { apply(Txn(emptyList(), listOf(Put(Keys.ledger(name), holder)))) }
+    }
+
+    /** A task that runs ends on its machine; its owner hears of it later. */
+    fun endOne() {
+        val running = service.keysUnder(RUN)
+        if (running.isEmpty()) return
+        val key = running.random(random)
+        val told = random.nextLong(1, 1500)
+        scope.launch {
+            service.handle(HttpRequest("POST", "/txn", "{\"when\":[],\"then\":[{\"delete\":\"$key\"}]}".toByteArray()))
+        }
+        for (controller in controllers) controller.tellLater(key, told)
+    }
+
+    fun runFor(ms: Long) {
+        scheduler.advanceTimeBy(ms)
+        scheduler.runCurrent()
+        failure?.let { throw AssertionError("at $now ms: ${it.message}", it) }
+    }
+
+    /** What the state service holds for a ledger. */
+    fun row(
+        team: String,
+        ledger: String,
+    ): Share {
+        val row = service.value(Keys.team(team))?.get(ledger) as? JsonArray ?: return Share.NONE
+        return Share(row[0].jsonPrimitive.double, row[1].jsonPrimitive.double)
+    }
+
+    /** What the tasks of a ledger that may be on machines take. */
+    fun onMachines(
+        team: String,
+        ledger: String,
+    ): Share =
+        service.keysUnder(runPrefix(ledger) + "$team/").fold(Share.NONE) { sum, key ->
+            val value = service.value(key)!!
+            sum + Share(value.number("cores"), value.number("cards"))
+        }
+
+    fun close() {
+        for (controller in controllers) controller.end()
+        scope.cancel()
+        scheduler.runCurrent()
+    }
+
+    private fun JsonObject.number(field: String) = getValue(field).jsonPrimitive.double
+
+    companion object {
+        private const val RUN = "run/"
+
+        /** A transaction without an answer is carried out by then, or never. */
+        private const val LATEST_MS = 6000L
+
+        private fun runPrefix(ledger: String) = "$RUN$ledger/"
+
+        private fun teamOf(key: String) = key.split('/')[2]
+    }
+}
--- a/src/test/kotlin/micatally/quota/QuotaTest.kt
+++ b/src/test/kotlin/micatally/quota/QuotaTest.kt
@@ -35,7 +35,8 @@
 /** Allotments of a team's limit, against the stand-in of the state service. */
 @OptIn(ExperimentalCoroutinesApi::class)
 class QuotaTest {
-    private val teams = FixedTeams(mapOf("vision" to Team("vision", 0.0, 40.0, 0.0, 0.0)))
+    private val limits = hashMapOf("vision" to Team("vision", 0.0, 40.0, 0.0, 0.0))
+    private val teams = FixedTeams(limits)
 
     private inner class Setup(
         scope: TestScope,
@@ -215,4 +216,26 @@
             advanceTimeBy(2000)
             assertTrue(s.allottedCores(0) >= 16.0, "allotted ${s.allottedCores(0)}, in use 16")
         }
+
+    /** Found on reading for the incident: with the limit lowered below what two ledgers held, neither could hand back, since
+     * the sum was still above the limit after each one's change; the team stood still for good. */
+    @Test
+    fun `a limit lowered below what two ledgers hold brings both to hand back`() =
+        setup { s ->
+            for (i in 0..1) {
+                assertFalse(s.quotas[i].allows(s.job(i, 16.0, i)))
+                advanceTimeBy(100)
+                s.see(0)
+                s.see(1)
+            }
+            limits["vision"] = Team("vision", 0.0, 8.0, 0.0, 0.0)
+            for (i in 0..1) {
+                s.quotas[i].limitsChanged()
+                advanceTimeBy(100)
+                s.see(0)
+                s.see(1)
+            }
+            val left = s.allottedCores(0) + s.allottedCores(1)
+            assertTrue(left <= 8.0, "$left still allotted")
+        }
 }
