Takeover: the ledger's condition is the mark on which its holder was found dead

A takeover waits for its turn. Its holder was found dead on one reading and the ledger's mark taken from a newer one, which may be that of a controller that took the ledger meanwhile and lives: the same class of fault as the incident's, found in its audit of writers. TakeoverTest is red without the change. Also: the test of a lowered limit now has both ledgers hold a part (with the former refusal switched on again it had stayed green).

--- a/src/main/kotlin/micatally/ledger/Membership.kt
+++ b/src/main/kotlin/micatally/ledger/Membership.kt
@@ -300,8 +300,13 @@
         return process != h.process && ledger != h.host
     }
 
-    /** One transaction: the ledger's new holder and a raised epoch, on the condition that neither has changed, and that the
-     * [former] holder has not come back meanwhile, however late it is carried out: one that did answers from memory again. */
+    /**
+     * One transaction: the ledger's new holder and a raised epoch, on the condition that neither has changed, and that the
+     * [former] holder has not come back meanwhile, however late it is carried out: one that did answers from memory again.
+     *
+     * @param former the holder that was found dead. The ledger's condition is the mark of that finding, not the one at the time
+     * of the write: the ledger may have passed to a holder that lives
+     */
     suspend fun acquire(
         ledger: String,
         why: String,
@@ -310,12 +315,13 @@
         var epoch = 0L
         val r =
             state.txn(2, Urgency.LEASE) {
-                if (former != null && !isOrphan(ledger, former)) return@txn null
+                val ledgerMark = cluster.mark(Keys.ledger(ledger))
+                if (former != null && (former.mark != ledgerMark || !isOrphan(ledger, former))) return@txn null
                 epoch = cluster.epoch + 1
                 Txn(
                     listOfNotNull(
                         Condition(Keys.EPOCH, cluster.mark(Keys.EPOCH)),
-                        Condition(Keys.ledger(ledger), cluster.mark(Keys.ledger(ledger))),
+                        Condition(Keys.ledger(ledger), ledgerMark),
                         former?.let { Condition(Keys.live(it.host), cluster.mark(Keys.live(it.host))) },
                     ),
                     listOf(
--- a/src/test/kotlin/micatally/quota/QuotaTest.kt
+++ b/src/test/kotlin/micatally/quota/QuotaTest.kt
@@ -223,7 +223,7 @@
     fun `a limit lowered below what two ledgers hold brings both to hand back`() =
         setup { s ->
             for (i in 0..1) {
-                assertFalse(s.quotas[i].allows(s.job(i, 16.0, i)))
+                assertFalse(s.quotas[i].allows(s.job(i, 4.0, i)))
                 advanceTimeBy(100)
                 s.see(0)
                 s.see(1)
--- /dev/null
+++ b/src/test/kotlin/micatally/sim/TakeoverTest.kt
@@ -0,0 +1,38 @@
+package micatally.sim
+
+import kotlinx.coroutines.launch
+import micatally.ledger.Keys
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertNotEquals
+import org.junit.jupiter.api.Test
+
+/** Takeovers that are decided on one holder and written when there is another. */
+class TakeoverTest {
+    /**
+     * Found in the audit of the incident of 2 December: a takeover waits for its turn at the state service. That its holder was
+     * dead was decided on the holder of before; the condition was on the ledger's mark of after, which may be that of a
+     * controller that has taken the ledger meanwhile and lives.
+     */
+    @Test
+    fun `a takeover that waited does not take the ledger from its next holder`() =
+        meeting(1) {
+            val ledger = f.settings[0].host
+            val dead =
+                f.live[1]!!
+                    .membership.cluster
+                    .holder(ledger)!!
+            f.crash(0)
+            runUntil(f.lease * 3, "another controller has the ledger") { holder(0) != null }
+            val next = holder(0)!!
+            val slow = others.first { it != next }
+            val membership = f.live[slow]!!.membership
+            runUntil(f.lease, "the other one has seen it") { membership.cluster.holder(ledger)?.mark != dead.mark }
+            var taken: Boolean? = null
+            f.scope.launch { taken = membership.acquire(ledger, "its holder ${dead.host} is dead", dead) }
+            runUntil(f.lease, "the takeover has ended") { taken != null }
+            assertFalse(taken!!)
+            assertEquals(next, holder(0))
+            assertNotEquals(dead.mark, membership.cluster.mark(Keys.ledger(ledger)))
+        }
+}
