--- /dev/null
+++ b/src/main/kotlin/micatally/job/LedgerLoader.kt
@@ -0,0 +1,136 @@
+package micatally.job
+
+import kotlinx.coroutines.delay
+import kotlinx.serialization.json.JsonObject
+import micatally.ledger.Ledger
+import micatally.ledger.LedgerState
+import micatally.settings.Settings
+import micatally.wire.WithdrawnTask
+import micatally.worker.Machines
+import org.slf4j.LoggerFactory
+
+/** Brings the jobs of a ledger that this node has just acquired from the state service into memory. */
+class LedgerLoader(
+    private val settings: Settings,
+    private val records: LedgerRecords,
+    private val machines: Machines,
+    private val store: JobStore,
+    private val owner: Owner,
+    private val nowMs: () -> Long,
+) {
+    private val log = LoggerFactory.getLogger("micatally.job")
+
+    /** Whether the ledger's jobs should be known by now and are not: a new job of it might never be started. */
+    fun isOverdue(l: Ledger) =
+        l.state == LedgerState.LOADING &&
+            (l.isUnreadable || nowMs() - l.acquiredAtMs > settings.leaseMs / LOADS_A_LEASE)
+
+    /** Tries until the ledger is loaded or lost. */
+    suspend fun load(l: Ledger) {
+        while (l.mine) {
+            if (tryLoad(l)) return
+            delay(settings.reportMs / 8)
+        }
+    }
+
+    /** False if the records can't be had, or can't be read: then nothing of the ledger moves, and the log names the record. */
+    private suspend fun tryLoad(l: Ledger): Boolean {
+        try {
+            val records = records.of(l) { ref, record -> settled(l, ref, record) } ?: return false
+            if (!l.mine) return true
+            for (record in records) readable(record.ref) { adopt(l, record) }
+        } catch (e: UnreadableRecord) {
+            if (!l.isUnreadable) log.error("ledger {} can't be loaded: {}", l.name, e.message)
+            l.isUnreadable = true
+            return false
+        }
+        l.become(LedgerState.ACTIVE)
+        val tookMs = nowMs() - l.acquiredAtMs
+        log.info("ledger {} loaded at epoch {}: {} jobs in {} ms", l.name, l.holder.epoch, l.jobs.size, tookMs)
+        reconcileMachines()
+        owner.wake()
+        return true
+    }
+
+    private fun adopt(
+        l: Ledger,
+        record: LedgerRecord,
+    ) {
+        val ref = record.ref
+        // Whoever's job it is: a node that has just started must stop its tasks where it hears them.
+        if (record.plain != null && JobRecord.state(record.stored) == JobState.WITHDRAWN) {
+            owner.withdrawals.stopList.take(
+                JobRecord.placed(record.plain).map {
+                    WithdrawnTask(it.machine, ref, it.taskIndex, it.number)
+                },
+            )
+        }
+        if (JobRecord.ledgerOf(record.stored) != l.name) return
+        if (isKnown(l, ref, record.stored)) return
+        val plain = record.plain ?: return
+        val job = JobRecord.decode(ref, plain, l, record.mark)
+        if (JobRecord.isSettled(plain)) {
+            owner.rememberFinal(job.answer())
+            return
+        }
+        job.storedOverflow = RecordPacking.overflowCount(record.stored)
+        l.jobs[ref] = job
+        for (placed in JobRecord.placed(plain)) adoptAttempt(job, placed)
+        owner.gangs.adopted(job)
+        if (job.state == JobState.WITHDRAWN) {
+            if (!owner.withdrawals.adopted(job)) store.touch(job, true)
+        }
+    }
+
+    /** Whether the job is here already. One that was accepted here while the list was on its way is; one whose user has just
+     * repeated here what was accepted before is given up: then the record counts, or nobody would own the job. */
+    private fun isKnown(
+        l: Ledger,
+        ref: String,
+        record: JsonObject,
+    ): Boolean {
+        val present = l.jobs[ref] ?: return false
+        if (present.durableState != JobState.NEW || JobRecord.holdOf(record) == l.hold) return true
+        store.drop(present)
+        return false
+    }
+
+    /** A job of the ledger that is over, with nothing left to do. */
+    private fun settled(
+        l: Ledger,
+        ref: String,
+        record: JsonObject,
+    ) {
+        if (!l.mine || isKnown(l, ref, record)) return
+        owner.rememberFinal(JobRecord.decode(ref, record, l, 0L).answer())
+    }
+
+    private fun adoptAttempt(
+        job: Job,
+        placed: JobRecord.Placed,
+    ) {
+        val machine = machines.known(placed.machine, placed.addr, placed.type, placed.zone, placed.spot)
+        if (machine.session == 0L) machine.session = placed.session
+        val attempt =
+            Attempt(job, placed.taskIndex, placed.number, machine, placed.session, job.service, AttemptState.ORDERED)
+        job.attempts[placed.taskIndex] = attempt
+        owner.attach(attempt)
+    }
+
+    /** What is known of the machines already is applied to the attempts that have just been loaded. */
+    private fun reconcileMachines() {
+        for (m in machines.byName.values.toList()) {
+            if (m.session > 0) owner.newSession(m)
+            if (m.deleted) owner.deleted(m)
+            if (m.attempts.isNotEmpty()) {
+                owner.listed(m, false)
+                owner.poke(m)
+            }
+        }
+    }
+
+    private companion object {
+        /** A ledger is to be loaded in this part of a worker's lease. */
+        const val LOADS_A_LEASE = 4
+    }
+}
--- a/src/main/kotlin/micatally/job/Owner.kt
+++ b/src/main/kotlin/micatally/job/Owner.kt
@@ -4,7 +4,6 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.serialization.json.JsonObject
 import micatally.gang.GangOwner
 import micatally.gang.GangSupervisor
 import micatally.gang.GangTiming
@@ -22,7 +21,6 @@
 import micatally.wire.JobAnswer
 import micatally.wire.JobSpec
 import micatally.wire.ListedTask
-import micatally.wire.WithdrawnTask
 import micatally.worker.Machine
 import micatally.worker.Machines
 import micatally.worker.OrderBook
@@ -42,7 +40,7 @@
 ) : OrderBook,
     GangOwner {
     private val log = LoggerFactory.getLogger("micatally.job")
-    private val records = LedgerRecords(state)
+    private val loader = LedgerLoader(settings, LedgerRecords(state), machines, store, this, nowMs)
     val ledgers = HashMap<String, Ledger>()
     lateinit var orders: Orders
     lateinit var quota: Quota
@@ -120,7 +118,7 @@
         ledgers[name]?.let { if (it.mine) lose(it) }
         val l = Ledger(name, holder, nowMs())
         ledgers[name] = l
-        scope.launch { load(l) }
+        scope.launch { loader.load(l) }
     }
 
     /** The shared keys have changed: drop what is another node's now. */
@@ -158,114 +156,10 @@
     }
 
     /** Whether the ledger's jobs should be known by now and are not: a new job of it might never be started. */
-    fun isLoadOverdue(l: Ledger) =
-        l.state == LedgerState.LOADING &&
-            (l.isUnreadable || nowMs() - l.acquiredAtMs > settings.leaseMs / LOADS_A_LEASE)
-
-    private suspend fun load(l: Ledger) {
-        while (l.mine) {
-            if (tryLoad(l)) return
-            delay(settings.reportMs / 8)
-        }
-    }
-
-    /** False if the records can't be had, or can't be read: then nothing of the ledger moves, and the log names the record. */
-    private suspend fun tryLoad(l: Ledger): Boolean {
-        try {
-            val records = records.of(l) { ref, record -> settled(l, ref, record) } ?: return false
-            if (!l.mine) return true
-            for (record in records) readable(record.ref) { adopt(l, record) }
-        } catch (e: UnreadableRecord) {
-            if (!l.isUnreadable) log.error("ledger {} can't be loaded: {}", l.name, e.message)
-            l.isUnreadable = true
-            return false
-        }
-        l.become(LedgerState.ACTIVE)
-        val tookMs = nowMs() - l.acquiredAtMs
-        log.info("ledger {} loaded at epoch {}: {} jobs in {} ms", l.name, l.holder.epoch, l.jobs.size, tookMs)
-        reconcileMachines()
-        wake()
-        return true
-    }
-
-    private fun adopt(
-        l: Ledger,
-        record: LedgerRecord,
-    ) {
-        val ref = record.ref
-        // Whoever's job it is: a node that has just started must stop its tasks where it hears them.
-        if (record.plain != null && JobRecord.state(record.stored) == JobState.WITHDRAWN) {
-            withdrawals.stopList.take(
-                JobRecord.placed(record.plain).map {
-                    WithdrawnTask(it.machine, ref, it.taskIndex, it.number)
-                },
-            )
-        }
-        if (JobRecord.ledgerOf(record.stored) != l.name) return
-        if (isKnown(l, ref, record.stored)) return
-        val plain = record.plain ?: return
-        val job = JobRecord.decode(ref, plain, l, record.mark)
-        if (JobRecord.isSettled(plain)) {
-            rememberFinal(job.answer())
-            return
-        }
-        job.storedOverflow = RecordPacking.overflowCount(record.stored)
-        l.jobs[ref] = job
-        for (placed in JobRecord.placed(plain)) adoptAttempt(job, placed)
-        gangs.adopted(job)
-        if (job.state == JobState.WITHDRAWN) {
-            if (!withdrawals.adopted(job)) store.touch(job, true)
-        }
-    }
-
-    /** Whether the job is here already. One that was accepted here while the list was on its way is; one whose user has just
-     * repeated here what was accepted before is given up: then the record counts, or nobody would own the job. */
-    private fun isKnown(
-        l: Ledger,
-        ref: String,
-        record: JsonObject,
-    ): Boolean {
-        val present = l.jobs[ref] ?: return false
-        if (present.durableState != JobState.NEW || JobRecord.holdOf(record) == l.hold) return true
-        store.drop(present)
-        return false
-    }
+    fun isLoadOverdue(l: Ledger) = loader.isOverdue(l)
 
-    /** A job of the ledger that is over, with nothing left to do. */
-    private fun settled(
-        l: Ledger,
-        ref: String,
-        record: JsonObject,
-    ) {
-        if (!l.mine || isKnown(l, ref, record)) return
-        rememberFinal(JobRecord.decode(ref, record, l, 0L).answer())
-    }
-
-    private fun adoptAttempt(
-        job: Job,
-        placed: JobRecord.Placed,
-    ) {
-        val machine = machines.known(placed.machine, placed.addr, placed.type, placed.zone, placed.spot)
-        if (machine.session == 0L) machine.session = placed.session
-        val attempt =
-            Attempt(job, placed.taskIndex, placed.number, machine, placed.session, job.service, AttemptState.ORDERED)
-        job.attempts[placed.taskIndex] = attempt
-        attach(attempt)
-    }
-
-    /** What is known of the machines already is applied to the attempts that have just been loaded. */
-    private fun reconcileMachines() {
-        for (m in machines.byName.values.toList()) {
-            if (m.session > 0) newSession(m)
-            if (m.deleted) deleted(m)
-            if (m.attempts.isNotEmpty()) {
-                listed(m, false)
-                orders.poke(m)
-            }
-        }
-    }
-
-    private fun attach(a: Attempt) {
+    /** An attempt counts from now on: on its machine, and against the limit of its team. */
+    internal fun attach(a: Attempt) {
         a.machine.attach(a)
         quota.take(a.job)
     }
@@ -527,27 +421,10 @@
         if (loggedOnce.size < MOST_LOGGED_ONCE && loggedOnce.add(message.substringAfterLast(' '))) log.warn(message)
     }
 
-    private val recent = ArrayDeque<Pair<Long, JobSpec>>()
+    private val arrivals = ServiceArrivals(nowMs) { machines.bootMs(null) }
 
     /** The services submitted here while a machine boots, by shape. */
-    fun recentServices(): List<Demand> {
-        val since = nowMs() - machines.bootMs(null) * RECENT_BOOTS / 3
-        while (recent.isNotEmpty() && recent.first().first < since) recent.removeFirst()
-        return recent.groupBy { (_, s) -> s.amount to s.types }.map { (shape, list) ->
-            Demand(
-                shape.first.cores,
-                shape.first.cards,
-                shape.first.ram,
-                shape.second?.toList() ?: emptyList(),
-                count =
-                    list
-                        .sumOf {
-                            it.second.taskCount
-                        },
-                service = true,
-            )
-        }
-    }
+    fun recentServices(): List<Demand> = arrivals.recent()
 
     // What users ask for
 
@@ -558,7 +435,7 @@
     ): Job {
         val job = Job(spec.ref, spec, ledger, spec.taskCount, wallMs(), JobState.NEW)
         ledger.jobs[spec.ref] = job
-        if (spec.isService) recent.addLast(nowMs() to spec)
+        if (spec.isService) arrivals.add(spec)
         log.info(
             "job {} of {} lane {}: {} tasks of {} cores {} cards",
             spec.ref,
@@ -625,11 +502,5 @@
     private companion object {
         const val FINALS = 20_000L
         const val MOST_LOGGED_ONCE = 100
-
-        /** A ledger is to be loaded in this part of a worker's lease. */
-        const val LOADS_A_LEASE = 4
-
-        /** Services of so many thirds of a boot may come while a machine boots. */
-        const val RECENT_BOOTS = 4
     }
 }
