--- a/src/test/kotlin/micatally/sim/SimFleet.kt
+++ b/src/test/kotlin/micatally/sim/SimFleet.kt
@@ -64,6 +64,7 @@
                 "hcmc" to Timing(0.8, 10.0, 30.0),
                 "addis at size" to Timing(4.0, 22.0, 52.0),
                 "hcmc at size" to Timing(3.0, 17.5, 37.5, 5),
+                "motor" to Timing(5.0, 24.0, 44.0),
             )
     }
 }
@@ -76,6 +77,7 @@
     private val timing: Timing = Timing.PLAIN,
     /** The limits to come that the settings of nodes started from now on name. */
     var nextLimits: StateLimits? = null,
+    private val limits: StateLimits = StateLimits(250.0, 100.0, 16 * 1024, 48),
 ) : WorkerWorld {
     val random = Random(seed)
     override val gangs by lazy {
@@ -98,7 +100,7 @@
             Flavor("small", Amount(8.0, 0.0, 32.0), 40.0, 1.0, 1.0, 0.3, 6.0, zones),
             Flavor("g8", Amount(96.0, 8.0, 768.0), 400.0, 10.0, 30.0, 8.0, 6.0, zones),
         )
-    val state = StateStandin(StateLimits(250.0, 100.0, 16 * 1024, 48)) { now }
+    val state = StateStandin(limits) { now }
     private val workerHosts = HashMap<String, SimNet.Host>()
     val cloud =
         CloudStandin(
@@ -238,10 +240,10 @@
                     put(
                         "state",
                         buildJsonObject {
-                            put("rps", 250)
-                            put("write_rps", 100)
-                            put("value_kb", 16)
-                            put("txn_ops", 48)
+                            put("rps", limits.rps)
+                            put("write_rps", limits.writeRps)
+                            put("value_kb", limits.valueBytes / 1024.0)
+                            put("txn_ops", limits.txnOps)
                             nextLimits?.let { n ->
                                 put(
                                     "next",
--- a/src/test/kotlin/micatally/sim/SimTest.kt
+++ b/src/test/kotlin/micatally/sim/SimTest.kt
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
+import org.junit.jupiter.params.provider.ValueSource
 
 /** Days with seeded luck: troubles of all kinds, alone and together, with the rules looked at after every step. */
 class SimTest {
@@ -319,6 +320,8 @@
     }
 
     companion object {
+        private val FEW_CHANGES = StateLimits(150.0, 15.0, 8 * 1024, 12)
+
         /** A dozen days, a third of them with five controllers; -Dsim.seeds=100-160 plays others. */
         @JvmStatic
         fun seeds(): List<Int> =
@@ -331,7 +334,19 @@
     @MethodSource("seeds")
     fun `no rule breaks, and every accepted job ends or stays known`(seed: Int) {
         val next = if (seed % 2 == 0) StateLimits(250.0, 60.0, 2 * 1024, 6) else null
-        val f = SimFleet(seed, if (seed % 3 == 0) 5 else 3, nextLimits = next)
+        play(SimFleet(seed, if (seed % 3 == 0) 5 else 3, nextLimits = next), next)
+    }
+
+    /** The ratios of a deployment whose workers report every fifth of their lease to controllers with five changes a second each. */
+    @ParameterizedTest
+    @ValueSource(ints = [1, 2, 3, 4])
+    fun `the same where reports are slow and changes few`(seed: Int) =
+        play(SimFleet(seed, timing = Timing.DEPLOYMENTS.getValue("motor"), limits = FEW_CHANGES), null)
+
+    private fun play(
+        f: SimFleet,
+        next: StateLimits?,
+    ) {
         try {
             for (i in 0 until f.nodes) f.startNode(i)
             f.net.lateCopies = 0.05
