--- a/src/test/kotlin/micatally/quota/QuotaFleet.kt
+++ b/src/test/kotlin/micatally/quota/QuotaFleet.kt
@@ -28,7 +28,9 @@
 import micatally.sim.Stoppable
 import micatally.standin.Rehearsal
 import micatally.standin.StateStandin
+import micatally.state.Change
 import micatally.state.Condition
+import micatally.state.Delete
 import micatally.state.Put
 import micatally.state.RateBudget
 import micatally.state.StateClient
@@ -89,17 +91,6 @@
         ),
     )
 
-    private suspend fun apply(txn: Txn): Int = service.handle(request(txn)).status
-
-    private fun request(txn: Txn): HttpRequest {
-        val conditions = txn.conditions.joinToString(",") { "{\"k\":\"${it.key}\",\"mark\":${it.mark}}" }
-        val changes =
-            txn.changes.joinToString(",") {
-                if (it is Put) "{\"put\":\"${it.key}\",\"value\":${it.value}}" else "{\"delete\":\"${it.key}\"}"
-            }
-        return HttpRequest("POST", "/txn", "{\"when\":[$conditions],\"then\":[$changes]}".toByteArray())
-    }
-
     /** A task that a controller has decided to start. */
     class Placed(
         val key: String,
@@ -143,7 +134,7 @@
         /** A listing as it is now arrives after a while. */
         fun look(afterMs: Long) {
             own.launch {
-                val listing = reader.list(Keys.PREFIX, Urgency.LEASE) ?: return@launch
+                val listing = plain.list(Keys.PREFIX, Urgency.LEASE) ?: return@launch
                 delay(afterMs)
                 val changed = cluster.load(listing)
                 checkLedgers()
@@ -296,8 +287,8 @@
         return Outcome.Silence
     }
 
-    /** Reads without faults or limits, for what is not under test. */
-    private val reader =
+    /** Without faults or limits, for what is not under test. */
+    private val plain =
         StateClient(
             HttpCaller { _, method, target, body, _ ->
                 val response = service.handle(HttpRequest(method, target, body ?: ByteArray(0)))
@@ -309,6 +300,10 @@
             500,
         )
 
+    private fun change(change: Change) {
+        scope.launch { plain.txn(1, Urgency.LEASE) { Txn(emptyList(), listOf(change)) } }
+    }
+
     private var epoch = 0
 
     /** The ledger is in another controller's hands from now on, whether or not the former holder has heard of it. */
@@ -324,7 +319,7 @@
                     "epoch" to JsonPrimitive(++epoch),
                 ),
             )
-        scope.launch { apply(Txn(emptyList(), listOf(Put(Keys.ledger(name), holder)))) }
+        change(Put(Keys.ledger(name), holder))
     }
 
     /** A task that runs ends on its machine; its owner hears of it later. */
@@ -333,9 +328,7 @@
         if (running.isEmpty()) return
         val key = running.random(random)
         val told = random.nextLong(1, 1500)
-        scope.launch {
-            service.handle(HttpRequest("POST", "/txn", "{\"when\":[],\"then\":[{\"delete\":\"$key\"}]}".toByteArray()))
-        }
+        change(Delete(key))
         for (controller in controllers) controller.tellLater(key, told)
     }
 
--- a/src/test/kotlin/micatally/quota/QuotaTest.kt
+++ b/src/test/kotlin/micatally/quota/QuotaTest.kt
@@ -81,8 +81,7 @@
                     ),
                 )
             }
-            see(0)
-            see(1)
+            seeAll()
             for (i in 0..1) ledgers.add(Ledger("l$i", copies[i].holder("l$i")!!).also { it.become(LedgerState.ACTIVE) })
             quotas =
                 List(2) { i -> Quota(scope.backgroundScope, state, copies[i], teams, { listOf(ledgers[i]) }, 2) {} }
@@ -97,6 +96,12 @@
             copies[i].load(state.list(Keys.PREFIX, Urgency.LEASE)!!)
         }
 
+        /** The copies of both nodes catch up. */
+        suspend fun seeAll() {
+            see(0)
+            see(1)
+        }
+
         fun job(
             i: Int,
             cores: Double,
@@ -124,8 +129,7 @@
             val big = s.job(0, 16.0, 1)
             assertFalse(s.quotas[0].allows(big))
             advanceTimeBy(100)
-            s.see(0)
-            s.see(1)
+            s.seeAll()
             assertTrue(s.quotas[0].allows(big))
             s.lose = true
             s.quotas[0].handBack()
@@ -144,8 +148,7 @@
             val job = s.job(0, 16.0, 1)
             assertFalse(s.quotas[0].allows(job))
             advanceTimeBy(100)
-            s.see(0)
-            s.see(1)
+            s.seeAll()
             val before = s.service.value(Keys.team("vision"))
             s.ledgers[0] = Ledger("l0", s.ledgers[0].holder)
             assertFalse(s.quotas[0].allows(s.job(0, 1.0, 2)))
@@ -161,23 +164,19 @@
             val small = s.job(0, 1.0, 1)
             assertFalse(s.quotas[0].allows(small))
             advanceTimeBy(100)
-            s.see(0)
-            s.see(1)
+            s.seeAll()
             s.quotas[0].take(small)
             val whole = s.job(1, 39.0, 2)
             assertFalse(s.quotas[1].allows(whole))
             advanceTimeBy(100)
-            s.see(0)
-            s.see(1)
+            s.seeAll()
             s.quotas[0].teamChanged("vision")
             advanceTimeBy(100)
-            s.see(0)
-            s.see(1)
+            s.seeAll()
             advanceTimeBy(100)
             assertFalse(s.quotas[1].allows(whole), "not allotted yet")
             advanceTimeBy(100)
-            s.see(0)
-            s.see(1)
+            s.seeAll()
             assertTrue(s.quotas[1].allows(whole))
             assertEquals(1.0, s.quotas[0].used("l0", "vision").cores)
         }
@@ -193,8 +192,7 @@
                 for (i in 0..1) {
                     s.quotas[i].allows(jobs[i])
                     advanceTimeBy(20)
-                    s.see(0)
-                    s.see(1)
+                    s.seeAll()
                     for (q in s.quotas) q.teamChanged("vision")
                 }
             }
@@ -225,15 +223,13 @@
             for (i in 0..1) {
                 assertFalse(s.quotas[i].allows(s.job(i, 4.0, i)))
                 advanceTimeBy(100)
-                s.see(0)
-                s.see(1)
+                s.seeAll()
             }
             limits["vision"] = Team("vision", 0.0, 8.0, 0.0, 0.0)
             for (i in 0..1) {
                 s.quotas[i].limitsChanged()
                 advanceTimeBy(100)
-                s.see(0)
-                s.see(1)
+                s.seeAll()
             }
             val left = s.allottedCores(0) + s.allottedCores(1)
             assertTrue(left <= 8.0, "$left still allotted")
