--- a/review/standins/Http.java
+++ b/review/standins/Http.java
@@ -50,9 +50,15 @@
         Response handle(Request request) throws Exception;
     }
 
+    /** A free port for a process that binds it later: one that no outgoing connection is given meanwhile. */
     static int freePort() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return s.getLocalPort();
+        while (true) {
+            int port = 12_000 + java.util.concurrent.ThreadLocalRandom.current().nextInt(18_000);
+            try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return s.getLocalPort();
+            } catch (java.net.BindException e) {
+                // It is in use: try another one.
+            }
         }
     }
 
--- a/review/standins/World.java
+++ b/review/standins/World.java
@@ -56,6 +56,7 @@
     final Map<String, String> listen = new LinkedHashMap<>();
     final Map<String, String> back = new LinkedHashMap<>();
     final Map<String, Process> processes = new ConcurrentHashMap<>();
+    private boolean ended;
     final Map<String, Path> settings = new LinkedHashMap<>();
     StateService state;
     Cloud cloud;
@@ -188,8 +189,12 @@
         b.redirectOutput(ProcessBuilder.Redirect.DISCARD);
         b.redirectError(ProcessBuilder.Redirect.appendTo(folder.resolve(host + ".log").toFile()));
         if (System.getenv("LOG_LEVEL") == null) b.environment().put("LOG_LEVEL", "info");
-        Process p = b.start();
-        processes.put(host, p);
+        Process p;
+        synchronized (processes) {
+            if (ended) throw new IOException("the case has ended");
+            p = b.start();
+            processes.put(host, p);
+        }
         owners.put(host, p.pid());
         record("controller " + host + " started, process " + p.pid());
     }
@@ -216,6 +221,9 @@
 
     /** Ends all processes that were started, and deletes their files unless KEEP_LOGS is set. */
     void end() {
+        synchronized (processes) {
+            ended = true;
+        }
         for (Process p : processes.values()) p.destroyForcibly();
         for (Process p : processes.values()) {
             try {
