--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -30,6 +30,8 @@
     private long baton;
     private long leaseFrom = World.now();
     private boolean changed;
+    /** When a higher token last counted as a change. */
+    private long tokenChangeAt = Long.MIN_VALUE / 2;
     private volatile boolean stopped;
     /** When a report was last answered with 200 and taken. */
     volatile long lastAnswerAt = World.now();
@@ -194,7 +196,10 @@
         Map<String, Object> q = Json.object(r.body);
         if (q.get("baton") == null || q.get("stint") == null) return new Http.Response(400, "{}");
         if (Json.num(q.get("baton")) < baton || Json.num(q.get("stint")) != stint) return new Http.Response(409, report());
-        if (Json.num(q.get("baton")) > baton) changed = true;
+        if (Json.num(q.get("baton")) > baton && World.now() - tokenChangeAt >= world.leaseS * 500) {
+            changed = true;
+            tokenChangeAt = World.now();
+        }
         baton = Json.num(q.get("baton"));
         execute((List<Map<String, Object>>) q.get("radio"), "orders of " + r.from);
         return new Http.Response(200, report());
