Log why a machine is deleted, and which controller asked for it

The logs held "machines deleted" alone, so they could not tell these apart: the failure detector of the fleet manager, the request of a peer, requests that the returned controller had kept as a former fleet manager.

Change: each deletion carries a typed reason, logged with the machine when the deletion is sent. A request of a shard leader is logged with its host and whether the receiver is the fleet manager. The search for unreachable machines logs the machine, its attempts, how long it was silent and the age of the last proof of state contact. Behaviour is the same.

--- a/src/main/kotlin/micatally/controller/Controller.kt
+++ b/src/main/kotlin/micatally/controller/Controller.kt
@@ -306,7 +306,10 @@
 
     private fun peerListener(): PeerListener =
         object : PeerListener {
-            override fun deletionRequested(machines: List<String>) = fleetManager.requestDeletion(machines)
+            override fun deletionRequested(
+                machines: List<String>,
+                host: String,
+            ) = fleetManager.requestDeletion(machines, host)
 
             override fun clusterStateChanged() = scheduler.requestCycle()
         }
@@ -367,7 +370,7 @@
         val usageReport =
             CpuUsageReport(cpuUsage, machines, scheduler, quota, budgets, settings.leaseMs, startedAtMs)
         val deletedMachineRemoval = DeletedMachineRemoval(machines, settings.leaseMs)
-        val unreachableMachineSearch = UnreachableMachineSearch(machines, fleetManager, peers, settings)
+        val unreachableMachineSearch = UnreachableMachineSearch(machines, fleetManager, peers, membership, settings)
         return PeriodicTasks(
             tickMs = settings.heartbeatIntervalMs / TICKS_PER_HEARTBEAT,
             nowMs,
--- a/src/main/kotlin/micatally/controller/UnreachableMachineSearch.kt
+++ b/src/main/kotlin/micatally/controller/UnreachableMachineSearch.kt
@@ -1,10 +1,12 @@
 package micatally.controller
 
 import micatally.fleet.FleetManager
+import micatally.membership.Membership
 import micatally.peer.Peers
 import micatally.settings.Settings
 import micatally.worker.Machine
 import micatally.worker.MachineRegistry
+import org.slf4j.LoggerFactory
 
 /**
  * Finds machines that have attempts of this controller but from which no controller receives heartbeats, and requests
@@ -15,8 +17,11 @@
     private val machines: MachineRegistry,
     private val fleetManager: FleetManager,
     private val peers: Peers,
+    private val membership: Membership,
     settings: Settings,
 ) {
+    private val log = LoggerFactory.getLogger("micatally.controller")
+    private val host = settings.host
     private val leaseMs = settings.leaseMs
 
     /**
@@ -30,7 +35,14 @@
         for (machine in machines.byName.values) {
             if (machine.deleted || machine.attempts.isEmpty()) continue
             if (isUnreachable(machine, nowMs)) {
-                fleetManager.requestDeletion(listOf(machine.name))
+                log.info(
+                    "machine {} with {} attempts silent for {} ms, last proof of state contact {} ms ago",
+                    machine.name,
+                    machine.attempts.size,
+                    nowMs - machine.heardAt,
+                    membership.viewAgeMs,
+                )
+                fleetManager.requestDeletion(listOf(machine.name), host)
                 peers.requestDeletion(machine.name)
             }
         }
--- a/src/main/kotlin/micatally/fleet/FleetManager.kt
+++ b/src/main/kotlin/micatally/fleet/FleetManager.kt
@@ -85,10 +85,22 @@
     val isLeader get() = leadership.isLeader
 
     /**
-     * Requests the deletion of machines; the deletion is the termination evidence for the tasks on them. The request is
-     * kept until this controller next reviews the fleet as the fleet manager.
+     * Requests the deletion of machines, for a controller on [host] that has heard nothing from them for too long. The
+     * deletion is the termination evidence for the tasks on them. The request is kept until this controller next
+     * reviews the fleet as the fleet manager.
      */
-    fun requestDeletion(names: List<String>) = scaleIn.request(names)
+    fun requestDeletion(
+        names: List<String>,
+        host: String,
+    ) {
+        log.info(
+            "{} requests the deletion of machines that are silent: {}, fleet manager here: {}",
+            host,
+            names,
+            isLeader,
+        )
+        for (name in names) scaleIn.request(name, DeletionReason.SILENT_FOR_SHARD_LEADER)
+    }
 
     /** Removes old deletion records from the state store; to be called periodically. */
     suspend fun pruneDeletionRecords() = scaleIn.pruneDeletionRecords()
@@ -123,7 +135,9 @@
         val isViewStale = membership.viewAgeMs > settings.leaseMs / 2
         if (!membership.leaseHolds() || isViewStale) return
         updateInstances(now)
-        scaleIn.request(failureDetector.findFailed(now, leadership.termBeganAtMs))
+        for (failed in failureDetector.findFailed(now, leadership.termBeganAtMs)) {
+            scaleIn.request(failed.name, failed.reason)
+        }
         val resourceRequests = environment.unplaced()
         if (resourceRequests.isNotEmpty()) lastUnplacedAtMs = now
         deleteLateInstances(now)
@@ -150,7 +164,7 @@
         val isCapacityNeeded = now - lastUnplacedAtMs < settings.leaseMs
         for (instance in instances.timedOut(now, isCapacityNeeded)) {
             log.info("machine {} did not boot within {} ms, deleting it", instance.name, instance.ageMs(now))
-            scaleIn.request(instance.name)
+            scaleIn.request(instance.name, DeletionReason.BOOT_TIMED_OUT)
         }
     }
 
--- a/src/main/kotlin/micatally/fleet/GracefulEviction.kt
+++ b/src/main/kotlin/micatally/fleet/GracefulEviction.kt
@@ -110,7 +110,7 @@
     ) {
         eviction.transitionTo(EvictionState.EMPTY, now)
         val isKnownToAll = now - eviction.stateSinceMs > propagationMs && records.has(machine.name)
-        if (isKnownToAll) scaleIn.request(machine.name)
+        if (isKnownToAll) scaleIn.request(machine.name, DeletionReason.EVICTED)
     }
 
     /** Evicts the machine if it has been idle for long enough; at once if the cloud is going to reclaim it. */
--- a/src/main/kotlin/micatally/fleet/MachineFailureDetector.kt
+++ b/src/main/kotlin/micatally/fleet/MachineFailureDetector.kt
@@ -5,6 +5,12 @@
 import micatally.worker.MachineRegistry
 import org.slf4j.LoggerFactory
 
+/** A machine that counts as failed, and why. */
+class FailedMachine(
+    val name: String,
+    val reason: DeletionReason,
+)
+
 /**
  * Finds failed machines. The deletion of such a machine is the termination evidence for its tasks. If a whole zone is
  * unreachable, a network partition is likelier than the failure of all its machines. The detector then waits longer,
@@ -65,15 +71,15 @@
     }
 
     /**
-     * Returns the names of the machines to delete. A name occurs twice if two reasons hold. Also starts probes of
-     * unresponsive machines.
+     * Returns the machines to delete. A machine occurs twice if two reasons hold. Also starts probes of unresponsive
+     * machines.
      *
      * @param termBeganAtMs when this process became the fleet manager; silence before that does not count
      */
     fun findFailed(
         now: Long,
         termBeganAtMs: Long,
-    ): List<String> {
+    ): List<FailedMachine> {
         // While a controller is unreachable, its workers may be looking for another one, or it may receive their
         // heartbeats without being able to forward them.
         val zonesOfUnreachableControllers = unreachableZones()
@@ -127,7 +133,7 @@
     private fun findPoweredOff(
         zones: Map<String, ZoneView>,
         now: Long,
-    ): List<String> {
+    ): List<FailedMachine> {
         val suspected = machines.byName.values.filter { it.hungConnections > 0 && !it.deleted }
         for (zone in suspected.mapTo(HashSet()) { it.zone }) probeResponsiveMachine(zone, now)
         val poweredOff = suspected.filter { isPoweredOff(it, zones[it.zone], now) }
@@ -137,7 +143,7 @@
                 machine.name,
             )
         }
-        return poweredOff.map { it.name }
+        return poweredOff.map { FailedMachine(it.name, DeletionReason.POWERED_OFF) }
     }
 
     private fun isPoweredOff(
@@ -171,7 +177,7 @@
     ) = !machine.deleted && machine.hungConnections == 0 && now - machine.heardAt < probeAfterMs
 
     /**
-     * Names of the machines that have been silent for too long. In a zone that looks partitioned, the limit is
+     * The machines that have been silent for too long. In a zone that looks partitioned, the limit is
      * [partitionSilenceLimitMs].
      */
     private fun findUnreachable(
@@ -179,7 +185,7 @@
         zonesOfUnreachableControllers: Set<String>,
         now: Long,
         termBeganAtMs: Long,
-    ): List<String> =
+    ): List<FailedMachine> =
         zones.flatMap { (name, zone) ->
             // A few unreachable machines don't show a partition, unless a controller in their zone is unreachable as
             // well.
@@ -188,7 +194,7 @@
             val isPartitioned = mayBePartition && zone.unreachable.size >= zone.responsive
             zone.unreachable
                 .filter { !isPartitioned || now - maxOf(it.heardAt, termBeganAtMs) > partitionSilenceLimitMs }
-                .map { it.name }
+                .map { FailedMachine(it.name, DeletionReason.SILENT) }
         }
 
     private companion object {
--- a/src/main/kotlin/micatally/fleet/ScaleIn.kt
+++ b/src/main/kotlin/micatally/fleet/ScaleIn.kt
@@ -33,8 +33,8 @@
 ) {
     private val log = LoggerFactory.getLogger("micatally.fleet")
 
-    /** Names of the machines to delete with the next [submit]. */
-    private val requested = LinkedHashSet<String>()
+    /** Why the machines are to be deleted with the next [submit], by their names. */
+    private val requested = LinkedHashMap<String, DeletionReason>()
 
     /** Names of the machines whose deletion or its record is under way. */
     private val inProgress = HashSet<String>()
@@ -42,14 +42,12 @@
     /** When the cloud confirmed the deletions of this process, in milliseconds, by the name of the machine. */
     private val deletedAtMs = HashMap<String, Long>()
 
-    /** Requests the deletion of the machines with the next [submit]. */
-    fun request(names: Collection<String>) {
-        requested.addAll(names)
-    }
-
-    /** Requests the deletion of one machine with the next [submit]. */
-    fun request(name: String) {
-        requested.add(name)
+    /** Requests the deletion of a machine with the next [submit]. The reason of its first request is kept. */
+    fun request(
+        name: String,
+        reason: DeletionReason,
+    ) {
+        requested.putIfAbsent(name, reason)
     }
 
     /**
@@ -58,9 +56,10 @@
      */
     fun submit() {
         val names =
-            requested
+            requested.keys
                 .filter { it !in inProgress && !sharedKeys.has(Keys.DELETED_MACHINE + it) }
                 .take(MAX_MACHINES_PER_REQUEST)
+        for (name in names) log.info("deleting machine {}: {}", name, requested[name])
         requested.clear()
         if (names.isEmpty()) return
         inProgress.addAll(names)
--- a/src/main/kotlin/micatally/peer/DeltaReceiver.kt
+++ b/src/main/kotlin/micatally/peer/DeltaReceiver.kt
@@ -31,7 +31,7 @@
         connections.find { it.peer.host == delta.host }?.deltaReceived(nowMs(), delta.hasStateStoreContact)
         val hasNewStatus = applyStatuses(delta)
         val isSummaryComplete = delta.summary?.let { peerSummaries.apply(it) } ?: true
-        if (delta.deletionRequests.isNotEmpty()) listener.deletionRequested(delta.deletionRequests)
+        if (delta.deletionRequests.isNotEmpty()) listener.deletionRequested(delta.deletionRequests, delta.host)
         if (delta.summary != null || hasNewStatus) listener.clusterStateChanged()
         return ProtoBuf.encodeToByteArray(response(isSummaryComplete))
     }
--- a/src/main/kotlin/micatally/peer/PeerListener.kt
+++ b/src/main/kotlin/micatally/peer/PeerListener.kt
@@ -4,8 +4,13 @@
  * Called when deltas from peers have been applied. The calls are made on the controller's thread and must not block.
  */
 interface PeerListener {
-    /** A peer asks for the deletion of these machines, because their workers have been silent for too long. */
-    fun deletionRequested(machines: List<String>)
+    /**
+     * The peer on [host] asks for the deletion of these machines, because their workers have been silent for too long.
+     */
+    fun deletionRequested(
+        machines: List<String>,
+        host: String,
+    )
 
     /** A peer has sent a capacity summary or a newer machine status, so placement may now decide differently. */
     fun clusterStateChanged()
