Count a machine's silence only while this controller would hear it

Cause: "nobody hears this machine" was concluded from what a controller had heard, not from what it could have heard. - UnreachableMachineSearch ran on a controller without lease and view, and took its own silence for the machines'. - DeltaSender kept the names and sent them with the first delta after the silence, without looking again. - FleetManager carried out any request, although it heard the machines all the time; another controller that was not the fleet manager kept the request. - For a process that had just started, silence counted from the origin of its clock.

The fleet manager's own failure detector took no part.

Change: ContactPeriod tells since when this controller has been in contact without a gap, through the state store or with all peers; both bring the heartbeats that others receive. UnreachableMachines counts silence from there and is asked when a delta is sent; nothing is kept. The fleet manager carries out a request only if it has heard nothing from the machine for a lease of its own contact (ShardLeaderRequests), and its failure detector and its evictions count silence and idleness from there too. Controllers that are not the fleet manager drop requests.

Why it works: without contact there is no request; after it each live machine is heard within seconds, long before the two leases that a request takes; and a request that was under way meets the fleet manager's own knowledge.

Green after, with the test that a machine which ended while all controllers were down is still deleted.

--- a/src/main/kotlin/micatally/controller/Controller.kt
+++ b/src/main/kotlin/micatally/controller/Controller.kt
@@ -58,6 +58,7 @@
 import micatally.worker.MachineListener
 import micatally.worker.MachineRegistry
 import micatally.worker.StatusSource
+import micatally.worker.UnreachableMachines
 import micatally.worker.WorkerReach
 import kotlin.random.Random
 
@@ -189,8 +190,21 @@
             cpuUsage,
             nowMs,
         )
+    private val unreachableMachines = UnreachableMachines(machines, settings, { membership.contactSinceMs }, nowMs)
     private val peers: Peers =
-        Peers(scope, http, settings, stateStore, membership, machines, jobManager, scheduler, peerListener(), nowMs)
+        Peers(
+            scope,
+            http,
+            settings,
+            stateStore,
+            membership,
+            machines,
+            unreachableMachines,
+            jobManager,
+            scheduler,
+            peerListener(),
+            nowMs,
+        )
     private val workerReach = WorkerReach(scope, http, settings, machines, nowMs)
     private val fleetManager =
         FleetManager(
@@ -200,7 +214,7 @@
             FleetClients(http, stateStore, cloudClient),
             membership,
             machines,
-            ControllerWorkload(scheduler, peers),
+            ControllerWorkload(scheduler, peers, unreachableMachines),
             nowMs,
         )
     private val recordReads = RecordReads(recordLookup, budgets.userReads, budgets.maxWaitingUserReads, stateTimeoutMs)
@@ -370,7 +384,6 @@
         val usageReport =
             CpuUsageReport(cpuUsage, machines, scheduler, quota, budgets, settings.leaseMs, startedAtMs)
         val deletedMachineRemoval = DeletedMachineRemoval(machines, settings.leaseMs)
-        val unreachableMachineSearch = UnreachableMachineSearch(machines, fleetManager, peers, membership, settings)
         return PeriodicTasks(
             tickMs = settings.heartbeatIntervalMs / TICKS_PER_HEARTBEAT,
             nowMs,
@@ -385,7 +398,6 @@
                 ) { scope.launch { fleetManager.pruneDeletionRecords() } },
                 PeriodicTask("cancellation confirmation", everyTicks = 4) { now -> cancellations.follow(now) },
                 PeriodicTask("CPU usage report", everyTicks = 1) { now -> usageReport.run(now) },
-                PeriodicTask("unreachable machine search", everyTicks = 8) { now -> unreachableMachineSearch.run(now) },
                 PeriodicTask("deleted machine removal", everyTicks = 100) { now -> deletedMachineRemoval.run(now) },
             ),
         )
--- a/src/main/kotlin/micatally/fleet/DeletionReason.kt
+++ b/src/main/kotlin/micatally/fleet/DeletionReason.kt
@@ -17,6 +17,6 @@
     /** The fleet manager has heard nothing from it for too long. */
     SILENT,
 
-    /** A controller that has attempts on it has heard nothing from it for too long. */
+    /** A controller that has attempts on it has heard nothing from it for too long, and the fleet manager agrees. */
     SILENT_FOR_SHARD_LEADER,
 }
--- a/src/main/kotlin/micatally/fleet/FleetManager.kt
+++ b/src/main/kotlin/micatally/fleet/FleetManager.kt
@@ -20,6 +20,9 @@
     /** Resource requests of the services that were submitted recently, to any controller. */
     fun recentServices(): List<ResourceRequest>
 
+    /** Names of the machines with attempts of this controller from which no controller receives heartbeats. */
+    fun unreachableMachines(): List<String>
+
     /** Zones of controllers that can't be reached. */
     fun unreachableZones(): Set<String>
 
@@ -60,6 +63,7 @@
     private val instances = ProvisionedInstances { machines.bootMs(it) }
     private val scaleIn =
         ScaleIn(scope, settings, state, cloud, sharedKeys, { isLeader && membership.leaseHolds() }, nowMs)
+    private val shardLeaderRequests = ShardLeaderRequests(settings, machines)
     private val requests = ProvisioningRequestStore(state, sharedKeys)
     private val scaleOut = ScaleOut(scope, settings, cloud, requests, machines, instances, { isLeader }, nowMs)
     private val prober = MachineProber(scope, clients.http, settings, machines, nowMs)
@@ -85,21 +89,15 @@
     val isLeader get() = leadership.isLeader
 
     /**
-     * Requests the deletion of machines, for a controller on [host] that has heard nothing from them for too long. The
-     * deletion is the termination evidence for the tasks on them. The request is kept until this controller next
-     * reviews the fleet as the fleet manager.
+     * Requests the deletion of machines, for the controller on [host] that has heard nothing from them for too long.
+     * The deletion is the termination evidence for the tasks on them. Does nothing unless this controller is the fleet
+     * manager; the request is repeated while the machines stay silent.
      */
     fun requestDeletion(
         names: List<String>,
         host: String,
     ) {
-        log.info(
-            "{} requests the deletion of machines that are silent: {}, fleet manager here: {}",
-            host,
-            names,
-            isLeader,
-        )
-        for (name in names) scaleIn.request(name, DeletionReason.SILENT_FOR_SHARD_LEADER)
+        if (isLeader) shardLeaderRequests.add(names, host)
     }
 
     /** Removes old deletion records from the state store; to be called periodically. */
@@ -123,6 +121,7 @@
     private fun beginTerm() {
         lastUnplacedAtMs = leadership.termBeganAtMs
         instances.clear()
+        shardLeaderRequests.clear()
         eviction.beginTerm(leadership.termBeganAtMs)
         scaleOut.beginTerm(leadership.term)
     }
@@ -133,15 +132,17 @@
     private fun review() {
         val now = nowMs()
         val isViewStale = membership.viewAgeMs > settings.leaseMs / 2
-        if (!membership.leaseHolds() || isViewStale) return
+        val contactSinceMs = membership.contactSinceMs
+        if (!membership.leaseHolds() || isViewStale || contactSinceMs == null) return
+        // What happened to the machines before is not known: another fleet manager was in charge, or this process was
+        // cut off or suspended.
+        val observedSinceMs = maxOf(leadership.termBeganAtMs, contactSinceMs)
         updateInstances(now)
-        for (failed in failureDetector.findFailed(now, leadership.termBeganAtMs)) {
-            scaleIn.request(failed.name, failed.reason)
-        }
+        deleteSilentMachines(now, observedSinceMs)
         val resourceRequests = environment.unplaced()
         if (resourceRequests.isNotEmpty()) lastUnplacedAtMs = now
-        deleteLateInstances(now)
-        eviction.review(resourceRequests, now)
+        if (now - observedSinceMs > settings.leaseMs) deleteLateInstances(now)
+        eviction.review(resourceRequests, now, observedSinceMs)
         scaleIn.submit()
         scaleOut.deleteSettledRequests()
         if (resourceRequests.isNotEmpty()) scaleOut.provisionFor(resourceRequests, now)
@@ -159,6 +160,20 @@
         instances.updateBootTimes(now)
     }
 
+    /** Requests the deletion of machines that have failed, here or for the leader of a shard with attempts on them. */
+    private fun deleteSilentMachines(
+        now: Long,
+        observedSinceMs: Long,
+    ) {
+        for (failed in failureDetector.findFailed(now, observedSinceMs)) {
+            scaleIn.request(failed.name, failed.reason)
+        }
+        shardLeaderRequests.add(environment.unreachableMachines(), settings.host)
+        for (name in shardLeaderRequests.take(observedSinceMs, now)) {
+            scaleIn.request(name, DeletionReason.SILENT_FOR_SHARD_LEADER)
+        }
+    }
+
     /** Requests the deletion of machines that did not boot in time. */
     private fun deleteLateInstances(now: Long) {
         val isCapacityNeeded = now - lastUnplacedAtMs < settings.leaseMs
--- a/src/main/kotlin/micatally/fleet/GracefulEviction.kt
+++ b/src/main/kotlin/micatally/fleet/GracefulEviction.kt
@@ -47,14 +47,16 @@
      * capacity, and no earlier than two leases after the term began.
      *
      * @param resourceRequests tasks that find no free capacity at present
+     * @param observedSinceMs since when this process has observed the machines; that one was empty before does not count
      */
     fun review(
         resourceRequests: List<ResourceRequest>,
         now: Long,
+        observedSinceMs: Long,
     ) {
         for (machine in machines.byName.values) {
             val hasReported = machine.incarnation != 0L
-            if (!machine.deleted && hasReported) review(machine, resourceRequests, now)
+            if (!machine.deleted && hasReported) review(machine, resourceRequests, now, observedSinceMs)
         }
         evictions.keys.removeIf { it in machines.deletedNames }
         records.reconcile(evictions.keys, now)
@@ -70,12 +72,13 @@
         machine: Machine,
         resourceRequests: List<ResourceRequest>,
         now: Long,
+        observedSinceMs: Long,
     ) {
         val eviction = evictions[machine.name]
         when {
             !isEmpty(machine) -> reviewInUse(machine, eviction, resourceRequests, now)
-            eviction != null -> deleteOnceKnownToAll(machine, eviction, now)
-            else -> evictIfIdle(machine, now)
+            eviction != null -> deleteOnceKnownToAll(machine, eviction, now, observedSinceMs)
+            else -> evictIfIdle(machine, now, observedSinceMs)
         }
     }
 
@@ -107,9 +110,11 @@
         machine: Machine,
         eviction: Eviction,
         now: Long,
+        observedSinceMs: Long,
     ) {
         eviction.transitionTo(EvictionState.EMPTY, now)
-        val isKnownToAll = now - eviction.stateSinceMs > propagationMs && records.has(machine.name)
+        val emptySinceMs = maxOf(eviction.stateSinceMs, observedSinceMs)
+        val isKnownToAll = now - emptySinceMs > propagationMs && records.has(machine.name)
         if (isKnownToAll) scaleIn.request(machine.name, DeletionReason.EVICTED)
     }
 
@@ -117,10 +122,11 @@
     private fun evictIfIdle(
         machine: Machine,
         now: Long,
+        observedSinceMs: Long,
     ) {
         val idleMs =
             if (machine.hasSpotNotice) 0L else (machines.bootMs(machine.type) * operator.fleetIdleBoots).toLong()
-        if (now - maxOf(machine.busyAt, termBeganAtMs) > idleMs) evict(machine, now, EvictionState.EMPTY, "idle")
+        if (now - maxOf(machine.busyAt, observedSinceMs) > idleMs) evict(machine, now, EvictionState.EMPTY, "idle")
     }
 
     /** Whether no controller uses the machine: no unfinished task or attempt is on it, and no capacity is held. */
--- a/src/main/kotlin/micatally/fleet/MachineFailureDetector.kt
+++ b/src/main/kotlin/micatally/fleet/MachineFailureDetector.kt
@@ -74,24 +74,25 @@
      * Returns the machines to delete. A machine occurs twice if two reasons hold. Also starts probes of unresponsive
      * machines.
      *
-     * @param termBeganAtMs when this process became the fleet manager; silence before that does not count
+     * @param observedSinceMs since when this process has observed the machines; silence before that does not count
      */
     fun findFailed(
         now: Long,
-        termBeganAtMs: Long,
+        observedSinceMs: Long,
     ): List<FailedMachine> {
         // While a controller is unreachable, its workers may be looking for another one, or it may receive their
         // heartbeats without being able to forward them.
         val zonesOfUnreachableControllers = unreachableZones()
         if (zonesOfUnreachableControllers.isNotEmpty()) controllerUnreachableAtMs = now
-        val zones = classifyByZone(now, termBeganAtMs)
-        return findPoweredOff(zones, now) + findUnreachable(zones, zonesOfUnreachableControllers, now, termBeganAtMs)
+        val zones = classifyByZone(now, observedSinceMs)
+        return findPoweredOff(zones, now, observedSinceMs) +
+            findUnreachable(zones, zonesOfUnreachableControllers, now, observedSinceMs)
     }
 
     /** Classifies the machines of each zone and starts probes of unresponsive ones. Booting machines are left out. */
     private fun classifyByZone(
         now: Long,
-        termBeganAtMs: Long,
+        observedSinceMs: Long,
     ): Map<String, ZoneView> {
         val zones = HashMap<String, ZoneView>()
         for (machine in machines.byName.values) {
@@ -99,7 +100,7 @@
             val isBooting = instance != null && !instance.isUp
             if (machine.deleted || isBooting) continue
             val zone = zones.getOrPut(machine.zone) { ZoneView() }
-            val silentForMs = now - maxOf(machine.heardAt, termBeganAtMs, instance?.provisionedAtMs ?: 0L)
+            val silentForMs = now - maxOf(machine.heardAt, observedSinceMs, instance?.provisionedAtMs ?: 0L)
             if (silentForMs > probeAfterMs) {
                 prober.probe(machine, now)
                 zone.unresponsive++
@@ -133,10 +134,11 @@
     private fun findPoweredOff(
         zones: Map<String, ZoneView>,
         now: Long,
+        observedSinceMs: Long,
     ): List<FailedMachine> {
         val suspected = machines.byName.values.filter { it.hungConnections > 0 && !it.deleted }
         for (zone in suspected.mapTo(HashSet()) { it.zone }) probeResponsiveMachine(zone, now)
-        val poweredOff = suspected.filter { isPoweredOff(it, zones[it.zone], now) }
+        val poweredOff = suspected.filter { isPoweredOff(it, zones[it.zone], now, observedSinceMs) }
         for (machine in poweredOff) {
             log.info(
                 "machine {} accepts no connections and counts as powered off",
@@ -150,10 +152,11 @@
         machine: Machine,
         zone: ZoneView?,
         now: Long,
+        observedSinceMs: Long,
     ): Boolean {
         val isZoneReached = now - machines.reachedAt(machine.zone) < settings.heartbeatIntervalMs
         val isZoneResponsive = zone == null || zone.unresponsive <= zone.responsive
-        val isUnresponsive = now - machine.heardAt > probeAfterMs
+        val isUnresponsive = now - maxOf(machine.heardAt, observedSinceMs) > probeAfterMs
         return machine.hungConnections >= MIN_HUNG_CONNECTIONS && isZoneReached && isZoneResponsive && isUnresponsive
     }
 
@@ -184,7 +187,7 @@
         zones: Map<String, ZoneView>,
         zonesOfUnreachableControllers: Set<String>,
         now: Long,
-        termBeganAtMs: Long,
+        observedSinceMs: Long,
     ): List<FailedMachine> =
         zones.flatMap { (name, zone) ->
             // A few unreachable machines don't show a partition, unless a controller in their zone is unreachable as
@@ -193,7 +196,7 @@
                 zone.unreachable.size >= MIN_PARTITIONED_MACHINES || name in zonesOfUnreachableControllers
             val isPartitioned = mayBePartition && zone.unreachable.size >= zone.responsive
             zone.unreachable
-                .filter { !isPartitioned || now - maxOf(it.heardAt, termBeganAtMs) > partitionSilenceLimitMs }
+                .filter { !isPartitioned || now - maxOf(it.heardAt, observedSinceMs) > partitionSilenceLimitMs }
                 .map { FailedMachine(it.name, DeletionReason.SILENT) }
         }
 
--- a/src/main/kotlin/micatally/membership/Leadership.kt
+++ b/src/main/kotlin/micatally/membership/Leadership.kt
@@ -21,6 +21,7 @@
      * The copy of the shared keys contains every change made before this time.
      */
     private var viewProvenAtMs = Long.MIN_VALUE / 2
+    private val contactPeriod = ContactPeriod(settings.leaseMs / 2, nowMs)
 
     /** The leadership as of the last [check]. */
     var state = LeadershipState.STARTING
@@ -35,6 +36,9 @@
     /** The time since the copy of the shared keys was last proven to be up to date, in ms. */
     val viewAgeMs get() = nowMs() - viewProvenAtMs
 
+    /** Since when this controller has been in contact with the others; null while it is not. See [ContactPeriod]. */
+    val contactSinceMs get() = contactPeriod.sinceMs
+
     /**
      * Whether a task may be started now.
      *
@@ -49,6 +53,7 @@
     /** Called when the copy of the shared keys is known to contain every change made before [atMs]. */
     fun viewProven(atMs: Long) {
         viewProvenAtMs = maxOf(viewProvenAtMs, atMs)
+        contactPeriod.proven(atMs)
     }
 
     /**
@@ -62,6 +67,7 @@
 
     /** Updates [state] and returns it. To be called before each use, since leadership expires with time alone. */
     fun check(): LeadershipState {
+        contactPeriod.proven(cancellationsKnownUntilMs)
         if (!hasStarted) return state
         val isExpired = nowMs() - cancellationsKnownUntilMs > settings.leadershipMs
         if (isExpired) {
--- a/src/main/kotlin/micatally/membership/Membership.kt
+++ b/src/main/kotlin/micatally/membership/Membership.kt
@@ -89,6 +89,12 @@
     /** The time since the copy of the shared keys was last proven to be up to date, in ms. */
     val viewAgeMs: Long get() = leadershipMonitor.viewAgeMs
 
+    /**
+     * Since when this controller has been in contact with the others without interruption, through the state store or
+     * with all of them directly; null while it is not. In ms on this controller's clock.
+     */
+    val contactSinceMs: Long? get() = leadershipMonitor.contactSinceMs
+
     /** Updates [leadership], which expires with time alone, and returns it. */
     fun checkLeadership(): LeadershipState = leadershipMonitor.check()
 
--- a/src/main/kotlin/micatally/peer/DeltaSender.kt
+++ b/src/main/kotlin/micatally/peer/DeltaSender.kt
@@ -14,6 +14,8 @@
 import micatally.wire.PeerDelta
 import micatally.wire.PeerDeltaResponse
 import micatally.worker.MachineRegistry
+import micatally.worker.UnreachableMachines
+import org.slf4j.LoggerFactory
 
 /** Builds the deltas for peers, sends them and processes the responses. */
 internal class DeltaSender(
@@ -21,13 +23,17 @@
     private val settings: Settings,
     private val membership: Membership,
     private val machines: MachineRegistry,
+    private val unreachableMachines: UnreachableMachines,
     private val jobManager: JobManager,
     private val localSummary: LocalCapacitySummary,
     private val nowMs: () -> Long,
 ) {
+    private val log = LoggerFactory.getLogger("micatally.peer")
     private val timings = PeerTimings(settings)
     private val localHeartbeats = LocalHeartbeats(machines, timings, nowMs)
-    private val pendingDeletions = LinkedHashSet<String>()
+
+    /** The deletion requests of the last delta, to log changes only. */
+    private var lastDeletionRequests = emptyList<String>()
 
     /**
      * The most machine statuses in one delta. Every machine may have a new status in each heartbeat interval, so the
@@ -36,11 +42,6 @@
     private val maxStatuses
         get() = maxOf(MIN_STATUS_LIMIT, machines.byName.size / PeerTimings.EXCHANGES_PER_HEARTBEAT)
 
-    /** Asks the peers, in the next delta, to have the machine deleted. */
-    fun requestDeletion(machine: String) {
-        pendingDeletions.add(machine)
-    }
-
     /** Whether a delta is to be sent to the peer now. */
     fun isDeltaDue(connection: PeerConnection): Boolean =
         !connection.isExchanging && nowMs() >= connection.retryAt && hasChangesFor(connection)
@@ -48,8 +49,7 @@
     private fun hasChangesFor(connection: PeerConnection): Boolean =
         connection.hasUnsentMachines ||
             connection.acknowledgedSummaryVersion != localSummary.version ||
-            areAcknowledgementsDue(connection) ||
-            pendingDeletions.isNotEmpty()
+            areAcknowledgementsDue(connection)
 
     private fun areAcknowledgementsDue(connection: PeerConnection) =
         nowMs() - connection.acknowledgementsSentAt > timings.acknowledgementIntervalMs
@@ -59,9 +59,8 @@
         // Removed before the delta is sent, so that a machine that changes while it is in flight is added again.
         val changedMachines = connection.takeUnsentMachines(maxStatuses)
         val acknowledgements = if (areAcknowledgementsDue(connection)) localHeartbeats.recent() else emptyList()
-        val deletions = pendingDeletions.toList()
         val summaryVersion = localSummary.version
-        val delta = buildDelta(connection, changedMachines, acknowledgements, deletions)
+        val delta = buildDelta(connection, changedMachines, acknowledgements)
         val sentAt = nowMs()
         val outcome =
             http.call(
@@ -82,26 +81,35 @@
         jobManager.cancellations.cancelledTasks.add(response.cancelledTasks)
         connection.exchangeSucceeded(sentAt, response.fencingToken)
         if (acknowledgements.isNotEmpty()) connection.acknowledgementsSentAt = sentAt
-        pendingDeletions.removeAll(deletions.toSet())
     }
 
     private fun buildDelta(
         connection: PeerConnection,
         changedMachines: List<String>,
         acknowledgements: List<MachineStatus>,
-        deletions: List<String>,
     ): PeerDelta {
         val baseVersion = connection.acknowledgedSummaryVersion
         return PeerDelta(
             machineStatuses = changedMachines.mapNotNull { machines.of(it) }.map { machines.statusOf(it) },
             summary = if (baseVersion != localSummary.version) localSummary.changesSince(baseVersion) else null,
-            deletionRequests = deletions,
+            deletionRequests = deletionRequests(),
             heartbeatAcknowledgements = acknowledgements,
             hasStateStoreContact = membership.viewAgeMs < timings.stateStoreContactMs,
             host = settings.host,
         )
     }
 
+    /**
+     * The machines to be deleted as of now. Requests are not kept for later deltas, because what this controller knows
+     * may be out of date by then.
+     */
+    private fun deletionRequests(): List<String> {
+        val requests = unreachableMachines.names()
+        if (requests != lastDeletionRequests) log.info("requesting the deletion of unreachable machines: {}", requests)
+        lastDeletionRequests = requests
+        return requests
+    }
+
     private companion object {
         const val HTTP_OK = 200
 
--- a/src/main/kotlin/micatally/peer/Peers.kt
+++ b/src/main/kotlin/micatally/peer/Peers.kt
@@ -12,6 +12,7 @@
 import micatally.wire.ResourceRequest
 import micatally.worker.Machine
 import micatally.worker.MachineRegistry
+import micatally.worker.UnreachableMachines
 
 /**
  * The exchange between controllers: deltas with machine statuses and capacity summaries, cancellations, and requests
@@ -26,6 +27,7 @@
     state: StateStoreClient,
     membership: Membership,
     private val machines: MachineRegistry,
+    unreachableMachines: UnreachableMachines,
     private val jobManager: JobManager,
     scheduler: Scheduler,
     listener: PeerListener,
@@ -50,7 +52,8 @@
     val jobClient = PeerJobClient(http, settings)
     private val publisher = SummaryPublisher(connections, settings, timings, state, localSummary, localHeartbeats)
     private val storedSummaryReader = StoredSummaryReader(membership, machines, peerSummaries, settings)
-    private val deltaSender = DeltaSender(http, settings, membership, machines, jobManager, localSummary, nowMs)
+    private val deltaSender =
+        DeltaSender(http, settings, membership, machines, unreachableMachines, jobManager, localSummary, nowMs)
     private val deltaReceiver =
         DeltaReceiver(connections, membership, machines, jobManager, peerSummaries, listener, nowMs)
 
@@ -71,9 +74,6 @@
         for (connection in connections) connection.addUnsentMachine(machine.name)
     }
 
-    /** Asks the peers, one of which may be the fleet manager, to have the machine deleted. */
-    fun requestDeletion(machine: String) = deltaSender.requestDeletion(machine)
-
     /** Starts the exchange. Called once, after all parts of the controller have been created. */
     fun start() {
         scope.launch { exchangeLoop() }
--- a/src/test/kotlin/micatally/sim/Scenario.kt
+++ b/src/test/kotlin/micatally/sim/Scenario.kt
@@ -8,7 +8,10 @@
 import micatally.emulator.WorkerEmulator
 import micatally.state.StateLimits
 import micatally.wire.JobSpec
+import micatally.wire.asText
 import micatally.wire.bytes
+import micatally.wire.listOrNull
+import micatally.wire.parseObject
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 
@@ -176,6 +179,21 @@
             }
         }
 
+    /** The machines that are deleted from now on while tasks run on them, in the order of their deletion. */
+    fun recordDeletionsInUse(): List<String> {
+        val deletedInUse = ArrayList<String>()
+        val cloud = fleet.net.hosts.getValue("cloud")
+        val handle = checkNotNull(cloud.handler)
+        cloud.handler = { address, request ->
+            if (request.target == "/machines/delete") {
+                val names = (parseObject(request.body).listOrNull("cars") ?: emptyList()).map { it.asText() }
+                deletedInUse += names.filter { name -> fleet.rules.running.any { it.machine == name } }
+            }
+            handle(address, request)
+        }
+        return deletedInUse
+    }
+
     /** Cuts all connections between two hosts for which [between] holds, until [heal]. */
     fun cut(
         mode: CutMode,
