Decide a deletion again when it is sent, and drop those of former terms

Cause: ScaleIn kept requested deletions of a former term of the same process and submitted them in its next one. It also decided before the wait for the cloud's rate limit: after a suspension or a long wait the request left although the process was no longer the fleet manager, the machine had been heard, or its eviction had been cancelled.

Change: a deletion is a DeletionRequest with its reason and the question whether that still holds. CloudClient.delete selects the machines when the rate limit allows the request, as StateStoreClient.transact builds its transactions. A term begins without requests.

Why it works: nothing lies between the last check and the request but the network.

The test of the deletion message takes the new form of the call and compares the names besides.

--- a/src/main/kotlin/micatally/fleet/CloudClient.kt
+++ b/src/main/kotlin/micatally/fleet/CloudClient.kt
@@ -49,6 +49,15 @@
         urgency: Urgency,
     ): Outcome {
         budget.take(1, urgency)
+        return sendNow(method, target, body)
+    }
+
+    /** Sends a request for which the rate limit has been waited for. */
+    private suspend fun sendNow(
+        method: String,
+        target: String,
+        body: JsonObject?,
+    ): Outcome {
         val outcome = http.call(addr, method, target, body?.bytes(), timeoutMs)
         if (outcome is Outcome.Answer && outcome.status == TOO_MANY_REQUESTS) budget.markExhausted()
         return outcome
@@ -94,12 +103,18 @@
         }
 
     /**
-     * Deletes machines. True if the cloud has confirmed that they and all tasks on them are gone; false if that is not
-     * known.
+     * Deletes the machines that [selectNames] returns. It is called once the rate limit allows the request, right
+     * before that is sent.
+     *
+     * @return the names of the machines of which the cloud has confirmed that they and all tasks on them are gone;
+     * empty if that is not known, or if none was selected
      */
-    suspend fun delete(names: List<String>): Boolean {
-        val outcome = send("POST", CloudRequests.DELETE_MACHINES, CloudRequests.delete(names), Urgency.LEASE)
-        return outcome is Outcome.Answer && outcome.status == OK
+    suspend fun delete(selectNames: () -> List<String>): List<String> {
+        budget.take(1, Urgency.LEASE)
+        val names = selectNames()
+        if (names.isEmpty()) return emptyList()
+        val outcome = sendNow("POST", CloudRequests.DELETE_MACHINES, CloudRequests.delete(names))
+        return if (outcome is Outcome.Answer && outcome.status == OK) names else emptyList()
     }
 
     /**
--- a/src/main/kotlin/micatally/fleet/CloudInventory.kt
+++ b/src/main/kotlin/micatally/fleet/CloudInventory.kt
@@ -49,7 +49,10 @@
         val isDeleted = sharedKeys.has(Keys.DELETED_MACHINE + listed.name) || listed.name in machines.deletedNames
         if (isDeleted) return
         when (listed.status) {
-            ListedMachine.FAILED -> scaleIn.request(listed.name, DeletionReason.FAILED_IN_CLOUD)
+            ListedMachine.FAILED ->
+                scaleIn.request(
+                    DeletionRequest(listed.name, DeletionReason.FAILED_IN_CLOUD) { true },
+                )
             ListedMachine.STARTING -> instances.applyListed(listed, now)
             ListedMachine.RUNNING -> {
                 instances.applyListed(listed, now)
--- a/src/main/kotlin/micatally/fleet/DeletionReason.kt
+++ b/src/main/kotlin/micatally/fleet/DeletionRequest.kt
@@ -20,3 +20,14 @@
     /** A controller that has attempts on it has heard nothing from it for too long, and the fleet manager agrees. */
     SILENT_FOR_SHARD_LEADER,
 }
+
+/**
+ * The decision to delete a machine.
+ *
+ * @property isStillDue whether the reason still holds. Asked right before the deletion is sent, which may be later.
+ */
+class DeletionRequest(
+    val machine: String,
+    val reason: DeletionReason,
+    val isStillDue: () -> Boolean,
+)
--- a/src/main/kotlin/micatally/fleet/FleetManager.kt
+++ b/src/main/kotlin/micatally/fleet/FleetManager.kt
@@ -121,6 +121,7 @@
     private fun beginTerm() {
         lastUnplacedAtMs = leadership.termBeganAtMs
         instances.clear()
+        scaleIn.beginTerm()
         shardLeaderRequests.clear()
         eviction.beginTerm(leadership.termBeganAtMs)
         scaleOut.beginTerm(leadership.term)
@@ -166,20 +167,31 @@
         observedSinceMs: Long,
     ) {
         for (failed in failureDetector.findFailed(now, observedSinceMs)) {
-            scaleIn.request(failed.name, failed.reason)
+            deleteUnlessHeard(failed.name, failed.reason)
         }
         shardLeaderRequests.add(environment.unreachableMachines(), settings.host)
         for (name in shardLeaderRequests.take(observedSinceMs, now)) {
-            scaleIn.request(name, DeletionReason.SILENT_FOR_SHARD_LEADER)
+            deleteUnlessHeard(name, DeletionReason.SILENT_FOR_SHARD_LEADER)
         }
     }
 
+    /** Requests the deletion of a machine, unless a heartbeat becomes known before the request is sent. */
+    private fun deleteUnlessHeard(
+        name: String,
+        reason: DeletionReason,
+    ) {
+        val heardAtMs = heardAtMs(name)
+        scaleIn.request(DeletionRequest(name, reason) { heardAtMs(name) == heardAtMs })
+    }
+
+    private fun heardAtMs(name: String): Long = machines.of(name)?.heardAt ?: 0L
+
     /** Requests the deletion of machines that did not boot in time. */
     private fun deleteLateInstances(now: Long) {
         val isCapacityNeeded = now - lastUnplacedAtMs < settings.leaseMs
         for (instance in instances.timedOut(now, isCapacityNeeded)) {
             log.info("machine {} did not boot within {} ms, deleting it", instance.name, instance.ageMs(now))
-            scaleIn.request(instance.name, DeletionReason.BOOT_TIMED_OUT)
+            deleteUnlessHeard(instance.name, DeletionReason.BOOT_TIMED_OUT)
         }
     }
 
--- a/src/main/kotlin/micatally/fleet/GracefulEviction.kt
+++ b/src/main/kotlin/micatally/fleet/GracefulEviction.kt
@@ -115,9 +115,14 @@
         eviction.transitionTo(EvictionState.EMPTY, now)
         val emptySinceMs = maxOf(eviction.stateSinceMs, observedSinceMs)
         val isKnownToAll = now - emptySinceMs > propagationMs && records.has(machine.name)
-        if (isKnownToAll) scaleIn.request(machine.name, DeletionReason.EVICTED)
+        if (!isKnownToAll) return
+        scaleIn.request(DeletionRequest(machine.name, DeletionReason.EVICTED) { isEvicted(machine) })
     }
 
+    /** Whether the machine is empty, and its eviction has not been cancelled. */
+    private fun isEvicted(machine: Machine): Boolean =
+        isEmpty(machine) && evictions[machine.name]?.state == EvictionState.EMPTY
+
     /** Evicts the machine if it has been idle for long enough; at once if the cloud is going to reclaim it. */
     private fun evictIfIdle(
         machine: Machine,
--- a/src/main/kotlin/micatally/fleet/ScaleIn.kt
+++ b/src/main/kotlin/micatally/fleet/ScaleIn.kt
@@ -33,8 +33,8 @@
 ) {
     private val log = LoggerFactory.getLogger("micatally.fleet")
 
-    /** Why the machines are to be deleted with the next [submit], by their names. */
-    private val requested = LinkedHashMap<String, DeletionReason>()
+    /** The deletions to start with the next [submit], by the names of the machines. */
+    private val requested = LinkedHashMap<String, DeletionRequest>()
 
     /** Names of the machines whose deletion or its record is under way. */
     private val inProgress = HashSet<String>()
@@ -42,12 +42,12 @@
     /** When the cloud confirmed the deletions of this process, in milliseconds, by the name of the machine. */
     private val deletedAtMs = HashMap<String, Long>()
 
-    /** Requests the deletion of a machine with the next [submit]. The reason of its first request is kept. */
-    fun request(
-        name: String,
-        reason: DeletionReason,
-    ) {
-        requested.putIfAbsent(name, reason)
+    /** Begins a term as the fleet manager: drops what was requested in earlier terms. */
+    fun beginTerm() = requested.clear()
+
+    /** Requests a deletion with the next [submit]. Of several requests for a machine the first one is kept. */
+    fun request(deletion: DeletionRequest) {
+        requested.putIfAbsent(deletion.machine, deletion)
     }
 
     /**
@@ -55,33 +55,43 @@
      * others are dropped; the next review requests them again if they still have to be deleted.
      */
     fun submit() {
-        val names =
-            requested.keys
-                .filter { it !in inProgress && !sharedKeys.has(Keys.DELETED_MACHINE + it) }
+        val deletions =
+            requested.values
+                .filter { it.machine !in inProgress && !sharedKeys.has(Keys.DELETED_MACHINE + it.machine) }
                 .take(MAX_MACHINES_PER_REQUEST)
-        for (name in names) log.info("deleting machine {}: {}", name, requested[name])
         requested.clear()
-        if (names.isEmpty()) return
+        if (deletions.isEmpty()) return
+        val names = deletions.map { it.machine }
         inProgress.addAll(names)
         scope.launch {
             try {
-                delete(names)
+                delete(deletions)
             } finally {
                 inProgress.removeAll(names.toSet())
             }
         }
     }
 
-    private suspend fun delete(names: List<String>) {
-        // The process may have been suspended since the decision, and another fleet manager may use the machines by
-        // now.
-        if (!mayDelete() || !cloud.delete(names)) return
+    private suspend fun delete(deletions: List<DeletionRequest>) {
+        val names = cloud.delete { namesToDelete(deletions) }
+        if (names.isEmpty()) return
         log.info("machines deleted: {}", names)
         deletedAtMs.putAll(names.associateWith { nowMs() })
         // Each machine takes up to two operations: its deletion record is stored, and its eviction record is deleted.
         for (chunk in names.chunked(maxOf(1, settings.maxOperationsPerTransaction / 2))) storeDeletionRecords(chunk)
     }
 
+    /**
+     * The machines that may still be deleted. The process may have been suspended since the decision or have waited for
+     * the rate limit, and another fleet manager or a shard leader may use the machines by now.
+     */
+    private fun namesToDelete(deletions: List<DeletionRequest>): List<String> {
+        val (due, obsolete) = deletions.partition { mayDelete() && it.isStillDue() }
+        for (deletion in due) log.info("deleting machine {}: {}", deletion.machine, deletion.reason)
+        for (deletion in obsolete) log.info("machine {} kept, no longer {}", deletion.machine, deletion.reason)
+        return due.map { it.machine }
+    }
+
     /**
      * Stores the deletion records, and retries until that succeeds: the machines are gone, and no other process knows.
      */
--- a/src/test/kotlin/micatally/compatibility/MessagesTest.kt
+++ b/src/test/kotlin/micatally/compatibility/MessagesTest.kt
@@ -519,7 +519,8 @@
     fun `machines are deleted`() =
         runTest {
             val recorder = Recorder(answer(200))
-            assertTrue(cloudClient(recorder).delete(listOf("m-000231", "m-000232")))
+            val names = listOf("m-000231", "m-000232")
+            assertEquals(names, cloudClient(recorder).delete { names })
             assertEquals(listOf("POST /machines/delete"), recorder.requests)
             assertEquals(text("cloud/delete.json"), recorder.body)
         }
