Reject the late writes of a former fleet manager

An eviction record whose write was held up took effect after another controller had become the fleet manager: the machine got no tasks and its replicas moved, until the new one noticed.

Cause: EvictionRecords and the deletion of provisioning requests wrote without any condition; the answer of the cloud was stored on the condition of the request alone.

Change: these writes carry the condition that the fleet key has the revision of the writer's term, taken when they are sent; a process that knows that it is not the fleet manager sends nothing. Deletion records stay unconditional: the machines are gone, and nobody else knows.

Why it works: the fleet key is deleted with its holder's lease and written by the next holder, so its revision differs from then on; the state store compares it when the write is executed, however late.

--- a/src/main/kotlin/micatally/fleet/EvictionRecords.kt
+++ b/src/main/kotlin/micatally/fleet/EvictionRecords.kt
@@ -17,13 +17,16 @@
 
 /**
  * The records in the state store that tell all controllers which machines are being evicted. [put] and [delete] start a
- * write and return at once. [reconcile] repeats writes that were lost.
+ * write and return at once. [reconcile] repeats writes that were lost. Only the fleet manager's writes are carried out.
+ *
+ * @param leaderCondition the condition that this process is the fleet manager; null if it is not
  */
 class EvictionRecords(
     private val scope: CoroutineScope,
     private val settings: Settings,
     private val state: StateStoreClient,
     private val sharedKeys: SharedKeyCache,
+    private val leaderCondition: () -> Compare?,
 ) {
     private val reconcileIntervalMs = settings.leaseMs / 4
     private var lastReconciledAtMs = 0L
@@ -38,15 +41,28 @@
     fun has(name: String): Boolean = sharedKeys.has(Keys.DRAIN + name)
 
     /** Starts to store a record for the machine. */
-    fun put(name: String) = startTransaction { Transaction(emptyList(), listOf(recordOf(name))) }
+    fun put(name: String) = startTransaction { recordOf(name) }
 
     /** Starts to delete the record of the machine. */
-    fun delete(name: String) = startTransaction { Transaction(emptyList(), listOf(Delete(Keys.DRAIN + name))) }
+    fun delete(name: String) = startTransaction { Delete(Keys.DRAIN + name) }
 
     private fun recordOf(name: String) = Put(Keys.DRAIN + name, buildJsonObject { put("by", settings.host) })
 
-    private fun startTransaction(build: () -> Transaction?) {
-        scope.launch { state.transact(1, Urgency.SUMMARY, build) }
+    /** Starts to carry out what [change] returns just before it is sent, on [conditions] and as the fleet manager. */
+    private fun startTransaction(
+        conditions: List<Compare> = emptyList(),
+        change: () -> Write?,
+    ) {
+        scope.launch { state.transact(1, Urgency.SUMMARY) { transaction(conditions, change()) } }
+    }
+
+    private fun transaction(
+        conditions: List<Compare>,
+        change: Write?,
+    ): Transaction? {
+        val isLeader = leaderCondition()
+        if (isLeader == null || change == null) return null
+        return Transaction(conditions + isLeader, listOf(change))
     }
 
     /**
@@ -71,21 +87,15 @@
         // way.
         for (item in unexpected) {
             if (item.key in mismatchedKeys) {
-                startTransaction { conditionalWrite(item.key, item.modRevision, Delete(item.key)) }
+                startTransaction(listOf(Compare(item.key, item.modRevision))) { Delete(item.key) }
             }
         }
         for (name in missing) {
             val key = Keys.DRAIN + name
             if (key in mismatchedKeys) {
-                startTransaction { if (name in evicting) conditionalWrite(key, 0, recordOf(name)) else null }
+                startTransaction(listOf(Compare(key, 0))) { if (name in evicting) recordOf(name) else null }
             }
         }
         mismatchedKeys = unexpected.mapTo(HashSet()) { it.key } + missing.map { Keys.DRAIN + it }
     }
-
-    private fun conditionalWrite(
-        key: String,
-        modRevision: Long,
-        change: Write,
-    ) = Transaction(listOf(Compare(key, modRevision)), listOf(change))
 }
--- a/src/main/kotlin/micatally/fleet/FleetLeadership.kt
+++ b/src/main/kotlin/micatally/fleet/FleetLeadership.kt
@@ -46,6 +46,12 @@
     /** Whether this process holds the fleet key according to its copy of the shared keys. */
     val isLeader get() = term > 0 && sharedKeys.modRevision(Keys.FLEET) == term
 
+    /**
+     * The condition that this process is still the fleet manager in its latest term; null if it is known not to be.
+     * With it the state store rejects a write that arrives when there is another fleet manager.
+     */
+    fun condition(): Compare? = if (isLeader) Compare(Keys.FLEET, term) else null
+
     /** Tries to become the fleet manager whenever there is none; never returns. */
     suspend fun electionLoop() {
         while (true) {
--- a/src/main/kotlin/micatally/fleet/FleetManager.kt
+++ b/src/main/kotlin/micatally/fleet/FleetManager.kt
@@ -64,12 +64,12 @@
     private val scaleIn =
         ScaleIn(scope, settings, state, cloud, sharedKeys, { isLeader && membership.leaseHolds() }, nowMs)
     private val shardLeaderRequests = ShardLeaderRequests(settings, machines)
-    private val requests = ProvisioningRequestStore(state, sharedKeys)
+    private val requests = ProvisioningRequestStore(state, sharedKeys, leadership::condition)
     private val scaleOut = ScaleOut(scope, settings, cloud, requests, machines, instances, { isLeader }, nowMs)
     private val prober = MachineProber(scope, clients.http, settings, machines, nowMs)
     private val failureDetector =
         MachineFailureDetector(settings, machines, instances, prober, environment::unreachableZones)
-    private val evictionRecords = EvictionRecords(scope, settings, state, sharedKeys)
+    private val evictionRecords = EvictionRecords(scope, settings, state, sharedKeys, leadership::condition)
     private val eviction =
         GracefulEviction(
             settings,
--- a/src/main/kotlin/micatally/fleet/ProvisioningRequestStore.kt
+++ b/src/main/kotlin/micatally/fleet/ProvisioningRequestStore.kt
@@ -13,11 +13,14 @@
 /**
  * Reads and writes the provisioning requests in the state store, and keeps the answered ones: those to which the cloud
  * has responded and whose machines are not all up. A function that suspends returns when the state store has responded
- * or its client has given up.
+ * or its client has given up. Only the fleet manager's writes are carried out.
+ *
+ * @param leaderCondition the condition that this process is the fleet manager; null if it is not
  */
 class ProvisioningRequestStore(
     private val state: StateStoreClient,
     private val sharedKeys: SharedKeyCache,
+    private val leaderCondition: () -> Compare?,
 ) {
     private val answeredByName = HashMap<String, ProvisioningRequest>()
 
@@ -71,9 +74,10 @@
         val key = Keys.PROVISIONING + request.name
         state.transact(1, Urgency.SUMMARY) {
             val isStillStored = sharedKeys.has(key) && request.name in answeredByName
-            if (isStillStored) {
+            val isLeader = leaderCondition()
+            if (isStillStored && isLeader != null) {
                 Transaction(
-                    listOf(Compare(key, sharedKeys.modRevision(key))),
+                    listOf(isLeader, Compare(key, sharedKeys.modRevision(key))),
                     listOf(Put(key, request.toJson())),
                 )
             } else {
@@ -84,6 +88,8 @@
 
     /** Deletes the stored request. */
     suspend fun delete(name: String) {
-        state.transact(1, Urgency.SUMMARY) { Transaction(emptyList(), listOf(Delete(Keys.PROVISIONING + name))) }
+        state.transact(1, Urgency.SUMMARY) {
+            leaderCondition()?.let { Transaction(listOf(it), listOf(Delete(Keys.PROVISIONING + name))) }
+        }
     }
 }
