Delete an idle machine only when all live peers have told what they hold

Cause: a machine counted as empty on what the peers had told last, however long ago. After the eviction's record was stored the fleet manager waited a fixed time, in which a peer that reaches it tells what it holds; one that does not reach it tells nothing, and its silence was taken for "holds nothing".

Change: the machine is deleted when every peer that is alive has sent a delta that completes its summary, with contact to the state store, so late that its sender knew the record when it was sent. Until then it waits.

Why it works: who knows the record starts nothing more on the machine, and what it had started is in that summary.

Green after; the idle machines are deleted once the peers are heard again.

--- a/src/main/kotlin/micatally/controller/ControllerWorkload.kt
+++ b/src/main/kotlin/micatally/controller/ControllerWorkload.kt
@@ -21,6 +21,11 @@
 
     override fun unreachableZones() = peers.contacts.silentZones()
 
+    override fun isCapacityKnownSince(
+        sinceMs: Long,
+        hosts: Set<String>,
+    ) = peers.contacts.isCapacityKnownSince(sinceMs, hosts)
+
     override fun unreachableMachines() = unreachableMachines.names()
 
     override fun machineTypesKnown() = scheduler.requestCycle()
--- a/src/main/kotlin/micatally/fleet/Eviction.kt
+++ b/src/main/kotlin/micatally/fleet/Eviction.kt
@@ -22,6 +22,9 @@
     var state = state
         private set
 
+    /** Since when the eviction's record is known to be in the state store; null while it is not. */
+    var recordedSinceMs: Long? = null
+
     /** When the eviction entered its present state. */
     var stateSinceMs = beganAtMs
         private set
--- a/src/main/kotlin/micatally/fleet/FleetManager.kt
+++ b/src/main/kotlin/micatally/fleet/FleetManager.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import micatally.http.HttpCaller
+import micatally.membership.Keys
 import micatally.membership.Membership
 import micatally.settings.OperatorSettings
 import micatally.settings.Settings
@@ -20,6 +21,15 @@
     /** Resource requests of the services that were submitted recently, to any controller. */
     fun recentServices(): List<ResourceRequest>
 
+    /**
+     * Whether each of the controllers on [hosts] knows what was in the state store at [sinceMs], and has told this one
+     * after that which capacity it holds.
+     */
+    fun isCapacityKnownSince(
+        sinceMs: Long,
+        hosts: Set<String>,
+    ): Boolean
+
     /** Names of the machines with attempts of this controller from which no controller receives heartbeats. */
     fun unreachableMachines(): List<String>
 
@@ -79,7 +89,7 @@
             evictionRecords,
             scaleIn,
             environment::recentServices,
-        )
+        ) { environment.isCapacityKnownSince(it, livePeers()) }
     private val inventory =
         CloudInventory(settings, cloud, leadership, sharedKeys, machines, instances, scaleIn, nowMs)
     private val machineTypeCatalog =
@@ -111,6 +121,10 @@
         scope.launch { reviewLoop() }
     }
 
+    /** The hosts of the other controllers that are alive. */
+    private fun livePeers(): Set<String> =
+        settings.peers.map { it.host }.filterTo(HashSet()) { sharedKeys.has(Keys.live(it)) }
+
     private suspend fun reviewLoop() {
         while (true) {
             delay(settings.heartbeatIntervalMs / REVIEWS_PER_HEARTBEAT)
--- a/src/main/kotlin/micatally/fleet/GracefulEviction.kt
+++ b/src/main/kotlin/micatally/fleet/GracefulEviction.kt
@@ -12,6 +12,8 @@
  * if unplaced tasks may run on the machine.
  *
  * @param recentServices services that were submitted recently, to any controller
+ * @param isCapacityKnownSince whether all controllers know what was in the state store at this time, in milliseconds,
+ * and have told this one after that which capacity they hold
  */
 class GracefulEviction(
     private val settings: Settings,
@@ -21,12 +23,10 @@
     private val records: EvictionRecords,
     private val scaleIn: ScaleIn,
     private val recentServices: () -> List<ResourceRequest>,
+    private val isCapacityKnownSince: (sinceMs: Long) -> Boolean,
 ) {
     private val log = LoggerFactory.getLogger("micatally.fleet")
 
-    /** The time within which all controllers learn of an eviction after its record is stored, in milliseconds. */
-    private val propagationMs = settings.heartbeatIntervalMs + settings.leaseMs / 10
-
     /** The evictions in progress, by the name of the machine. */
     private val evictions = HashMap<String, Eviction>()
 
@@ -103,8 +103,8 @@
     }
 
     /**
-     * Requests the deletion of an empty machine once all controllers know of its eviction. A controller that does not
-     * know of it yet may still start a task on the machine.
+     * Requests the deletion of an empty machine once all controllers know of its eviction and have told what they hold.
+     * A controller that does not know of it yet may still start a task on the machine.
      */
     private fun deleteOnceKnownToAll(
         machine: Machine,
@@ -113,9 +113,9 @@
         observedSinceMs: Long,
     ) {
         eviction.transitionTo(EvictionState.EMPTY, now)
-        val emptySinceMs = maxOf(eviction.stateSinceMs, observedSinceMs)
-        val isKnownToAll = now - emptySinceMs > propagationMs && records.has(machine.name)
-        if (!isKnownToAll) return
+        eviction.recordedSinceMs = if (records.has(machine.name)) eviction.recordedSinceMs ?: now else null
+        val recordedSinceMs = eviction.recordedSinceMs ?: return
+        if (!isCapacityKnownSince(maxOf(eviction.stateSinceMs, recordedSinceMs, observedSinceMs))) return
         scaleIn.request(DeletionRequest(machine.name, DeletionReason.EVICTED) { isEvicted(machine) })
     }
 
--- a/src/main/kotlin/micatally/peer/DeltaReceiver.kt
+++ b/src/main/kotlin/micatally/peer/DeltaReceiver.kt
@@ -28,9 +28,11 @@
      */
     fun receiveDelta(body: ByteArray): ByteArray {
         val delta = ProtoBuf.decodeFromByteArray<PeerDelta>(body)
-        connections.find { it.peer.host == delta.host }?.deltaReceived(nowMs(), delta.hasStateStoreContact)
+        val connection = connections.find { it.peer.host == delta.host }
+        connection?.deltaReceived(nowMs(), delta.hasStateStoreContact)
         val hasNewStatus = applyStatuses(delta)
         val isSummaryComplete = delta.summary?.let { peerSummaries.apply(it) } ?: true
+        if (isSummaryComplete && delta.hasStateStoreContact) connection?.capacityKnownAt = nowMs()
         if (delta.deletionRequests.isNotEmpty()) listener.deletionRequested(delta.deletionRequests, delta.host)
         if (delta.summary != null || hasNewStatus) listener.clusterStateChanged()
         return ProtoBuf.encodeToByteArray(response(isSummaryComplete))
--- a/src/main/kotlin/micatally/peer/PeerConnection.kt
+++ b/src/main/kotlin/micatally/peer/PeerConnection.kt
@@ -37,6 +37,12 @@
     var stateStoreContactAt = NEVER_MS
         private set
 
+    /**
+     * When a delta last arrived that completed what this controller knows of the capacity held by the peer, and in
+     * which the peer reported contact with the state store.
+     */
+    var capacityKnownAt = NEVER_MS
+
     /** When a delta from the peer last arrived. */
     var lastReceivedAt = NEVER_MS
         private set
--- a/src/main/kotlin/micatally/peer/PeerContacts.kt
+++ b/src/main/kotlin/micatally/peer/PeerContacts.kt
@@ -26,6 +26,19 @@
     /** Whether the peer on [host] is reachable: false if the last delta to it failed or there is no such peer. */
     fun isReachable(host: String): Boolean = connections.any { it.peer.host == host && it.failuresInRow == 0 }
 
+    /**
+     * Whether each of the peers on [hosts] knows what was in the state store at [sinceMs], and has told this controller
+     * after that which capacity it holds. A delta that arrives in time shows what its sender knew
+     * [PeerTimings.stateStoreContactMs] before it was sent.
+     */
+    fun isCapacityKnownSince(
+        sinceMs: Long,
+        hosts: Set<String>,
+    ): Boolean {
+        val knownAtMs = sinceMs + timings.stateStoreContactMs + timings.deltaTimeoutMs
+        return connections.all { it.peer.host !in hosts || it.capacityKnownAt >= knownAtMs }
+    }
+
     /**
      * The zones of peers that have not recently reported contact with the state store. Such a peer may receive
      * heartbeats of which this controller does not know.
--- a/src/test/kotlin/micatally/sim/FleetManagerTest.kt
+++ b/src/test/kotlin/micatally/sim/FleetManagerTest.kt
@@ -6,7 +6,8 @@
 import org.junit.jupiter.api.Test
 
 /**
- * What a fleet manager has begun takes no effect once another controller is the fleet manager.
+ * The fleet manager deletes machines only on what it knows of the other controllers now, and what it has begun takes no
+ * effect once another controller is the fleet manager.
  */
 class FleetManagerTest {
     /**
@@ -32,6 +33,27 @@
             }
         }
 
+    /**
+     * Guards [micatally.fleet.GracefulEviction] against deleting a machine as idle on which another controller has just
+     * placed a task: while controllers refuse each other's connections, the fleet manager hears of it late.
+     */
+    @Test
+    fun `a fleet manager that does not hear its peers deletes no machine on which they have placed a task`() =
+        forEachSeed(hcmc) {
+            val peers = (0 until fleet.nodes).filter { !fleet.live[it]!!.isFleetManager }
+            val deletedInUse = recordDeletionsInUse()
+            fleet.net.peersRefuse = true
+            repeat(JOBS) {
+                submit(peers.random(fleet.random), "sweep", 1, "loaners" to false, runMs = RUN_MS)
+                val idleMs = fleet.operator.fleetIdleBoots * BOOT_MS
+                fleet.runFor(RUN_MS + idleMs.toLong() + fleet.random.nextLong(fleet.lease / 4))
+            }
+            assertEquals(emptyList<String>(), deletedInUse, "machines that were deleted with running tasks")
+            fleet.net.peersRefuse = false
+            fleet.runFor(fleet.lease * 3)
+            assertEquals(0, fleet.cloud.count(), "idle machines are deleted once the peers are heard")
+        }
+
     /** The machines that the controller on [host] has evicted, as [node] knows. */
     private fun Scenario.evictionsBy(
         host: String,
@@ -45,5 +67,12 @@
     private companion object {
         /** Longer than the lease of a controller and the election of the next fleet manager take. */
         const val WRITE_DELAY_MS = 16_000L
+
+        const val JOBS = 30
+        const val RUN_MS = 3000L
+
+        /** The boot time of the simulated machine types. */
+        const val BOOT_MS = 6000
+        val hcmc = Timing.DEPLOYMENTS.getValue("hcmc")
     }
 }
