--- a/src/main/kotlin/micatally/fleet/CloudClient.kt
+++ b/src/main/kotlin/micatally/fleet/CloudClient.kt
@@ -89,19 +89,17 @@
     private fun provisioningResult(answer: Outcome.Answer): ProvisioningResult =
         when (answer.status) {
             OK -> ProvisioningResult.Provisioned(CloudRequests.provisionedNames(answer.body))
-            UNAVAILABLE ->
-                if (CloudRequests.isNoCapacity(
-                        answer.body,
-                    )
-                ) {
-                    ProvisioningResult.NoCapacity
-                } else {
-                    ProvisioningResult.Refused
-                }
+            UNAVAILABLE -> unavailable(answer)
             TOO_MANY_REQUESTS, BAD_REQUEST -> ProvisioningResult.Refused
             else -> ProvisioningResult.Unknown
         }
 
+    /** An offer without capacity and an outage have the same status. */
+    private fun unavailable(answer: Outcome.Answer): ProvisioningResult {
+        val isNoCapacity = CloudRequests.isNoCapacity(answer.body)
+        return if (isNoCapacity) ProvisioningResult.NoCapacity else ProvisioningResult.Refused
+    }
+
     /**
      * Deletes the machines that [selectNames] returns. It is called once the rate limit allows the request, right
      * before that is sent.
--- a/src/test/kotlin/micatally/fleet/ScaleInTest.kt
+++ b/src/test/kotlin/micatally/fleet/ScaleInTest.kt
@@ -8,15 +8,11 @@
 import micatally.http.HttpCaller
 import micatally.http.Outcome
 import micatally.membership.SharedKeyCache
-import micatally.settings.Settings
-import micatally.sim.SimSettings
-import micatally.sim.Timing
+import micatally.sim.plainSettings
 import micatally.state.RateBudget
-import micatally.state.StateLimits
 import micatally.state.StateStoreClient
 import micatally.state.Urgency
 import micatally.wire.asText
-import micatally.wire.bytes
 import micatally.wire.listOrNull
 import micatally.wire.parseObject
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -41,11 +37,9 @@
     private fun TestScope.budget() = RateBudget(backgroundScope, 1.0, { testScheduler.currentTime })
 
     private fun TestScope.scaleIn(cloudBudget: RateBudget): ScaleIn {
-        val limits = StateLimits(250.0, 100.0, 16 * 1024, 48)
-        val settings = Settings.parse(SimSettings(3, Timing.PLAIN, limits, listOf("a", "b", "c")).of(0, null).bytes())
         val state = StateStoreClient(http, "state:1", budget(), budget(), 1000)
         val cloud = CloudClient(http, "cloud:1", cloudBudget, 1000)
-        return ScaleIn(backgroundScope, settings, state, cloud, SharedKeyCache(), { isLeader }) {
+        return ScaleIn(backgroundScope, plainSettings(), state, cloud, SharedKeyCache(), { isLeader }) {
             testScheduler.currentTime
         }
     }
--- a/src/test/kotlin/micatally/fleet/ShardLeaderRequestsTest.kt
+++ b/src/test/kotlin/micatally/fleet/ShardLeaderRequestsTest.kt
@@ -1,25 +1,16 @@
 package micatally.fleet
 
-import micatally.settings.Settings
-import micatally.sim.SimSettings
-import micatally.sim.Timing
-import micatally.state.StateLimits
-import micatally.wire.bytes
-import micatally.worker.Machine
-import micatally.worker.MachineListener
+import micatally.sim.plainSettings
 import micatally.worker.MachineRegistry
-import micatally.worker.StatusSource
+import micatally.worker.NoMachineListener
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
 
 /** The fleet manager carries out the request of a shard leader only on what it knows itself. */
 class ShardLeaderRequestsTest {
     private val now = 1_000_000L
-    private val settings =
-        SimSettings(3, Timing.PLAIN, StateLimits(250.0, 100.0, 16 * 1024, 48), listOf("a", "b", "c"))
-            .of(0, null)
-            .let { Settings.parse(it.bytes()) }
-    private val machines = MachineRegistry(NoListener) { now }
+    private val settings = plainSettings()
+    private val machines = MachineRegistry(NoMachineListener) { now }
     private val requests = ShardLeaderRequests(settings, machines)
     private val longAgo = now - settings.leaseMs * 10
 
@@ -61,17 +52,4 @@
         requests.clear()
         assertEquals(emptyList<String>(), requests.take(longAgo, now))
     }
-
-    private object NoListener : MachineListener {
-        override fun machineAdded(machine: Machine) = Unit
-
-        override fun incarnationChanged(machine: Machine) = Unit
-
-        override fun tasksReported(
-            machine: Machine,
-            source: StatusSource,
-        ) = Unit
-
-        override fun statusMissed(machine: Machine) = Unit
-    }
 }
--- a/src/test/kotlin/micatally/sim/SimSettings.kt
+++ b/src/test/kotlin/micatally/sim/SimSettings.kt
@@ -6,7 +6,9 @@
 import kotlinx.serialization.json.buildJsonArray
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
+import micatally.settings.Settings
 import micatally.state.StateLimits
+import micatally.wire.bytes
 
 /**
  * The settings files of the simulated controllers: host `pitbox-N` listens at `nN:80`, and at port 81 for its peers.
@@ -120,3 +122,9 @@
         put("txn_ops", limits.maxOperationsPerTransaction)
     }
 }
+
+/** The settings of one of three controllers with [Timing.PLAIN], for tests of single classes. */
+internal fun plainSettings(): Settings {
+    val limits = StateLimits(250.0, 100.0, 16 * 1024, 48)
+    return Settings.parse(SimSettings(3, Timing.PLAIN, limits, listOf("a", "b", "c")).of(0, null).bytes())
+}
--- a/src/test/kotlin/micatally/worker/CommandPlannerTest.kt
+++ b/src/test/kotlin/micatally/worker/CommandPlannerTest.kt
@@ -60,20 +60,7 @@
             nowMs = { nowMs },
         )
 
-    private val noOpListener =
-        object : MachineListener {
-            override fun machineAdded(machine: Machine) = Unit
-
-            override fun incarnationChanged(machine: Machine) = Unit
-
-            override fun tasksReported(
-                machine: Machine,
-                source: StatusSource,
-            ) = Unit
-
-            override fun statusMissed(machine: Machine) = Unit
-        }
-    private val registry = MachineRegistry(noOpListener) { nowMs }
+    private val registry = MachineRegistry(NoMachineListener) { nowMs }
     private val machine = registry.findOrAdd("m-1", "10.0.0.1:9", "g8", "a", false).also { reportTasks(it) }
 
     /** Applies a heartbeat of the machine with this task list. */
