--- a/src/test/kotlin/micatally/sim/SilentControllerTest.kt
+++ b/src/test/kotlin/micatally/sim/SilentControllerTest.kt
@@ -4,7 +4,7 @@
 import org.junit.jupiter.api.Test
 
 /**
- * A controller that hears nothing for longer than the limit of [micatally.controller.UnreachableMachineSearch], because
+ * A controller that hears nothing for longer than the limit of [micatally.worker.UnreachableMachines], because
  * it is cut off or suspended, must not have machines deleted that others heard all the time.
  */
 class SilentControllerTest {
