Log on how many machines no task may be placed, and why

Change: the line "cpu usage" has a field unusable= with the number of machines by reason (scheduling.UnusableReason), from the same function by which placement decides.

--- a/src/main/kotlin/micatally/controller/Controller.kt
+++ b/src/main/kotlin/micatally/controller/Controller.kt
@@ -175,12 +175,14 @@
             settings.controllers,
         ) { scheduler.requestCycle() }
 
+    private val clusterView = ClusterView(settings, machines) { peers.peerDemand() }
+
     /** Decides where the tasks of [jobManager]'s jobs run. */
     val scheduler: Scheduler =
         Scheduler(
             scope,
             settings,
-            ClusterView(settings, machines) { peers.peerDemand() },
+            clusterView,
             PlacementActions(jobManager, jobStore, quota, dispatcher),
             priorityQueues(operator),
             {
@@ -382,7 +384,7 @@
         val spotEvacuation = SpotEvacuation(machines, jobManager, dispatcher, settings.heartbeatIntervalMs)
         val fencingTokenRaise = FencingTokenRaise(membership, dispatcher, settings.leaseMs / 2, startedAtMs)
         val usageReport =
-            CpuUsageReport(cpuUsage, machines, scheduler, quota, budgets, settings.leaseMs, startedAtMs)
+            CpuUsageReport(cpuUsage, clusterView, scheduler, quota, budgets, settings.leaseMs, startedAtMs)
         val deletedMachineRemoval = DeletedMachineRemoval(machines, settings.leaseMs)
         return PeriodicTasks(
             tickMs = settings.heartbeatIntervalMs / TICKS_PER_HEARTBEAT,
--- a/src/main/kotlin/micatally/controller/CpuUsageReport.kt
+++ b/src/main/kotlin/micatally/controller/CpuUsageReport.kt
@@ -1,8 +1,8 @@
 package micatally.controller
 
 import micatally.quota.Quota
+import micatally.scheduling.ClusterView
 import micatally.scheduling.Scheduler
-import micatally.worker.MachineRegistry
 
 /**
  * Logs the CPU usage and the load of a controller at regular intervals.
@@ -12,7 +12,7 @@
  */
 class CpuUsageReport(
     private val cpuUsage: CpuUsage,
-    private val machines: MachineRegistry,
+    private val clusterView: ClusterView,
     private val scheduler: Scheduler,
     private val quota: Quota,
     private val budgets: RequestBudgets,
@@ -25,11 +25,16 @@
     fun run(nowMs: Long) {
         if (nowMs - lastLoggedAtMs <= intervalMs) return
         lastLoggedAtMs = nowMs
-        cpuUsage.logUsage(details())
+        cpuUsage.logUsage(details(nowMs))
     }
 
-    private fun details() =
-        " machines=${machines.byName.size} waiting=${scheduler.pendingRequests.size} ${cpuUsage.takeDeltaBytes()} " +
+    private fun details(nowMs: Long) =
+        " machines=${clusterView.machines.byName.size} unusable=${describeUnusable(nowMs)} " +
+            "waiting=${scheduler.pendingRequests.size} ${cpuUsage.takeDeltaBytes()} " +
             "allotmentOveruse=${quota.audit.overuseCount} " +
             "writes=${budgets.stateWrites.describeWaits()} requests=${budgets.stateRequests.describeWaits()}"
+
+    /** The number of machines on which no task may be placed, by reason, such as `DRAINING:2,SILENT:1`. */
+    private fun describeUnusable(nowMs: Long) =
+        clusterView.countUnusable(nowMs).entries.joinToString(",") { (reason, count) -> "$reason:$count" }
 }
--- a/src/main/kotlin/micatally/scheduling/ClusterView.kt
+++ b/src/main/kotlin/micatally/scheduling/ClusterView.kt
@@ -90,14 +90,32 @@
     fun isUsable(
         machine: Machine,
         now: Long,
-    ): Boolean {
-        val isLeaving = machine.deleted || machine.draining || machine.hasSpotNotice
-        val hasReported = machine.incarnation > 0 && machine.addr.isNotEmpty()
-        val hasRecentContact = now - machine.heardAt < settings.leaseMs / 2 + settings.heartbeatIntervalMs
-        if (isLeaving || !hasReported || !hasRecentContact) return false
-        return now >= machine.channel.unreachableUntilMs && now >= machine.fullUntil &&
-            now >= machine.health.excludedUntil
-    }
+    ): Boolean = unusableReason(machine, now) == null
+
+    /** Why no task may be placed on the machine now; null if it [isUsable]. */
+    private fun unusableReason(
+        machine: Machine,
+        now: Long,
+    ): UnusableReason? =
+        when {
+            machine.deleted -> UnusableReason.DELETED
+            machine.draining -> UnusableReason.DRAINING
+            machine.hasSpotNotice -> UnusableReason.SPOT_NOTICE
+            machine.incarnation == 0L || machine.addr.isEmpty() -> UnusableReason.STATUS_UNKNOWN
+            now - machine.heardAt >= settings.leaseMs / 2 + settings.heartbeatIntervalMs -> UnusableReason.SILENT
+            now < machine.channel.unreachableUntilMs -> UnusableReason.UNREACHABLE
+            now < machine.fullUntil -> UnusableReason.REFUSED_TASK
+            now < machine.health.excludedUntil -> UnusableReason.FAULTY
+            else -> null
+        }
+
+    /** The number of known machines on which no task may be placed now, by reason. */
+    fun countUnusable(now: Long): Map<UnusableReason, Int> =
+        machines.byName.values
+            .mapNotNull { unusableReason(it, now) }
+            .groupingBy { it }
+            .eachCount()
+            .toSortedMap()
 
     /**
      * Whether the request allows the type and the zone of the machine and, if it is a spot instance, spot instances.
