Send a peer the machine statuses that it has missed

Callers saw: one of three controllers is killed and returns after 4 s; it is healthy and accepts a job, which stays pending beside a machine with 6 free GPUs for as long as the machine's task list does not change. It rents machines instead. Cause: a status with the machine's incarnation goes to a peer once, when the task list changes. A process that starts later hears of the machine only by acknowledgements, which carry no status; it noticed that it had missed one, and asked the machine only if it had attempts there. Without an incarnation no task may be placed. Change: the response to a delta names the acknowledged machines of which a newer status was missed (missedMachines), and the sender puts them into its next delta. Why it works: acknowledgements come every tenth of a lease (or half a heartbeat interval) from whoever hears the machine, and say with which sequence number its list last changed. So any status that was missed, by a start, a silence or a lost message, is noticed and requested again until it has arrived. A controller of an earlier version ignores the field.

--- a/src/main/kotlin/micatally/controller/Controller.kt
+++ b/src/main/kotlin/micatally/controller/Controller.kt
@@ -384,7 +384,7 @@
         val spotEvacuation = SpotEvacuation(machines, jobManager, dispatcher, settings.heartbeatIntervalMs)
         val fencingTokenRaise = FencingTokenRaise(membership, dispatcher, settings.leaseMs / 2, startedAtMs)
         val usageReport =
-            CpuUsageReport(cpuUsage, clusterView, scheduler, quota, budgets, settings.leaseMs, startedAtMs)
+            CpuUsageReport(cpuUsage, clusterView, scheduler, peers, quota, budgets, settings.leaseMs, startedAtMs)
         val deletedMachineRemoval = DeletedMachineRemoval(machines, settings.leaseMs)
         return PeriodicTasks(
             tickMs = settings.heartbeatIntervalMs / TICKS_PER_HEARTBEAT,
--- a/src/main/kotlin/micatally/controller/CpuUsageReport.kt
+++ b/src/main/kotlin/micatally/controller/CpuUsageReport.kt
@@ -1,5 +1,6 @@
 package micatally.controller
 
+import micatally.peer.Peers
 import micatally.quota.Quota
 import micatally.scheduling.ClusterView
 import micatally.scheduling.Scheduler
@@ -14,6 +15,7 @@
     private val cpuUsage: CpuUsage,
     private val clusterView: ClusterView,
     private val scheduler: Scheduler,
+    private val peers: Peers,
     private val quota: Quota,
     private val budgets: RequestBudgets,
     private val intervalMs: Long,
@@ -31,6 +33,7 @@
     private fun details(nowMs: Long) =
         " machines=${clusterView.machines.byName.size} unusable=${describeUnusable(nowMs)} " +
             "waiting=${scheduler.pendingRequests.size} ${cpuUsage.takeDeltaBytes()} " +
+            "missedStatuses=${peers.missedStatusCount} " +
             "allotmentOveruse=${quota.audit.overuseCount} " +
             "writes=${budgets.stateWrites.describeWaits()} requests=${budgets.stateRequests.describeWaits()}"
 
--- a/src/main/kotlin/micatally/peer/DeltaSender.kt
+++ b/src/main/kotlin/micatally/peer/DeltaSender.kt
@@ -80,6 +80,7 @@
         connection.acknowledgedSummaryVersion = if (response.needsFullSummary) 0 else summaryVersion
         jobManager.cancellations.cancelledTasks.add(response.cancelledTasks)
         connection.exchangeSucceeded(sentAt, response.fencingToken)
+        for (machine in response.missedMachines) connection.addUnsentMachine(machine)
         if (acknowledgements.isNotEmpty()) connection.acknowledgementsSentAt = sentAt
     }
 
--- a/src/main/kotlin/micatally/peer/Peers.kt
+++ b/src/main/kotlin/micatally/peer/Peers.kt
@@ -57,6 +57,9 @@
     private val deltaReceiver =
         DeltaReceiver(connections, membership, machines, jobManager, peerSummaries, listener, nowMs)
 
+    /** The number of machine statuses that this controller has missed and requested from peers since its start. */
+    val missedStatusCount get() = deltaReceiver.missedStatusCount
+
     /** Requests of the services that were recently submitted to any controller. */
     fun recentServices(): List<ResourceRequest> = localSummary.recentServices + peerSummaries.recentServices
 
--- a/src/main/kotlin/micatally/wire/PeerMessages.kt
+++ b/src/main/kotlin/micatally/wire/PeerMessages.kt
@@ -135,7 +135,7 @@
 /**
  * The changes at a controller since its last delta to the receiver. Each controller sends deltas to each peer.
  *
- * @property machineStatuses machines whose heartbeats showed a change
+ * @property machineStatuses machines whose heartbeats showed a change, or whose status the receiver has missed
  * @property summary null if the receiver has the current version
  * @property deletionRequests machines that the sender wants deleted, because no controller has received their
  *   heartbeats for too long
@@ -161,12 +161,15 @@
  *   its shards; 0 if the list may be incomplete
  * @property cancelledTasks tasks of cancelled jobs that are not proven to have ended. A controller that receives
  *   heartbeats of their machines commands the machines to stop them.
+ * @property missedMachines machines in [PeerDelta.heartbeatAcknowledgements] of which the responder has missed a newer
+ *   status. The sender of the delta sends these statuses with a later one.
  */
 @Serializable
 class PeerDeltaResponse(
     @ProtoNumber(1) val needsFullSummary: Boolean = false,
     @ProtoNumber(2) val fencingToken: Long = 0,
     @ProtoNumber(3) val cancelledTasks: List<CancelledTask> = emptyList(),
+    @ProtoNumber(4) val missedMachines: List<String> = emptyList(),
 )
 
 /** An attempt of a cancelled job's task, and the machine that it was placed on. */
--- a/src/main/kotlin/micatally/worker/MachineRegistry.kt
+++ b/src/main/kotlin/micatally/worker/MachineRegistry.kt
@@ -175,15 +175,19 @@
 
     /**
      * Applies another controller's acknowledgement of the machine's heartbeat. It contains no task list, but it may
-     * show that this controller has missed a newer one.
+     * show that this controller has missed a newer one, for example because it was started after the other controller
+     * had forwarded it.
+     *
+     * @return whether this controller has missed a newer task list or incarnation
      */
-    fun applyAcknowledgement(status: MachineStatus) {
+    fun applyAcknowledgement(status: MachineStatus): Boolean {
         val machine = findOrAdd(status.machine, status.addr, status.type, status.zone, status.isSpot)
         machine.heardAt = maxOf(machine.heardAt, nowMs() - status.ageMs)
         val isMissed =
             status.incarnation > machine.incarnation ||
                 status.incarnation == machine.incarnation && status.changedAtSequence > machine.sequence
         if (isMissed) listener.statusMissed(machine)
+        return isMissed
     }
 
     /** The machine's status with its task list, for forwarding to other controllers. */
--- a/src/test/kotlin/micatally/compatibility/MessagesTest.kt
+++ b/src/test/kotlin/micatally/compatibility/MessagesTest.kt
@@ -744,6 +744,8 @@
         assertTrue(answer.needsFullSummary)
         assertEquals(41L, answer.fencingToken)
         assertCancelledTask(answer.cancelledTasks.single())
+        val missed = roundTrip("peers/missed-machines.hex", PeerDeltaResponse(missedMachines = listOf("m-000231")))
+        assertEquals(listOf("m-000231"), missed.missedMachines)
     }
 
     @Test
--- /dev/null
+++ b/src/test/kotlin/micatally/sim/ReturnedControllerTest.kt
@@ -0,0 +1,99 @@
+package micatally.sim
+
+import micatally.wire.bytes
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/**
+ * Controllers that return, from an end or from a silence, use the machines that the others hear all the time. The tasks
+ * of these machines don't change, and the cloud provides no other machine.
+ */
+class ReturnedControllerTest {
+    /**
+     * Guards against a restarted controller that learns of a machine only when its task list changes: it left jobs
+     * waiting beside machines with free capacity.
+     */
+    @Test
+    fun `controllers that were restarted start jobs on machines that do not change`() =
+        forEachReturn { nodes, absenceMs ->
+            for (node in nodes) fleet.crash(node)
+            fleet.runFor(absenceMs)
+            for (node in nodes) fleet.startNode(node)
+        }
+
+    /** Guards the same for controllers that keep their memory, but have missed the start of a machine. */
+    @Test
+    fun `controllers that were suspended start jobs on a machine that started meanwhile`() =
+        forEachReturn { nodes, absenceMs ->
+            for (node in nodes) fleet.freeze(node)
+            (0 until fleet.nodes).firstOrNull { it !in nodes }?.let { allRun(listOf(submitService(it))) }
+            fleet.runFor(absenceMs)
+            for (node in nodes) fleet.unfreeze(node)
+        }
+
+    /**
+     * Plays the return of each controller, of each two and of all, before and after the lease of the workers has
+     * expired. [leave] lets the nodes leave, lets the time of the absence pass, and lets them return.
+     */
+    private fun forEachReturn(leave: Scenario.(nodes: List<Int>, absenceMs: Long) -> Unit) {
+        for (timing in timings) {
+            for (nodes in nodeSubsets) {
+                for (absenceLeases in listOf(0.3, 2.0)) {
+                    scenario(1, timing) {
+                        assertJobsStartAfterReturn("nodes $nodes after $absenceLeases leases", nodes) {
+                            leave(nodes, (fleet.lease * absenceLeases).toLong())
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    private fun Scenario.assertJobsStartAfterReturn(
+        case: String,
+        nodes: List<Int>,
+        leaveAndReturn: Scenario.() -> Unit,
+    ) {
+        fleet.cloud.bootMs = { BOOT_MS }
+        val service = submitService(node = 0)
+        allRun(listOf(service))
+        fleet.runFor(fleet.lease)
+        leaveAndReturn()
+        fleet.cloud.down = true
+        allRun(listOf(service))
+        val jobIds = nodes.map { submitWhenAccepted(it) }
+        fleet.runFor(MAX_START_MS)
+        for (jobId in jobIds) assertTrue(tasks(jobId).isNotEmpty(), "$case: $jobId runs within $MAX_START_MS ms")
+    }
+
+    private fun Scenario.submitService(node: Int) = submit(node, "daemon", 1, *onGpu)
+
+    /** Submits a job at the node until it is accepted, and returns its id. */
+    private fun Scenario.submitWhenAccepted(node: Int): String {
+        val spec = spec("sweep", 1, *onGpu)
+        fleet.workers.fixedRunMs[spec.jobId] = RUN_MS
+        runUntil(fleet.lease * 2, "node $node accepts a job") {
+            fleet.asked(node, "POST", "/work", spec.source.bytes()).first == HTTP_CREATED
+        }
+        fleet.rules.answeredSubmit(spec.jobId, HTTP_CREATED)
+        return spec.jobId
+    }
+
+    private companion object {
+        /** The time within which a job starts beside a machine with free capacity: seconds. */
+        const val MAX_START_MS = 5000L
+
+        const val BOOT_MS = 1000L
+
+        /** Longer than any of these tests. */
+        const val RUN_MS = 3_600_000L
+        const val HTTP_CREATED = 201
+
+        /** Fields of a job that fits only on machines with GPUs. */
+        val onGpu = arrayOf<Pair<String, Any>>("cards" to 1.0, "loaners" to false)
+
+        val timings = listOf("hcmc", "addis at size").map { Timing.DEPLOYMENTS.getValue(it) }
+        val nodeSubsets =
+            listOf(listOf(0), listOf(1), listOf(2), listOf(0, 1), listOf(1, 2), listOf(0, 2), listOf(0, 1, 2))
+    }
+}
--- a/src/test/kotlin/micatally/worker/MachineRegistryTest.kt
+++ b/src/test/kotlin/micatally/worker/MachineRegistryTest.kt
@@ -112,11 +112,11 @@
         val machine = other.findOrAdd("m-1", "", "", "", false)
         nowMs += 1000
         other.apply(heartbeat(1, 2, ListedTask.RUNNING), StatusSource.HEARTBEAT)
-        val unchanged = eventsOf { registry.applyAcknowledgement(other.acknowledgementOf(machine)) }
+        val unchanged = eventsOf { assertFalse(registry.applyAcknowledgement(other.acknowledgementOf(machine))) }
         assertEquals(emptyList<String>(), unchanged)
         assertEquals(nowMs, registry.of("m-1")?.heardAt)
         other.apply(heartbeat(1, 3, ListedTask.SAVING), StatusSource.HEARTBEAT)
-        val changed = eventsOf { registry.applyAcknowledgement(other.acknowledgementOf(machine)) }
+        val changed = eventsOf { assertTrue(registry.applyAcknowledgement(other.acknowledgementOf(machine))) }
         assertEquals(listOf("missed"), changed)
         assertEquals(1, registry.of("m-1")?.sequence)
     }
