Send a peer the capacity summary that it has missed

A restarted controller that can't read its peers' summaries in the state store takes the capacity that they hold for free, until it changes; its tasks are then refused by the workers. A summary goes to a peer when its version changes. A delta without a summary was taken for proof that the receiver has the current one, also by a process that has started since; the peer's demand and its forecast of services stand in no or not in every stored partition. Change: each delta tells the sender's process and the version of its summary, or that the sender has not loaded its shards yet. A receiver that does not have this version asks for the full summary, and does not count the capacity as known. Why it works: every delta is compared, and one goes to each peer at least every tenth of a lease or half a heartbeat interval. A host that leads no shard holds nothing and is not asked, so that summaries of orphaned hosts stay removed. Result: the test is green.

--- a/src/main/kotlin/micatally/peer/DeltaReceiver.kt
+++ b/src/main/kotlin/micatally/peer/DeltaReceiver.kt
@@ -39,13 +39,24 @@
         connection?.deltaReceived(nowMs(), delta.hasStateStoreContact)
         val hasNewStatus = applyStatuses(delta)
         val missedMachines = applyAcknowledgements(delta)
-        val isSummaryComplete = delta.summary?.let { peerSummaries.apply(it) } ?: true
-        if (isSummaryComplete && delta.hasStateStoreContact) connection?.capacityKnownAt = nowMs()
+        val isSummaryComplete = applySummary(delta)
+        val isCapacityKnown = isSummaryComplete && delta.summaryVersion != PeerDelta.UNKNOWN_SUMMARY_VERSION
+        if (isCapacityKnown && delta.hasStateStoreContact) connection?.capacityKnownAt = nowMs()
         if (delta.deletionRequests.isNotEmpty()) listener.deletionRequested(delta.deletionRequests, delta.host)
         if (delta.summary != null || hasNewStatus) listener.clusterStateChanged()
         return ProtoBuf.encodeToByteArray(response(isSummaryComplete, missedMachines))
     }
 
+    /**
+     * Applies the changes of the sender's summary, if the delta has any.
+     *
+     * @return whether this controller has the sender's current summary now
+     */
+    private fun applySummary(delta: PeerDelta): Boolean {
+        val isApplied = delta.summary?.let { peerSummaries.apply(it) } ?: true
+        return isApplied && !peerSummaries.isMissed(delta.host, delta.process, delta.summaryVersion)
+    }
+
     /** Returns whether any of the forwarded statuses was newer than what this controller knew. */
     private fun applyStatuses(delta: PeerDelta): Boolean {
         var hasNewStatus = false
--- a/src/main/kotlin/micatally/peer/DeltaSender.kt
+++ b/src/main/kotlin/micatally/peer/DeltaSender.kt
@@ -97,9 +97,14 @@
             heartbeatAcknowledgements = acknowledgements,
             hasStateStoreContact = membership.viewAgeMs < timings.stateStoreContactMs,
             host = settings.host,
+            process = membership.process,
+            summaryVersion = if (isCapacityKnown()) localSummary.version else PeerDelta.UNKNOWN_SUMMARY_VERSION,
         )
     }
 
+    /** Whether this controller knows what it holds: it has loaded all its shards, or leads none. */
+    private fun isCapacityKnown() = jobManager.areShardsLoaded || jobManager.shards.values.none { it.isLedHere }
+
     /**
      * The machines to be deleted as of now. Requests are not kept for later deltas, because what this controller knows
      * may be out of date by then.
--- a/src/main/kotlin/micatally/peer/PeerCapacitySummaries.kt
+++ b/src/main/kotlin/micatally/peer/PeerCapacitySummaries.kt
@@ -90,6 +90,24 @@
         return true
     }
 
+    /**
+     * Whether this controller does not have this version of the summary of the process on [host]. The host sends its
+     * summary only when it changes, so a controller that was not there to receive it has to request it. False for a
+     * host that leads no shard, because it holds nothing.
+     */
+    fun isMissed(
+        host: String,
+        process: String,
+        version: Long,
+    ): Boolean {
+        val known = summaries[host]?.takeIf { it.process == process }
+        val knownVersion = known?.version ?: 0L
+        return version > knownVersion && leadsShard(host)
+    }
+
+    private fun leadsShard(host: String) =
+        membership.sharedKeys.shards().any { membership.sharedKeys.leader(it)?.host == host }
+
     /**
      * Applies a partition that was read from the state store, unless the same or a newer version was received directly.
      * Machines that belong to this partition and are not listed are released. Machines of other partitions are not
--- a/src/main/kotlin/micatally/wire/PeerMessages.kt
+++ b/src/main/kotlin/micatally/wire/PeerMessages.kt
@@ -142,6 +142,10 @@
  * @property heartbeatAcknowledgements machines whose heartbeats the sender has received itself, without their tasks
  * @property hasStateStoreContact whether the sender has recent proof of contact with the state store
  * @property host host of the sender
+ * @property process name of the sender's process, as in [CapacitySummary.process]
+ * @property summaryVersion version of the sender's current summary, by which a receiver notices that it does not have
+ *   it; 0 if the sender holds nothing yet or does not report it, [UNKNOWN_SUMMARY_VERSION] if the sender does not know
+ *   what it holds, because it has not loaded all its shards
  */
 @Serializable
 class PeerDelta(
@@ -151,12 +155,20 @@
     @ProtoNumber(4) val heartbeatAcknowledgements: List<MachineStatus> = emptyList(),
     @ProtoNumber(5) val hasStateStoreContact: Boolean = false,
     @ProtoNumber(6) val host: String = "",
-)
+    @ProtoNumber(7) val process: String = "",
+    @ProtoNumber(8) val summaryVersion: Long = 0,
+) {
+    /** Special values of its fields. */
+    companion object {
+        const val UNKNOWN_SUMMARY_VERSION = -1L
+    }
+}
 
 /**
  * Response to a [PeerDelta].
  *
- * @property needsFullSummary whether the delta's summary refers to a version that the responder does not have
+ * @property needsFullSummary whether the responder does not have the version of the sender's summary that the delta
+ *   reports or that its summary refers to
  * @property fencingToken the fencing token that the responder knows, if [cancelledTasks] lists all cancelled tasks of
  *   its shards; 0 if the list may be incomplete
  * @property cancelledTasks tasks of cancelled jobs that are not proven to have ended. A controller that receives
--- a/src/test/kotlin/micatally/compatibility/MessagesTest.kt
+++ b/src/test/kotlin/micatally/compatibility/MessagesTest.kt
@@ -744,6 +744,8 @@
         assertTrue(answer.needsFullSummary)
         assertEquals(41L, answer.fencingToken)
         assertCancelledTask(answer.cancelledTasks.single())
+        val version = roundTrip("peers/summary-version.hex", PeerDelta(process = "p-9", summaryVersion = 17))
+        assertEquals("p-9" to 17L, version.process to version.summaryVersion)
         val missed = roundTrip("peers/missed-machines.hex", PeerDeltaResponse(missedMachines = listOf("m-000231")))
         assertEquals(listOf("m-000231"), missed.missedMachines)
     }
--- a/src/test/kotlin/micatally/sim/ReturnedControllerTest.kt
+++ b/src/test/kotlin/micatally/sim/ReturnedControllerTest.kt
@@ -52,6 +52,42 @@
             for (node in nodes) fleet.unfreeze(node)
         }
 
+    /**
+     * Guards against a restarted controller that learns what a peer holds only when that changes, and takes the capacity
+     * for free meanwhile. The summaries in the state store are not there either: their writes are lost.
+     */
+    @Test
+    fun `a controller that was restarted learns which capacity the others hold`() =
+        forEachSeed(timings.first()) {
+            fleet.stateFaults.holdWriteOf = { _, body -> NEVER_MS.takeIf { "\"put\":\"${Keys.CAPACITY}" in body } }
+            allRun((0 until fleet.nodes).map { submitService(it) })
+            fleet.runFor(fleet.lease)
+            for (node in 0 until fleet.nodes) {
+                fleet.crash(node)
+                fleet.runFor(fleet.lease / 3)
+                fleet.startNode(node)
+                fleet.runFor(MAX_START_MS)
+                for (observer in 0 until fleet.nodes) assertKnowsUsedCapacity(observer, "node $node restarted")
+            }
+        }
+
+    private fun Scenario.assertKnowsUsedCapacity(
+        observer: Int,
+        case: String,
+    ) {
+        val machines = fleet.live[observer]!!.machines
+        for ((name, tasks) in fleet.rules.running.groupBy { it.machine }) {
+            val used =
+                tasks
+                    .map {
+                        fleet.rules.specs
+                            .getValue(it.jobId)
+                            .resources
+                    }.reduce { sum, task -> sum + task }
+            assertEquals(used, machines.of(name)?.used, "$case: capacity used on $name as node $observer knows")
+        }
+    }
+
     /**
      * Plays the return of each controller, of each two and of all, before and after the lease of the workers has
      * expired. [leave] lets the nodes leave, lets the time of the absence pass, and lets them return.
@@ -130,6 +166,9 @@
         /** How long after a partition its held messages arrive, see [Scenario.heal]. */
         const val HELD_MESSAGES_MS = 2000L
 
+        /** A write that is held for this long is lost. */
+        const val NEVER_MS = 1_000_000_000L
+
         /** Longer than any of these tests. */
         const val RUN_MS = 3_600_000L
         const val HTTP_CREATED = 201
