Count the first status of a machine as a change

A leader that knows a machine only from a job's record hears an empty task list first; peers with an older list keep it, and the fleet manager keeps the machine as in use. Cause: before the first status the list is unknown, but it was compared as empty: no change, so neither a delta nor the sequence number in the acknowledgements told the peers. WorkerApi decided with a comparison of its own, which did not look at the incarnation either: an idle worker's restart was not forwarded. Evidence: MachineRegistryTest, "the first status of a machine counts as a change", before: expected [tasks 0 HEARTBEAT], was []. Change: the registry counts the first status as a change, and WorkerApi forwards what the registry counts as one.

--- a/src/main/kotlin/micatally/api/WorkerApi.kt
+++ b/src/main/kotlin/micatally/api/WorkerApi.kt
@@ -10,7 +10,6 @@
 import micatally.wire.Command
 import micatally.wire.CommandType
 import micatally.wire.Heartbeat
-import micatally.wire.ListedTask
 import micatally.wire.MalformedMessage
 import micatally.wire.bytes
 import micatally.wire.heartbeatResponse
@@ -18,6 +17,7 @@
 import micatally.wire.redirectBody
 import micatally.worker.AttemptId
 import micatally.worker.CancelledTasks
+import micatally.worker.Machine
 import micatally.worker.MachineRegistry
 import micatally.worker.StatusSource
 
@@ -49,11 +49,10 @@
             } catch (e: MalformedMessage) {
                 return errorResponse(BAD_REQUEST, e.message ?: "")
             }
-        val tasksBefore = machines.of(heartbeat.machine)?.tasks
         val isNewer = machines.apply(heartbeat, StatusSource.HEARTBEAT)
         val machine =
             machines.findOrAdd(heartbeat.machine, heartbeat.addr, heartbeat.type, heartbeat.zone, heartbeat.isSpot)
-        if (isNewer && isWorthForwarding(heartbeat, tasksBefore)) peers.requestDelta(machine)
+        if (isNewer && isWorthForwarding(heartbeat, machine)) peers.requestDelta(machine)
         if (!mayRenewLease(heartbeat) || machine.deleted) return redirectTo(peers.contacts.redirectTarget())
         redirects.targetFor(machine, heartbeat)?.let { return redirectTo(it) }
         machine.heardHereAt = nowMs()
@@ -87,17 +86,11 @@
         return overdueMs > 0 && peers.contacts.hasStateStoreContactSince(nowMs() - overdueMs)
     }
 
-    /** Whether the heartbeat contains something new for the leaders of the tasks' shards. */
+    /** Whether the heartbeat, which was just applied to the machine, contains something new for other controllers. */
     private fun isWorthForwarding(
         heartbeat: Heartbeat,
-        tasksBefore: List<ListedTask>?,
-    ): Boolean {
-        if (tasksBefore == null || tasksBefore.size != heartbeat.tasks.size) return true
-        if (heartbeat.spotNoticeS != null) return true
-        return tasksBefore.zip(heartbeat.tasks).any { (before, now) ->
-            AttemptId.of(before) != AttemptId.of(now) || before.status != now.status
-        }
-    }
+        machine: Machine,
+    ) = heartbeat.spotNoticeS != null || machine.changedAtSequence == heartbeat.sequence
 
     /**
      * Kill commands for the listed tasks of cancelled jobs. The leaders of their shards may be unable to reach the
--- a/src/main/kotlin/micatally/worker/MachineRegistry.kt
+++ b/src/main/kotlin/micatally/worker/MachineRegistry.kt
@@ -150,7 +150,9 @@
     ): Boolean {
         if (!update.isNewerThan(machine)) return false
         val isNewIncarnation = update.incarnation > machine.incarnation
-        val hasChanged = isNewIncarnation || update.tasks != machine.tasks
+        // Before the first status the list is unknown, not empty, also if the incarnation is known from a job's record.
+        val isFirst = machine.sequence == 0L
+        val hasChanged = isNewIncarnation || isFirst || update.tasks != machine.tasks
         machine.incarnation = update.incarnation
         machine.sequence = update.sequence
         if (hasChanged) {
--- a/src/test/kotlin/micatally/worker/MachineRegistryTest.kt
+++ b/src/test/kotlin/micatally/worker/MachineRegistryTest.kt
@@ -121,6 +121,18 @@
         assertEquals(1, registry.of("m-1")?.sequence)
     }
 
+    /**
+     * Guards `isFirst`: while a machine is known only from a job's record, an empty list was no change, so peers with an
+     * older list were never sent it.
+     */
+    @Test
+    fun `the first status of a machine counts as a change also if its task list is empty`() {
+        registry.findOrAdd("m-1", "10.0.0.1:9", "g8", "a", isSpot = false).incarnation = 1
+        val calls = eventsOf { registry.apply(heartbeat(1, 7), StatusSource.HEARTBEAT) }
+        assertEquals(listOf("tasks 0 HEARTBEAT"), calls)
+        assertEquals(7, registry.of("m-1")?.changedAtSequence)
+    }
+
     /**
      * Guards `addDeletedName`: after a late heartbeat, tasks would be placed on a machine that does not exist any more.
      */
