Ask a machine for its status if the peer that hears it is not reached

Callers saw: a controller is restarted while controllers refuse each other's connections but all reach the state store. A job that it accepts waits, for as long as that lasts, beside a machine with room that another controller hears. Peers publish which machines they hear every half lease, without a status, and a controller that has no attempt on such a machine asked nobody. Change: if a published acknowledgement shows that a status was missed, and the last deltas to its publisher have failed, the status is requested from the machine itself, as is done for machines with attempts. Why it works: the machine is reached directly, and its rejection of the unknown incarnation carries the status. What is published is read again at each change, so it is asked again after the next publication. While the peer is reached it is asked instead, so a restart costs no request to each machine.

--- a/src/main/kotlin/micatally/controller/Controller.kt
+++ b/src/main/kotlin/micatally/controller/Controller.kt
@@ -289,9 +289,7 @@
             }
 
             override fun statusMissed(machine: Machine) {
-                if (machine.attempts.isEmpty()) return
-                machine.channel.needsStatus = true
-                dispatcher.requestSync(machine)
+                if (machine.attempts.isNotEmpty()) dispatcher.requestStatus(machine)
             }
         }
 
@@ -327,6 +325,8 @@
                 host: String,
             ) = fleetManager.requestDeletion(machines, host)
 
+            override fun statusUnavailable(machine: Machine) = dispatcher.requestStatus(machine)
+
             override fun clusterStateChanged() = scheduler.requestCycle()
         }
 
--- a/src/main/kotlin/micatally/peer/PeerConnection.kt
+++ b/src/main/kotlin/micatally/peer/PeerConnection.kt
@@ -29,6 +29,9 @@
     var failuresInRow = 0
         private set
 
+    /** Whether several deltas in a row have failed, so that the peer has to be told through the state store. */
+    val isUnreached get() = failuresInRow > 1
+
     /** No delta is sent before this time. */
     var retryAt = 0L
         private set
--- a/src/main/kotlin/micatally/peer/Peers.kt
+++ b/src/main/kotlin/micatally/peer/Peers.kt
@@ -51,7 +51,8 @@
     /** Sends requests about jobs to peers. */
     val jobClient = PeerJobClient(http, settings)
     private val publisher = SummaryPublisher(connections, settings, timings, state, localSummary, localHeartbeats)
-    private val storedSummaryReader = StoredSummaryReader(membership, machines, peerSummaries, settings)
+    private val storedSummaryReader =
+        StoredSummaryReader(connections, membership, machines, peerSummaries, listener, settings)
     private val deltaSender =
         DeltaSender(http, settings, membership, machines, unreachableMachines, jobManager, localSummary, nowMs)
     private val deltaReceiver =
--- a/src/main/kotlin/micatally/peer/StoredSummaryReader.kt
+++ b/src/main/kotlin/micatally/peer/StoredSummaryReader.kt
@@ -11,11 +11,18 @@
 import micatally.wire.HeartbeatAcknowledgements
 import micatally.worker.MachineRegistry
 
-/** Applies the summaries and heartbeat acknowledgements that peers publish in the state store for unreachable peers. */
+/**
+ * Applies the summaries and heartbeat acknowledgements that peers publish in the state store for unreachable peers.
+ *
+ * A status that this controller has missed can't be requested from a peer that it does not reach. The listener is then
+ * told to request it from the machine itself.
+ */
 internal class StoredSummaryReader(
+    private val connections: List<PeerConnection>,
     private val membership: Membership,
     private val machines: MachineRegistry,
     private val peerSummaries: PeerCapacitySummaries,
+    private val listener: PeerListener,
     settings: Settings,
 ) {
     private val localCapacityPrefix = Keys.CAPACITY + settings.host + "/"
@@ -30,7 +37,7 @@
             if (isCapacityOfPeer(key)) {
                 bytesOf(key)?.let { peerSummaries.applyPartition(ProtoBuf.decodeFromByteArray<CapacitySummary>(it)) }
             } else if (isHeartbeatsOfPeer(key)) {
-                bytesOf(key)?.let { applyHeartbeats(ProtoBuf.decodeFromByteArray<HeartbeatAcknowledgements>(it)) }
+                applyHeartbeats(key)
             }
         }
     }
@@ -42,7 +49,16 @@
 
     private fun bytesOf(key: String): ByteArray? = membership.summaries.value(key)?.let { SummaryPartitions.unpack(it) }
 
-    private fun applyHeartbeats(acknowledgements: HeartbeatAcknowledgements) {
-        for (status in acknowledgements.machineStatuses) machines.applyAcknowledgement(status)
+    private fun hostIn(key: String) = key.removePrefix(Keys.HEARTBEATS).substringBefore('/')
+
+    private fun isUnreached(host: String) = connections.any { it.peer.host == host && it.isUnreached }
+
+    private fun applyHeartbeats(key: String) {
+        val bytes = bytesOf(key) ?: return
+        val isPeerUnreached = isUnreached(hostIn(key))
+        for (status in ProtoBuf.decodeFromByteArray<HeartbeatAcknowledgements>(bytes).machineStatuses) {
+            val isMissed = machines.applyAcknowledgement(status)
+            if (isMissed && isPeerUnreached) machines.of(status.machine)?.let { listener.statusUnavailable(it) }
+        }
     }
 }
--- a/src/main/kotlin/micatally/worker/CommandDispatcher.kt
+++ b/src/main/kotlin/micatally/worker/CommandDispatcher.kt
@@ -87,6 +87,12 @@
         }
     }
 
+    /** Like [requestSync], and sends a request also if no command is needed, for the task list in the response. */
+    fun requestStatus(machine: Machine) {
+        machine.channel.needsStatus = true
+        requestSync(machine)
+    }
+
     private suspend fun sync(machine: Machine) {
         val channel = machine.channel
         while (channel.isSyncRequested && !machine.deleted) {
--- a/src/test/kotlin/micatally/sim/ReturnedControllerTest.kt
+++ b/src/test/kotlin/micatally/sim/ReturnedControllerTest.kt
@@ -52,6 +52,29 @@
             for (node in nodes) fleet.unfreeze(node)
         }
 
+    /**
+     * Guards the same while the controllers reach each other only through the state store: whoever hears the machine
+     * can't send its status, so the machine is asked.
+     */
+    @Test
+    fun `controllers that were restarted start jobs while they do not reach the others`() {
+        for (node in 0 until 3) {
+            forEachSeed(timings.first()) {
+                fleet.cloud.bootMs = { BOOT_MS }
+                allRun(listOf(submitService(node = (node + 1) % 3)))
+                fleet.runFor(fleet.lease)
+                fleet.cloud.down = true
+                fleet.net.peersRefuse = true
+                fleet.crash(node)
+                fleet.runFor(fleet.lease / 3)
+                fleet.startNode(node)
+                val jobId = submitWhenAccepted(node)
+                val publicationIntervalMs = fleet.lease / 2
+                runUntil(publicationIntervalMs + MAX_START_MS, "$jobId runs") { tasks(jobId).isNotEmpty() }
+            }
+        }
+    }
+
     /**
      * Guards against a restarted controller that learns what a peer holds only when that changes, and takes the capacity
      * for free meanwhile. The summaries in the state store are not there either: their writes are lost.
