Publish a capacity summary again whose write was lost

Cause: a version counted as published before it was written, so a partition whose write was lost or had to wait for the share of writes came with the next change of the summary only. Controllers that can't reach each other know no other way. Change: a version counts as published once all its partitions are stored. Evidence: SummaryPartitionsTest, "complete only once all its partitions are stored", guards what the publisher now relies on. The publisher's own lines have no red run: without the change the test does not compile.

--- a/src/main/kotlin/micatally/peer/SummaryPartitions.kt
+++ b/src/main/kotlin/micatally/peer/SummaryPartitions.kt
@@ -54,25 +54,29 @@
      * @param machineNames the machines in the list
      * @param contentOf returns the contents of a partition with these machines, for comparison with those last written
      * @param encode returns the stored form of a partition with these machines; may be called several times for each
+     * @return whether all partitions are stored with these contents; if not, those that are missing are left to the next
+     *   call
      */
     suspend fun write(
         machineNames: Collection<String>,
         maxWrites: Int,
         contentOf: (partitionIndex: Int, machineNames: List<String>) -> Any,
         encode: (partitionIndex: Int, machineNames: List<String>) -> ByteArray,
-    ) {
+    ): Boolean {
         val partitions = split(machineNames, encode)
         var remainingWrites = maxWrites
+        var isComplete = true
         // Round robin, so that every partition is written in turn when only some may be written each time.
         val order = partitions.indices.sortedBy { Math.floorMod(it - nextPartition, partitions.size) }
         for (index in order) {
             val content = contentOf(index, partitions[index])
             if (writtenContents[index] == content) continue
-            if (remainingWrites-- <= 0) return
+            if (remainingWrites-- <= 0) return false
             val isWritten = writeOne(index) { encode(index, partitions[index]) }
-            if (isWritten) writtenContents[index] = content
+            if (isWritten) writtenContents[index] = content else isComplete = false
             nextPartition = index + 1
         }
+        return isComplete
     }
 
     /**
--- a/src/main/kotlin/micatally/peer/SummaryPublisher.kt
+++ b/src/main/kotlin/micatally/peer/SummaryPublisher.kt
@@ -24,6 +24,8 @@
 ) {
     private val capacityPartitions = SummaryPartitions(state, settings.valueBytes, Keys.CAPACITY + settings.host)
     private val heartbeatPartitions = SummaryPartitions(state, settings.valueBytes, Keys.HEARTBEATS + settings.host)
+
+    /** The version of the local summary of which all partitions were last stored. */
     private var publishedVersion = 0L
 
     /** Publishes every [PeerTimings.publishIntervalMs]; never returns. */
@@ -36,17 +38,19 @@
     }
 
     private suspend fun publishCapacity() {
-        if (localSummary.version == publishedVersion) return
-        publishedVersion = localSummary.version
-        capacityPartitions.write(
-            localSummary.heldMachines,
-            maxWrites(),
-            localSummary::contentOf,
-        ) { partitionIndex, machines ->
-            ProtoBuf.encodeToByteArray(
-                localSummary.partition(machines, partitionIndex, capacityPartitions.partitionCount),
-            )
-        }
+        val version = localSummary.version
+        if (version == publishedVersion) return
+        val isComplete =
+            capacityPartitions.write(
+                localSummary.heldMachines,
+                maxWrites(),
+                localSummary::contentOf,
+            ) { partitionIndex, machines ->
+                ProtoBuf.encodeToByteArray(
+                    localSummary.partition(machines, partitionIndex, capacityPartitions.partitionCount),
+                )
+            }
+        if (isComplete) publishedVersion = version
     }
 
     private suspend fun publishHeartbeats() {
@@ -74,7 +78,7 @@
         return maxOf(1, (writes * share).toInt())
     }
 
-    private fun isAnyPeerUnreached() = connections.any { it.failuresInRow > 1 }
+    private fun isAnyPeerUnreached() = connections.any { it.isUnreached }
 
     private companion object {
         /** A lease in milliseconds divided by this is half the lease, the publication interval, in seconds. */
--- a/src/test/kotlin/micatally/peer/SummaryPartitionsTest.kt
+++ b/src/test/kotlin/micatally/peer/SummaryPartitionsTest.kt
@@ -8,6 +8,7 @@
 import micatally.state.RateBudget
 import micatally.state.StateStoreClient
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 
@@ -17,9 +18,12 @@
     private val writtenSizes = ArrayList<Int>()
     private val machines = List(20) { "m-%06d".format(it) }
 
+    private var losesWrites = false
+
     private fun TestScope.partitions(): SummaryPartitions {
         val http =
             HttpCaller { _, _, _, body, _ ->
+                if (losesWrites) return@HttpCaller Outcome.NoResponse
                 writtenSizes.add(body!!.size)
                 Outcome.Answer(200, "{\"odometer\":1}".encodeToByteArray())
             }
@@ -49,6 +53,25 @@
             assertEquals(firstWrites * 2, writtenSizes.size)
         }
 
+    /** Guards the return value: a summary of which a write was lost counted as published until it changed again. */
+    @Test
+    fun `a list is complete only once all its partitions are stored`() =
+        runTest {
+            val partitions = partitions()
+            val write: suspend (Int) -> Boolean =
+                { maxWrites: Int ->
+                    partitions.write(machines, maxWrites, { _, names -> names }) { _, names ->
+                        ByteArray(names.size * 200)
+                    }
+                }
+            losesWrites = true
+            assertFalse(write(100))
+            losesWrites = false
+            assertFalse(write(1))
+            assertTrue(write(100))
+            assertTrue(write(0))
+        }
+
     /**
      * With 4,000 workers a summary that fitted in a value grew while its request waited, and the state store refused it
      * as too large. [SummaryPartitions.write] therefore checks the size again when the request is sent.
