Simulated cloud: pools of a type, a zone and a kind run out apart

CloudEmulator.limitCapacity selects the pools by type, zone and kind, in the place of all pools of a type; the pools have a class of their own instead of a Triple. Machines of chosen pools may never come up, and the machines provisioned can be counted by pool. No behaviour of the controllers changes. GangTest uses the new form with the same pools.

--- a/src/main/kotlin/micatally/emulator/CloudEmulator.kt
+++ b/src/main/kotlin/micatally/emulator/CloudEmulator.kt
@@ -19,26 +19,35 @@
 import micatally.wire.parseObject
 import micatally.wire.text
 
+/**
+ * A pool of machines that are alike to the cloud. It runs out of machines independently of the other pools.
+ *
+ * @property type label of the machine type
+ */
+data class CapacityPool(
+    val type: String,
+    val zone: String,
+    val isSpot: Boolean,
+)
+
 /**
  * Emulates the cloud's HTTP API in memory: it lists the machine types, provisions and deletes machines, and lists them.
  * A machine that has booted becomes a worker through [boot].
  *
- * @property capacity how many more machines can be provisioned, by type, zone and whether they are spot instances
+ * @property capacity how many more machines can be provisioned from each pool
  * @property lagMs how far the list of machines lags behind their real status, in ms
  */
 class CloudEmulator(
     private val scope: CoroutineScope,
     private val machineTypes: List<MachineType>,
-    private val capacity: MutableMap<Triple<String, String, Boolean>, Int>,
+    private val capacity: MutableMap<CapacityPool, Int>,
     private val lagMs: Long,
     private val nowMs: () -> Long,
     private val boot: suspend (String, MachineType, String, Boolean) -> WorkerEmulator,
 ) {
     private class Machine(
         val name: String,
-        val type: String,
-        val zone: String,
-        val isSpot: Boolean,
+        val pool: CapacityPool,
         val createdAtMs: Long,
     ) {
         var worker: WorkerEmulator? = null
@@ -60,12 +69,19 @@
     /** How long a machine of a type takes to boot, in ms. */
     var bootMs: (MachineType) -> Long = { (it.readyS * 1000).toLong() }
 
+    /** Selects the pools whose machines never come up: they stay in the list as starting. */
+    var neverBoots: (CapacityPool) -> Boolean = { false }
+
     /** The workers on machines that have booted and were not removed. */
     val workers get() = machines.values.filter { it.removedAtMs == null && !it.failed }.mapNotNull { it.worker }
 
     /** How many machines exist, including those that still boot. */
     fun count() = machines.values.count { it.removedAtMs == null }
 
+    /** How many machines were ever provisioned from the pools that [isCounted] selects. */
+    fun provisionedCount(isCounted: (CapacityPool) -> Boolean) =
+        namesByRequest.values.flatten().count { name -> isCounted(machines.getValue(name).pool) }
+
     private fun json(body: JsonObject) = HttpResponse(200, body.toString().encodeToByteArray())
 
     /** Answers a request of a controller. */
@@ -114,19 +130,19 @@
         val requestName = body.text("booking")
         namesByRequest[requestName]?.let { return json(machineNames(it)) }
         val type = machineTypes.find { it.label == body.text("rig") } ?: return errorResponse(400, "no such type")
-        val key = Triple(type.label, body.text("circuit"), body.flag("loaners"))
-        val count = minOf(body.long("count").toInt(), capacity[key] ?: 0)
+        val pool = CapacityPool(type.label, body.text("circuit"), body.flag("loaners"))
+        val count = minOf(body.long("count").toInt(), capacity[pool] ?: 0)
         if (count == 0) return errorResponse(503, "no capacity")
-        capacity[key] = capacity.getValue(key) - count
+        capacity[pool] = capacity.getValue(pool) - count
         val names = List(count) { "m-%06d".format(nextNumber++) }
         for (name in names) {
-            val machine = Machine(name, key.first, key.second, key.third, nowMs())
+            val machine = Machine(name, pool, nowMs())
             machines[name] = machine
             scope.launch {
                 delay(bootMs(type))
-                if (machine.removedAtMs != null) return@launch
+                if (machine.removedAtMs != null || neverBoots(pool)) return@launch
                 machine.runningSinceMs = nowMs()
-                machine.worker = boot(name, type, machine.zone, machine.isSpot).also { it.start() }
+                machine.worker = boot(name, type, pool.zone, pool.isSpot).also { it.start() }
             }
         }
         namesByRequest[requestName] = names
@@ -141,7 +157,8 @@
         count: Int,
     ) {
         repeat(count) {
-            val machine = Machine("m-%06d".format(nextNumber++), machineType.label, zone, isSpot, nowMs())
+            val pool = CapacityPool(machineType.label, zone, isSpot)
+            val machine = Machine("m-%06d".format(nextNumber++), pool, nowMs())
             machines[machine.name] = machine
             machine.runningSinceMs = nowMs()
             machine.worker = boot(machine.name, machineType, zone, isSpot).also { it.start() }
@@ -156,12 +173,18 @@
         if (machine.removedAtMs != null) return
         machine.removedAtMs = nowMs()
         machine.worker?.stop()
-        capacity.merge(Triple(machine.type, machine.zone, machine.isSpot), 1, Int::plus)
+        capacity.merge(machine.pool, 1, Int::plus)
     }
 
-    /** Lets the cloud run out of machines of this [type]: it refuses to provision more of them. */
-    fun exhaustCapacity(type: String) {
-        for (key in capacity.keys.filter { it.first == type }) capacity[key] = 0
+    /**
+     * Limits the pools that [isLimited] selects to [count] more machines each. With 0 the cloud runs out of a type, a
+     * zone or a kind: it refuses to provision more of them while other pools have machines.
+     */
+    fun limitCapacity(
+        count: Int,
+        isLimited: (CapacityPool) -> Boolean,
+    ) {
+        for (pool in capacity.keys.filter(isLimited)) capacity[pool] = count
     }
 
     /** Removes a machine without notice, as when the cloud takes back a spot instance or a machine breaks down. */
@@ -184,9 +207,9 @@
                             buildJsonObject {
                                 put("ref", machine.name)
                                 put("addr", machine.worker?.addr ?: "")
-                                put("rig", machine.type)
-                                put("circuit", machine.zone)
-                                put("loaners", machine.isSpot)
+                                put("rig", machine.pool.type)
+                                put("circuit", machine.pool.zone)
+                                put("loaners", machine.pool.isSpot)
                                 put(
                                     "status",
                                     if ((machine.runningSinceMs ?: Long.MAX_VALUE) <= listedAtMs) {
--- a/src/main/kotlin/micatally/emulator/LoopbackFleet.kt
+++ b/src/main/kotlin/micatally/emulator/LoopbackFleet.kt
@@ -123,12 +123,12 @@
         }
     }
 
-    private fun capacity(): MutableMap<Triple<String, String, Boolean>, Int> {
-        val capacity = HashMap<Triple<String, String, Boolean>, Int>()
+    private fun capacity(): MutableMap<CapacityPool, Int> {
+        val capacity = HashMap<CapacityPool, Int>()
         for (zone in plan.zones) {
             for (machineType in plan.machineTypes) {
                 for (isSpot in listOf(true, false)) {
-                    capacity[Triple(machineType.label, zone, isSpot)] =
+                    capacity[CapacityPool(machineType.label, zone, isSpot)] =
                         plan.machinesOfEachKind
                 }
             }
--- a/src/test/kotlin/micatally/sim/GangTest.kt
+++ b/src/test/kotlin/micatally/sim/GangTest.kt
@@ -377,7 +377,7 @@
                     "cores" to 5.0,
                     "ram_gb" to 20.0,
                 )
-            fleet.cloud.exhaustCapacity("g8")
+            fleet.cloud.limitCapacity(0) { it.type == "g8" }
             val array = submit(0, "sweep", 150, *zoneAndSize, "grid" to "low")
             runUntil(fleet.lease * 8, "the zone is full") { tasks(array).size == 8 }
             fleet.runFor(fleet.lease)
--- a/src/test/kotlin/micatally/sim/SimWorkers.kt
+++ b/src/test/kotlin/micatally/sim/SimWorkers.kt
@@ -1,5 +1,6 @@
 package micatally.sim
 
+import micatally.emulator.CapacityPool
 import micatally.emulator.CloudEmulator
 import micatally.emulator.GangTable
 import micatally.emulator.GangTimes
@@ -48,11 +49,11 @@
     }
 
     /** How many machines the cloud has of each type and zone, as spot instances and on demand. */
-    private fun capacity(): HashMap<Triple<String, String, Boolean>, Int> {
-        val capacity = HashMap<Triple<String, String, Boolean>, Int>()
+    private fun capacity(): HashMap<CapacityPool, Int> {
+        val capacity = HashMap<CapacityPool, Int>()
         for (zone in zones) {
             for (type in machineTypes) {
-                for (isSpot in listOf(true, false)) capacity[Triple(type.label, zone, isSpot)] = MACHINES_PER_KIND
+                for (isSpot in listOf(true, false)) capacity[CapacityPool(type.label, zone, isSpot)] = MACHINES_PER_KIND
             }
         }
         return capacity
