Log the kinds of tasks for which no offer is available

Whether a request that names another zone was weighed and rejected by the fleet manager, or whether no request named one, could not be told apart. The fleet manager now logs each kind of request without an available offer once, with its types and zones.

--- a/src/main/kotlin/micatally/fleet/ScaleOut.kt
+++ b/src/main/kotlin/micatally/fleet/ScaleOut.kt
@@ -27,6 +27,7 @@
 ) {
     private val log = LoggerFactory.getLogger("micatally.fleet")
     private val backoff = OfferBackoff(settings, machines, nowMs)
+    private val unmetRequests = UnmetRequests()
     private var term = 0L
 
     /** The number of requests created in this term; it is part of their names. */
@@ -83,8 +84,8 @@
                 machines.machineTypes[instance.offer.type]?.let { PlannedMachine(instance.offer, it.resources) }
             }
         val conditions = OfferConditions({ backoff.isBackingOff(it, now) }, { instances.bootTimes.slowness(it) })
-        return ScaleOutPlan(machines.machineTypes.values, conditions, pending, existing, MAX_MACHINES_PER_CYCLE)
-            .plan(resourceRequests)
+        val plan = ScaleOutPlan(machines.machineTypes.values, conditions, pending, existing, MAX_MACHINES_PER_CYCLE)
+        return plan.plan(resourceRequests).also { unmetRequests.update(plan.unmet, resourceRequests) }
     }
 
     private fun nextRequest(
--- a/src/main/kotlin/micatally/fleet/ScaleOutPlan.kt
+++ b/src/main/kotlin/micatally/fleet/ScaleOutPlan.kt
@@ -37,6 +37,9 @@
     private val machinesByTypeInZone = HashMap(existing)
     private val resourcesByType = machineTypes.associate { it.label to it.resources }
 
+    /** The requests with tasks for which no offer is available. */
+    val unmet = ArrayList<ResourceRequest>()
+
     /** The number of tasks of each shape, over all jobs, that are still to be planned. */
     private val remainingByShape = HashMap<TaskShape, Int>()
 
@@ -59,7 +62,11 @@
             placement.fill(machine)
         }
         while (!placement.isDone && planned.values.sum() < limit) {
-            val offer = cheapestOffer(placement) ?: break
+            val offer = cheapestOffer(placement)
+            if (offer == null) {
+                unmet.add(placement.request)
+                break
+            }
             placement.fill(add(offer))
         }
     }
