Tasks that must share a zone: the fleet manager chooses the zone

The cloud was asked for kality 9 times in 95 s and never for bole; the gang did not run.

Cause: the leader of the job's shard named a single zone in its request, the one with the most free capacity. That the cloud refuses this zone is known to the fleet manager alone, and it may provision only where the request says.

Change: the request tells for each zone that the tasks may share how many of them do not fit there (ResourceRequest.zoneOptions), and the fleet manager chooses. A zone where what is booting suffices comes first, so that nothing is provisioned twice, and the former choice before others; else the one whose machines cost least. Each refusal in a row adds the price of the offer once more; after four, which is one boot time after the first, it is given up while another zone can be had. Nothing is provisioned in part: while one of the offers needed is backing off, the tasks wait. A sound zone with the most free capacity needs the fewest machines and gets all. Refusals are forgotten four boot times after the last backoff. The two new fields stand beside the zone named as before, so a controller of the version before and this one understand each other.

--- a/src/main/kotlin/micatally/fleet/Offer.kt
+++ b/src/main/kotlin/micatally/fleet/Offer.kt
@@ -18,10 +18,12 @@
 /**
  * What the fleet manager has observed about offers; prices come from the machine types.
  *
- * @property isRefused whether the cloud turned the offer down recently, so that it is not requested at present
+ * @property isBackingOff whether the cloud turned the offer down recently, so that it is not requested at present
+ * @property refusalsInRow how many times in a row the cloud had no capacity for the offer, as far as that still counts
  * @property slowness how many times slower than nominal its machines boot at present; 1 or more
  */
 class OfferConditions(
-    val isRefused: (Offer) -> Boolean,
+    val isBackingOff: (Offer) -> Boolean,
+    val refusalsInRow: (Offer) -> Int,
     val slowness: (Offer) -> Double,
 )
--- a/src/main/kotlin/micatally/fleet/ScaleOut.kt
+++ b/src/main/kotlin/micatally/fleet/ScaleOut.kt
@@ -28,6 +28,7 @@
     private val log = LoggerFactory.getLogger("micatally.fleet")
     private val backoff = OfferBackoff(settings, machines, nowMs)
     private val unmetRequests = UnmetRequests()
+    private val zoneChoices = ZoneChoices()
     private var term = 0L
 
     /** The number of requests created in this term; it is part of their names. */
@@ -40,6 +41,7 @@
     fun beginTerm(newTerm: Long) {
         term = newTerm
         requestsCreated = 0
+        zoneChoices.clear()
         requests.load { resume(it) }
     }
 
@@ -65,6 +67,7 @@
         now: Long,
     ) {
         if (machines.machineTypes.isEmpty() || inProgress.isNotEmpty()) return
+        zoneChoices.retain(resourceRequests)
         for ((offer, count) in plan(resourceRequests, now)) {
             for (offset in 0 until count step MAX_MACHINES_PER_REQUEST) {
                 submit(nextRequest(offer, minOf(MAX_MACHINES_PER_REQUEST, count - offset)))
@@ -83,11 +86,25 @@
             instances.pending(now).mapNotNullTo(ArrayList()) { instance ->
                 machines.machineTypes[instance.offer.type]?.let { PlannedMachine(instance.offer, it.resources) }
             }
-        val conditions = OfferConditions({ backoff.isBackingOff(it, now) }, { instances.bootTimes.slowness(it) })
-        val plan = ScaleOutPlan(machines.machineTypes.values, conditions, pending, existing, MAX_MACHINES_PER_CYCLE)
+        val plan =
+            ScaleOutPlan(
+                machines.machineTypes.values,
+                offerConditions(now),
+                pending,
+                existing,
+                MAX_MACHINES_PER_CYCLE,
+                zoneChoices,
+            )
         return plan.plan(resourceRequests).also { unmetRequests.update(plan.unmet, resourceRequests) }
     }
 
+    private fun offerConditions(now: Long) =
+        OfferConditions(
+            isBackingOff = { backoff.isBackingOff(it, now) },
+            refusalsInRow = { backoff.refusalsInRow(it, now) },
+            slowness = { instances.bootTimes.slowness(it) },
+        )
+
     private fun nextRequest(
         offer: Offer,
         count: Int,
--- a/src/main/kotlin/micatally/fleet/ScaleOutPlan.kt
+++ b/src/main/kotlin/micatally/fleet/ScaleOutPlan.kt
@@ -2,28 +2,19 @@
 
 import micatally.wire.MachineType
 import micatally.wire.ResourceRequest
-import micatally.wire.Resources
-
-/**
- * A machine on which tasks are planned: either one that is booting, or one that the plan adds.
- *
- * @property free the resources that are left after the tasks planned so far
- */
-class PlannedMachine(
-    val offer: Offer,
-    var free: Resources,
-)
+import micatally.wire.ZoneOption
 
 /**
  * Decides which machines to provision for tasks that find no free capacity. It only computes and does no I/O. Each
  * instance is used for one plan.
  *
  * Tasks are first placed on the machines that are booting. For the rest, the plan adds machines of the offer with the
- * lowest cost per task.
+ * lowest cost per task. For tasks that must share a zone and may share several, it tries all of them and has one chosen.
  *
  * @param pending machines that are booting; the plan appends the machines that it adds
  * @param existing the number of machines by type and zone, including booting ones
  * @param limit the largest number of machines that the plan adds
+ * @param zoneChoices chooses the zones for tasks that must share one
  */
 class ScaleOutPlan(
     private val machineTypes: Collection<MachineType>,
@@ -31,11 +22,12 @@
     private val pending: MutableList<PlannedMachine>,
     existing: Map<TypeInZone, Int>,
     private val limit: Int,
+    private val zoneChoices: ZoneChoices,
 ) {
     /** The number of machines that the plan adds, by offer. */
     private val planned = LinkedHashMap<Offer, Int>()
     private val machinesByTypeInZone = HashMap(existing)
-    private val resourcesByType = machineTypes.associate { it.label to it.resources }
+    private val typesByLabel = machineTypes.associateBy { it.label }
 
     /** The requests with tasks for which no offer is available. */
     val unmet = ArrayList<ResourceRequest>()
@@ -49,31 +41,88 @@
         // At the same priority, tasks with GPUs are planned first: tasks without GPUs can then use the cores left on
         // their machines.
         for (request in resourceRequests.sortedWith(compareBy({ it.priority }, { -it.gpus }))) {
-            planFor(Placement(request))
+            if (request.zoneOptions.isEmpty()) planFor(request) else planInOneZone(request)
             remainingByShape.merge(TaskShape(request), -request.count, Int::plus)
         }
         return planned
     }
 
     /** Places the tasks of one resource request, first on booting and planned machines, then on new ones. */
-    private fun planFor(placement: Placement) {
-        for (machine in pending) {
-            if (placement.isDone) break
-            placement.fill(machine)
-        }
+    private fun planFor(request: ResourceRequest) {
+        val placement = RequestPlacement(request, typesByLabel)
+        fillPending(placement)
         while (!placement.isDone && planned.values.sum() < limit) {
-            val offer = cheapestOffer(placement)
+            val offer = cheapestOffer(placement, { !conditions.isBackingOff(it) })
             if (offer == null) {
-                unmet.add(placement.request)
+                unmet.add(request)
                 break
             }
             placement.fill(add(offer))
         }
     }
 
+    /**
+     * Places tasks that must share a zone in the chosen one. Adds no machine while one of those needed is backing off:
+     * another zone is chosen once that is cheaper, and a part of the machines would be of no use.
+     */
+    private fun planInOneZone(request: ResourceRequest) {
+        val chosen = zoneChoices.choose(request.jobId, request.zoneOptions.map { tryZone(request, it) })
+        if (chosen == null) {
+            unmet.add(request)
+            return
+        }
+        val placement = RequestPlacement(chosen.request, typesByLabel)
+        fillPending(placement)
+        if (chosen.added.any { conditions.isBackingOff(it) }) {
+            unmet.add(request)
+            return
+        }
+        for (offer in chosen.added.take(limit - planned.values.sum())) placement.fill(add(offer))
+    }
+
+    private fun fillPending(placement: RequestPlacement) {
+        for (machine in pending) {
+            if (placement.isDone) return
+            placement.fill(machine)
+        }
+    }
+
+    /** Finds out what it takes to place the tasks in one zone. Changes nothing. */
+    private fun tryZone(
+        request: ResourceRequest,
+        option: ZoneOption,
+    ): ZoneTrial {
+        val inZone = request.copy(zones = listOf(option.zone), count = option.count, zoneOptions = emptyList())
+        val placement = RequestPlacement(inZone, typesByLabel)
+        for (machine in pending) placement.fill(PlannedMachine(machine.offer, machine.free))
+        val added = ArrayList<Offer>()
+        while (!placement.isDone && added.size < limit) {
+            val offer = cheapestOfferToTry(placement) ?: break
+            added.add(offer)
+            placement.fill(PlannedMachine(offer, typesByLabel.getValue(offer.type).resources))
+        }
+        val price =
+            added.sumOf {
+                typesByLabel.getValue(it.type).price(it.isSpot) * slownessWeight(it) *
+                    refusalWeight(it)
+            }
+        val isComplete = placement.isDone || added.size == limit
+        return ZoneTrial(inZone, added, price, isComplete, added.any { isGivenUp(it) })
+    }
+
+    /** The offer with the lowest cost per task, also if it is backing off. Offers that are given up come last. */
+    private fun cheapestOfferToTry(placement: RequestPlacement): Offer? =
+        cheapestOffer(placement, { !isGivenUp(it) }, ::refusalWeight)
+            ?: cheapestOffer(placement, { true }, ::refusalWeight)
+
+    private fun isGivenUp(offer: Offer) = conditions.refusalsInRow(offer) >= REFUSALS_TO_GIVE_UP
+
+    /** How many times more expensive the offer counts because the cloud has refused it. */
+    private fun refusalWeight(offer: Offer) = 1.0 + conditions.refusalsInRow(offer)
+
     /** Adds an empty machine of the offer to the plan. */
     private fun add(offer: Offer): PlannedMachine {
-        val machine = PlannedMachine(offer, machineTypes.first { it.label == offer.type }.resources)
+        val machine = PlannedMachine(offer, typesByLabel.getValue(offer.type).resources)
         planned.merge(offer, 1, Int::plus)
         machinesByTypeInZone.merge(offer.typeInZone, 1, Int::plus)
         pending.add(machine)
@@ -81,17 +130,22 @@
     }
 
     /**
-     * The offer with the lowest cost per task; null if no offer is available. Among offers of the same cost, the first
-     * one wins in the order of the machine types, then of their zones, then spot before on-demand.
+     * The offer with the lowest cost per task among those that [mayAdd] selects; null if there is none. Among offers of
+     * the same cost, the first one wins in the order of the machine types, then of their zones, then spot before
+     * on-demand.
      */
-    private fun cheapestOffer(placement: Placement): Offer? {
+    private fun cheapestOffer(
+        placement: RequestPlacement,
+        mayAdd: (Offer) -> Boolean,
+        extraWeight: (Offer) -> Double = { 1.0 },
+    ): Offer? {
         var cheapest: Offer? = null
         var lowestCost = Double.MAX_VALUE
         for (type in machineTypes) {
             val tasksPerMachine = placement.tasksPerMachine(type)
             if (tasksPerMachine == 0) continue
-            for (offer in offersOf(type, placement)) {
-                val cost = cost(offer, type, tasksPerMachine, placement)
+            for (offer in offersOf(type, placement).filter(mayAdd)) {
+                val cost = cost(offer, type, tasksPerMachine, placement) * extraWeight(offer)
                 if (cost < lowestCost) {
                     cheapest = offer
                     lowestCost = cost
@@ -101,18 +155,15 @@
         return cheapest
     }
 
-    /**
-     * The available offers of the machine type: allowed for the request, not turned down recently, in a zone that may
-     * take more tasks.
-     */
+    /** The offers of the machine type that are allowed for the request, in zones that may take more tasks. */
     private fun offersOf(
         type: MachineType,
-        placement: Placement,
+        placement: RequestPlacement,
     ): List<Offer> {
         val spotChoices = if (placement.request.isSpot) listOf(true, false) else listOf(false)
         return type.zones
             .flatMap { zone -> spotChoices.map { isSpot -> Offer(type.label, zone, isSpot) } }
-            .filter { placement.isAllowed(it) && !conditions.isRefused(it) && placement.hasZoneCapacity(it.zone) }
+            .filter { placement.isAllowed(it) && placement.hasZoneCapacity(it.zone) }
     }
 
     /**
@@ -123,121 +174,33 @@
         offer: Offer,
         type: MachineType,
         tasksPerMachine: Int,
-        placement: Placement,
+        placement: RequestPlacement,
     ): Double {
         val taskCount = maxOf(placement.remaining, remainingByShape[placement.shape] ?: 0)
         return type.price(offer.isSpot) * Math.ceil(taskCount.toDouble() / tasksPerMachine) / taskCount *
             (1 + (machinesByTypeInZone[offer.typeInZone] ?: 0) * ZONE_BALANCE_WEIGHT) *
-            (1 + (conditions.slowness(offer) - 1) * SLOWNESS_WEIGHT)
+            slownessWeight(offer)
     }
 
-    /**
-     * What a task needs from a machine. Tasks of the same shape from several jobs are counted together, since they may
-     * fill a machine that would be too large for the tasks of one job.
-     */
-    private data class TaskShape(
-        val task: Resources,
-        val types: List<String>,
-        val isSpot: Boolean,
-    ) {
-        constructor(request: ResourceRequest) : this(
-            Resources(request.cores, request.gpus, request.memoryGb),
-            request.types,
-            request.isSpot,
-        )
-    }
-
-    /** The tasks of one resource request while they are placed on machines. */
-    private inner class Placement(
-        val request: ResourceRequest,
-    ) {
-        val shape = TaskShape(request)
-        private val task = shape.task
-
-        /** How many more of the tasks each zone may take; null if there is no limit. */
-        private val remainingByZone =
-            if (request.zoneLimits.isEmpty()) null else request.zones.zip(request.zoneLimits).toMap(HashMap())
-
-        /**
-         * Whether cores are reserved for free GPUs. They are not if, with the reservation, the task fits on no machine
-         * type that it may use; otherwise it would wait forever.
-         */
-        private val reservesCores =
-            machineTypes.any { type ->
-                val isTypeAllowed = request.types.isEmpty() || type.label in request.types
-                isTypeAllowed && task.countIn(withoutReservedCores(type.resources, type.resources)) > 0
-            }
-
-        /** The number of tasks that are not placed yet. */
-        var remaining = request.count
-            private set
-
-        val isDone get() = remaining <= 0
-
-        /** Whether the zone may take another of the tasks. */
-        fun hasZoneCapacity(zone: String) = remainingByZone == null || (remainingByZone[zone] ?: 0) > 0
-
-        /** Whether the request allows the type and the zone of the offer, and spot instances if it is one. */
-        fun isAllowed(offer: Offer): Boolean {
-            val isTypeAllowed = request.types.isEmpty() || offer.type in request.types
-            val isZoneAllowed = request.zones.isEmpty() || offer.zone in request.zones
-            return isTypeAllowed && isZoneAllowed && (!offer.isSpot || request.isSpot)
-        }
-
-        /** The number of the tasks that fit on an empty machine of the type. */
-        fun tasksPerMachine(type: MachineType): Int = task.countIn(usable(type.resources, type.resources))
-
-        /** Places as many of the tasks on the machine as fit. */
-        fun fill(machine: PlannedMachine) {
-            val offer = machine.offer
-            if (!isAllowed(offer)) return
-            val total = resourcesByType[offer.type] ?: return
-            while (remaining > 0 && hasZoneCapacity(offer.zone) && task.fitsIn(usable(machine.free, total))) {
-                machine.free = machine.free - task
-                remaining--
-                remainingByZone?.merge(offer.zone, -1, Int::plus)
-            }
-        }
-
-        /** The part of the free resources that the tasks may use. */
-        private fun usable(
-            free: Resources,
-            total: Resources,
-        ) = if (reservesCores) withoutReservedCores(free, total) else free
-
-        /**
-         * The free resources without the cores that the machine's free GPUs will need. Only tasks without GPUs have to
-         * leave those cores.
-         */
-        private fun withoutReservedCores(
-            free: Resources,
-            total: Resources,
-        ): Resources {
-            if (task.gpus > 0 || total.gpus <= 0) return free
-            return Resources(
-                free.cores - free.gpus * total.cores / total.gpus * RESERVED_CORES_SHARE,
-                0.0,
-                free.memoryGb,
-            )
-        }
-    }
+    private fun slownessWeight(offer: Offer) = 1 + (conditions.slowness(offer) - 1) * SLOWNESS_WEIGHT
 
-    private companion object {
+    /** The weights of the costs, and when an offer is given up. */
+    companion object {
         /**
          * The added cost, as a share, for each existing machine of the type in the zone. It decides between zones of
          * equal cost.
          */
-        const val ZONE_BALANCE_WEIGHT = 1e-3
+        private const val ZONE_BALANCE_WEIGHT = 1e-3
 
         /**
          * An offer whose machines boot n times slower than nominal is rated (n - 1) times this share more expensive.
          */
-        const val SLOWNESS_WEIGHT = 0.25
+        private const val SLOWNESS_WEIGHT = 0.25
 
         /**
-         * The share of the cores that is reserved for each free GPU, relative to an even distribution of the cores over
-         * the GPUs.
+         * For tasks that must share a zone, an offer is given up after this many refusals in a row. The backoffs between
+         * them add up to one boot time of the machine type, see [OfferBackoff].
          */
-        const val RESERVED_CORES_SHARE = 0.7
+        const val REFUSALS_TO_GIVE_UP = 4
     }
 }
--- a/src/main/kotlin/micatally/fleet/UnmetRequests.kt
+++ b/src/main/kotlin/micatally/fleet/UnmetRequests.kt
@@ -17,10 +17,15 @@
         val zones: List<String>,
     ) {
         constructor(request: ResourceRequest) :
-            this(request.cores, request.gpus, request.memoryGb, request.types, request.zones)
+            this(request.cores, request.gpus, request.memoryGb, request.types, zonesOf(request))
 
         override fun toString() =
             "$cores cores, $gpus GPUs and $memoryGb GB each, types ${types.ifEmpty { "any" }}, zones $zones"
+
+        private companion object {
+            fun zonesOf(request: ResourceRequest): List<String> =
+                if (request.zoneOptions.isEmpty()) request.zones else request.zoneOptions.map { it.zone }
+        }
     }
 
     private val log = LoggerFactory.getLogger("micatally.fleet")
--- a/src/main/kotlin/micatally/scheduling/AllOrNothingPlacement.kt
+++ b/src/main/kotlin/micatally/scheduling/AllOrNothingPlacement.kt
@@ -9,6 +9,7 @@
 import micatally.settings.Settings
 import micatally.wire.JobSpec
 import micatally.wire.ResourceRequest
+import micatally.wire.ZoneOption
 import micatally.worker.Machine
 
 /**
@@ -80,7 +81,7 @@
         val candidates = MachineSelector(view, job, spec, now).gangCandidates().filter { mayTake(job.gang, tasks, it) }
         val assignment = GangPlacement.choose(candidates, tasks.size, spec.together) { zoneRule.remainingIn(it) }
         if (assignment == null) {
-            onNoCapacity(job, requestFor(spec, zoneRule, tasks.size, candidates, now))
+            onNoCapacity(job, requestFor(job, spec, zoneRule, tasks.size, candidates, now))
             return null
         }
         val number = attemptNumber()
@@ -105,10 +106,12 @@
     }
 
     /**
-     * Builds the resource request for tasks that could not be placed. If they must share one zone, the request names a
-     * single zone: the one where most of them fit already. If none fits anywhere, the zones take turns.
+     * Builds the resource request for tasks that could not be placed. If they must share one zone, the request tells for
+     * each zone how many of them do not fit there. The fleet manager chooses one, since it knows which offers the cloud
+     * refuses.
      */
     private fun requestFor(
+        job: Job,
         spec: JobSpec,
         zoneRule: ZoneRule,
         count: Int,
@@ -118,12 +121,31 @@
         val request = Placement.resourceRequest(spec, zoneRule, settings.zones, count)
         if (!spec.together || request.zones.isEmpty()) return request
         val fitting = candidates.groupBy { it.zone }.mapValues { (_, list) -> list.sumOf { minOf(it.capacity, count) } }
+        val options = request.zones.map { zone -> ZoneOption(zone, maxOf(1, count - (fitting[zone] ?: 0))) }
+        val preferred =
+            options.maxBy { fitting[it.zone] ?: 0 }.takeIf { it.zone in fitting } ?: zoneInTurn(options, now)
+        val inPreferredZone =
+            request.copy(
+                zones = listOf(preferred.zone),
+                count = preferred.count,
+                zoneLimits = emptyList(),
+            )
+        return if (options.size ==
+            1
+        ) {
+            inPreferredZone
+        } else {
+            inPreferredZone.copy(jobId = job.jobId, zoneOptions = options)
+        }
+    }
+
+    /** The zones take turns in the requests for tasks that fit nowhere. */
+    private fun zoneInTurn(
+        options: List<ZoneOption>,
+        now: Long,
+    ): ZoneOption {
         val zoneTurnMs = view.machines.bootMs(null) * BOOT_TIMES_PER_ZONE
-        val zoneIndex = (now / zoneTurnMs % request.zones.size).toInt()
-        val fullestZone = request.zones.maxBy { fitting[it] ?: 0 }
-        val zone = if ((fitting[fullestZone] ?: 0) > 0) fullestZone else request.zones[zoneIndex]
-        val missing = maxOf(1, count - (fitting[zone] ?: 0))
-        return request.copy(zones = listOf(zone), count = missing, zoneLimits = emptyList())
+        return options[(now / zoneTurnMs % options.size).toInt()]
     }
 
     private companion object {
--- a/src/main/kotlin/micatally/wire/PeerMessages.kt
+++ b/src/main/kotlin/micatally/wire/PeerMessages.kt
@@ -70,6 +70,17 @@
     @ProtoNumber(6) val imagesGb: List<Double> = emptyList(),
 )
 
+/**
+ * A zone that tasks may share.
+ *
+ * @property count how many of the tasks find no free capacity in the zone
+ */
+@Serializable
+data class ZoneOption(
+    @ProtoNumber(1) val zone: String,
+    @ProtoNumber(2) val count: Int,
+)
+
 /**
  * Tasks with equal requirements. They wait for capacity, except in [CapacitySummary.recentServices].
  *
@@ -83,6 +94,10 @@
  * @property zoneLimits for each of [zones], the maximum number of the tasks there; empty if the number is not limited
  * @property isGang whether they only start all together. A controller of the previous version treats them as
  *   independent tasks.
+ * @property jobId the job of the tasks; empty unless there are [zoneOptions]
+ * @property zoneOptions the zones of which the tasks must share one, if they may share several; or else empty. [zones]
+ *   then has only the one with the most free capacity, and [count] is that of this zone: a controller of the previous
+ *   version requests machines there.
  */
 @Serializable
 data class ResourceRequest(
@@ -99,6 +114,8 @@
     @ProtoNumber(11) val image: String = "",
     @ProtoNumber(12) val zoneLimits: List<Int> = emptyList(),
     @ProtoNumber(13) val isGang: Boolean = false,
+    @ProtoNumber(14) val jobId: String = "",
+    @ProtoNumber(15) val zoneOptions: List<ZoneOption> = emptyList(),
 )
 
 /**
--- a/src/test/kotlin/micatally/compatibility/MessagesTest.kt
+++ b/src/test/kotlin/micatally/compatibility/MessagesTest.kt
@@ -80,6 +80,7 @@
 import micatally.wire.StatusRequest
 import micatally.wire.TaskStatus
 import micatally.wire.TeamSetting
+import micatally.wire.ZoneOption
 import micatally.wire.bytes
 import micatally.wire.commandRequest
 import micatally.wire.heartbeatResponse
@@ -761,6 +762,15 @@
         )
     }
 
+    @Test
+    fun `requests of tasks that may share one of several zones`() {
+        val options = listOf(ZoneOption("a", 6), ZoneOption("b", 12))
+        val request =
+            ResourceRequest(1.5, 2.5, 3.5, zones = listOf("a"), count = 6, jobId = "j-000412", zoneOptions = options)
+        val read = roundTrip("peers/zone-options.hex", request)
+        assertEquals("j-000412" to options, read.jobId to read.zoneOptions)
+    }
+
     @Test
     fun `job queries between controllers`() {
         assertEquals("j-000412", roundTrip("peers/ask.hex", PeerJobRequest("j-000412")).jobId)
--- a/src/test/kotlin/micatally/fleet/ScaleOutPlanTest.kt
+++ b/src/test/kotlin/micatally/fleet/ScaleOutPlanTest.kt
@@ -30,8 +30,9 @@
         resourceRequests: List<ResourceRequest>,
         pending: MutableList<PlannedMachine> = ArrayList(),
     ): Map<Offer, Int> {
-        val conditions = OfferConditions({ false }, { 1.0 })
-        return ScaleOutPlan(listOf(small, large, gpus), conditions, pending, emptyMap(), 100).plan(resourceRequests)
+        val conditions = OfferConditions({ false }, { 0 }, { 1.0 })
+        return ScaleOutPlan(listOf(small, large, gpus), conditions, pending, emptyMap(), 100, ZoneChoices())
+            .plan(resourceRequests)
     }
 
     /**
--- a/src/test/kotlin/micatally/sim/SimWorkers.kt
+++ b/src/test/kotlin/micatally/sim/SimWorkers.kt
@@ -1,5 +1,6 @@
 package micatally.sim
 
+import kotlinx.coroutines.launch
 import micatally.emulator.CapacityPool
 import micatally.emulator.CloudEmulator
 import micatally.emulator.GangTable
@@ -89,6 +90,15 @@
         return worker
     }
 
+    /** Adds [count] on-demand instances of the type that run from the start. */
+    fun addRunning(
+        type: String,
+        zone: String,
+        count: Int,
+    ) {
+        time.scope.launch { cloud.addRunning(machineTypes.first { it.label == type }, zone, isSpot = false, count) }
+    }
+
     /** Whether this machine is hung now. */
     fun hangs(name: String) = cloud.workers.any { it.name == name && it.hung }
 
