Count a machine that has just come up as coming capacity for a heartbeat

Seen (simulation): of the 6 tasks of three services, each of which fills a machine, one machine more than needed was provisioned; for three gangs a fourth machine, for a gang of three machines a fourth. Cause: a machine counts as coming capacity until its first heartbeat. The tasks that it was provisioned for are still reported as waiting at that moment: their controllers have to hear of the machine, place the tasks and tell what they still lack. The fleet manager planned in between, and provisioned the same capacity once more.

Change: for one heartbeat interval after it was first heard of, the free resources of a machine are still planned with. Free and lacking resources of a controller come in one message, so both are old or both are new. A task that cannot use the machine waits for a heartbeat interval longer.

--- a/src/main/kotlin/micatally/fleet/ScaleOut.kt
+++ b/src/main/kotlin/micatally/fleet/ScaleOut.kt
@@ -75,17 +75,14 @@
         }
     }
 
-    /** The number of machines to provision by offer, given the machines that exist and those that are booting. */
+    /** The number of machines to provision by offer, given the machines that exist and those that are on their way. */
     private fun plan(
         resourceRequests: List<ResourceRequest>,
         now: Long,
     ): Map<Offer, Int> {
         val existing = HashMap<TypeInZone, Int>()
         for (instance in instances.all) existing.merge(instance.offer.typeInZone, 1, Int::plus)
-        val pending =
-            instances.pending(now).mapNotNullTo(ArrayList()) { instance ->
-                machines.machineTypes[instance.offer.type]?.let { PlannedMachine(instance.offer, it.resources) }
-            }
+        val pending = ArrayList(settling(now) + booting(now))
         val plan =
             ScaleOutPlan(
                 machines.machineTypes.values,
@@ -98,6 +95,25 @@
         return plan.plan(resourceRequests).also { unmetRequests.update(plan.unmet, resourceRequests) }
     }
 
+    /** The machines that are booting and not late. */
+    private fun booting(now: Long): List<PlannedMachine> =
+        instances.pending(now).mapNotNull { instance ->
+            machines.machineTypes[instance.offer.type]?.let { PlannedMachine(instance.offer, it.resources) }
+        }
+
+    /**
+     * The machines that have come up so recently that the present resource requests may not take them into account: the
+     * controllers have to hear of a machine, use it and tell what they still lack.
+     */
+    private fun settling(now: Long): List<PlannedMachine> =
+        machines.byName.values
+            .filter { it.incarnation != 0L && !it.deleted && !it.draining }
+            .filter { now - it.firstHeardAt < settings.heartbeatIntervalMs }
+            .mapNotNull { machine ->
+                val total = machines.total(machine) ?: return@mapNotNull null
+                PlannedMachine(Offer(machine.type, machine.zone, machine.isSpot), total - machine.used)
+            }
+
     private fun offerConditions(now: Long) =
         OfferConditions(
             isBackingOff = { backoff.isBackingOff(it, now) },
--- a/src/test/kotlin/micatally/sim/CapacityShortageTest.kt
+++ b/src/test/kotlin/micatally/sim/CapacityShortageTest.kt
@@ -2,6 +2,7 @@
 
 import micatally.emulator.CapacityPool
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
@@ -104,6 +105,7 @@
             val jobId = submitTogether(1, "gang", 20)
             runUntilRunning(listOf(jobId), boots = 3)
             assertEquals(1, provisioned { it.zone == "a" }, "machines in zone a")
+            assertEquals(3, provisioned { it.zone != "a" }, "machines in other zones")
         }
 
     /** Guards the zones' turns: zones without machines used to have their turns, each of four boot times. */
@@ -133,11 +135,24 @@
         }
 
     @Test
-    fun `several jobs at once all start in other zones`() =
+    fun `several jobs at once get one machine each`() =
         withTwoMachinesInZoneA {
             fleet.cloud.limitCapacity(0) { it.zone == "a" }
             val jobIds = (0..2).map { node -> submitTogether(node, "gang", 6) }
             runUntilRunning(jobIds, boots = 3)
+            assertTrue(provisioned { it.zone != "a" } <= 3, "${provisioned { it.zone != "a" }} machines in other zones")
+        }
+
+    /**
+     * Guards [micatally.fleet.ScaleOut] against requests that are older than a machine: one that had just come up was
+     * not counted any more, while the tasks that it was meant for were still reported as waiting.
+     */
+    @Test
+    fun `a machine that has come up is not provisioned again before its tasks are placed`() =
+        forEachSeed {
+            val jobIds = (0..2).map { submit(it, "daemon", 2, "cores" to 6.0, "loaners" to false) }
+            allRun(jobIds)
+            assertEquals(6, provisioned { true }, "machines, one for each task")
         }
 
     private companion object {
