Keep idle machines that tasks of one zone wait for

Seen (simulation): a gang of 18 tasks has to be in one zone, where two machines of 8 cores are idle, and lacks one more. While that one booted, 1.3 boot times after the last use, the two were evicted as idle and provisioned again: 3 machines for 1. Cause: that a machine is idle is judged by itself; that tasks which are only placed all at once count on its free resources is not known there.

Change: a machine is not evicted as idle while a task fits on it whose job is getting, in the zone chosen for it, all the machines that it lacks (ZoneChoices.supplied). Once they are late, refused or the job is gone, the machine is evicted as before, so nothing is kept for a job that can't be served.

--- a/src/main/kotlin/micatally/fleet/FleetManager.kt
+++ b/src/main/kotlin/micatally/fleet/FleetManager.kt
@@ -157,7 +157,8 @@
         val resourceRequests = environment.unplaced()
         if (resourceRequests.isNotEmpty()) lastUnplacedAtMs = now
         if (now - observedSinceMs > settings.leaseMs) deleteLateInstances(now)
-        eviction.review(resourceRequests, now, observedSinceMs)
+        val demand = EvictionDemand(resourceRequests, scaleOut.supplied(resourceRequests))
+        eviction.review(demand, now, observedSinceMs)
         scaleIn.submit()
         scaleOut.deleteSettledRequests()
         if (resourceRequests.isNotEmpty()) scaleOut.provisionFor(resourceRequests, now)
--- a/src/main/kotlin/micatally/fleet/GracefulEviction.kt
+++ b/src/main/kotlin/micatally/fleet/GracefulEviction.kt
@@ -3,10 +3,22 @@
 import micatally.settings.OperatorSettings
 import micatally.settings.Settings
 import micatally.wire.ResourceRequest
+import micatally.wire.Resources
 import micatally.worker.Machine
 import micatally.worker.MachineRegistry
 import org.slf4j.LoggerFactory
 
+/**
+ * The tasks for which machines are kept.
+ *
+ * @property unplaced tasks that find no free capacity at present
+ * @property supplied those that are placed all at once, as soon as further machines have come up in their zone
+ */
+class EvictionDemand(
+    val unplaced: List<ResourceRequest>,
+    val supplied: List<ResourceRequest>,
+)
+
 /**
  * Evicts machines that are idle, or whose tasks fit on other machines. An eviction is cancelled if it takes too long or
  * if unplaced tasks may run on the machine.
@@ -47,21 +59,20 @@
      * capacity and every controller has told lately which capacity it holds, and no earlier than two leases after the
      * term began. Machines would seem little used otherwise.
      *
-     * @param resourceRequests tasks that find no free capacity at present
      * @param observedSinceMs since when this process has observed the machines; that one was empty before does not count
      */
     fun review(
-        resourceRequests: List<ResourceRequest>,
+        demand: EvictionDemand,
         now: Long,
         observedSinceMs: Long,
     ) {
         for (machine in machines.byName.values) {
             val hasReported = machine.incarnation != 0L
-            if (!machine.deleted && hasReported) review(machine, resourceRequests, now, observedSinceMs)
+            if (!machine.deleted && hasReported) review(machine, demand, now, observedSinceMs)
         }
         evictions.keys.removeIf { it in machines.deletedNames }
         records.reconcile(evictions.keys, now)
-        if (resourceRequests.isEmpty() && isConsolidationDue(now)) {
+        if (demand.unplaced.isEmpty() && isConsolidationDue(now)) {
             lastConsolidationAtMs = now
             consolidate(now)
         }
@@ -75,14 +86,15 @@
 
     private fun review(
         machine: Machine,
-        resourceRequests: List<ResourceRequest>,
+        demand: EvictionDemand,
         now: Long,
         observedSinceMs: Long,
     ) {
         val eviction = evictions[machine.name]
         when {
-            !isEmpty(machine) -> reviewInUse(machine, eviction, resourceRequests, now)
+            !isEmpty(machine) -> reviewInUse(machine, eviction, demand.unplaced, now)
             eviction != null -> deleteOnceKnownToAll(machine, eviction, now, observedSinceMs)
+            demand.supplied.any { isMeantFor(it, machine) } -> Unit
             else -> evictIfIdle(machine, now, observedSinceMs)
         }
     }
@@ -146,6 +158,16 @@
         return hasNoTasks && used.cores < EPSILON && used.gpus < EPSILON && used.memoryGb < EPSILON
     }
 
+    /** Whether the idle machine is one of those on which the tasks of the request will be placed. */
+    private fun isMeantFor(
+        request: ResourceRequest,
+        machine: Machine,
+    ): Boolean {
+        val total = machines.total(machine) ?: return false
+        val fits = Resources(request.cores, request.gpus, request.memoryGb).fitsIn(total)
+        return fits && mayRunOn(request, machine) && !machine.hasSpotNotice
+    }
+
     private fun mayRunOn(
         request: ResourceRequest,
         machine: Machine,
--- a/src/main/kotlin/micatally/fleet/ScaleOut.kt
+++ b/src/main/kotlin/micatally/fleet/ScaleOut.kt
@@ -75,6 +75,13 @@
         }
     }
 
+    /**
+     * Those of the requests whose tasks must share a zone and are getting the machines that they lack, narrowed to the
+     * chosen zone.
+     */
+    fun supplied(resourceRequests: List<ResourceRequest>): List<ResourceRequest> =
+        zoneChoices.supplied(resourceRequests)
+
     /** The number of machines to provision by offer, given the machines that exist and those that are on their way. */
     private fun plan(
         resourceRequests: List<ResourceRequest>,
--- a/src/main/kotlin/micatally/fleet/ScaleOutPlan.kt
+++ b/src/main/kotlin/micatally/fleet/ScaleOutPlan.kt
@@ -73,7 +73,7 @@
         }
         val placement = RequestPlacement(chosen.request, typesByLabel)
         fillPending(placement)
-        if (chosen.added.any { conditions.isBackingOff(it) }) {
+        if (chosen.isBackingOff) {
             unmet.add(request)
             return
         }
@@ -107,7 +107,14 @@
                     refusalWeight(it)
             }
         val isComplete = placement.isDone || added.size == limit
-        return ZoneTrial(inZone, added, price, isComplete, added.any { isGivenUp(it) })
+        return ZoneTrial(
+            inZone,
+            added,
+            price,
+            isComplete,
+            isBackingOff = added.any { conditions.isBackingOff(it) },
+            needsGivenUpOffer = added.any { isGivenUp(it) },
+        )
     }
 
     /** The offer with the lowest cost per task, also if it is backing off. Offers that are given up come last. */
--- a/src/test/kotlin/micatally/sim/CapacityShortageTest.kt
+++ b/src/test/kotlin/micatally/sim/CapacityShortageTest.kt
@@ -134,6 +134,35 @@
             assertEquals(1, provisioned { true }, "machines")
         }
 
+    /**
+     * Guards [micatally.fleet.GracefulEviction]: machines that a gang waits for were evicted as idle while the others that
+     * it needs were booting, and then provisioned again.
+     */
+    @Test
+    fun `machines that wait for others of the same job are not evicted as idle`() =
+        forEachSeed(before = {
+            workers.addRunning("small", "a", 2)
+            cloud.bootMs = { BOOT_MS * SLOW_BOOTS }
+        }) {
+            val jobId = submitTogether(1, "gang", 18)
+            runUntilRunning(listOf(jobId), boots = SLOW_BOOTS + 1)
+            assertEquals(1, provisioned { true }, "machines")
+        }
+
+    /** Guards the replacements of a run that has not started: the run ends in time, and the next one may go elsewhere. */
+    @Test
+    fun `a gang that loses a machine in a zone without machines runs in another zone`() =
+        withTwoMachinesInZoneA {
+            val jobId = submitTogether(1, "gang", 6)
+            runUntilRunning(listOf(jobId), boots = 2)
+            fleet.workers.loseMachine(worker(tasks(jobId).first { it.machine > "m-000002" }.machine))
+            fleet.cloud.limitCapacity(0) { it.zone == "a" }
+            runUntil(fleet.lease * 8, "the gang runs in another zone") {
+                isRunning(jobId) &&
+                    tasks(jobId).none { it.zone == "a" }
+            }
+        }
+
     @Test
     fun `several jobs at once get one machine each`() =
         withTwoMachinesInZoneA {
