Give a zone up whose machines are provisioned and do not come up

Seen (simulation): in a zone whose machines stay "starting", a machine is provisioned for a gang again and again, each time that the former counts as late, while another zone has machines that boot. A late machine raised the price of its offer by less than the difference between the zones (one machine here, three there). The cloud has not refused anything, so nothing was given up.

Change: an offer is also given up while one of its machines is later than expected (at most four nominal boot times) and none has come up since it was provisioned (BootTimes.areOverdue). As for refusals this only ranks: while no other zone can be had, it is requested. It ends when the machine comes up or is deleted; a new fleet manager learns it from the ages in the cloud's list.

--- a/src/main/kotlin/micatally/fleet/BootTimes.kt
+++ b/src/main/kotlin/micatally/fleet/BootTimes.kt
@@ -28,6 +28,9 @@
     private val recentBoots = HashMap<TypeInZone, ArrayDeque<Boot>>()
     private var bootingAges: Map<TypeInZone, List<Long>> = emptyMap()
 
+    /** When [bootingAges] were taken. */
+    private var agesTakenAtMs = 0L
+
     /** Records that a machine came up at [nowMs], [bootMs] milliseconds after it was provisioned. */
     fun recordBoot(
         offer: Offer,
@@ -44,6 +47,7 @@
         booting: List<BootingInstance>,
         nowMs: Long,
     ) {
+        agesTakenAtMs = nowMs
         bootingAges = booting.groupBy({ it.offer.typeInZone }, { it.ageMs })
         for ((typeInZone, boots) in recentBoots) {
             boots.removeIf { nowMs - it.upAtMs > nominalBootMs(typeInZone.type) * RETENTION_FACTOR }
@@ -76,6 +80,15 @@
         return if (ratio > LATE_FACTOR) ratio else 1.0
     }
 
+    /**
+     * Whether a machine of this type and zone is later than expected, and none has come up since it was provisioned.
+     */
+    fun areOverdue(offer: Offer): Boolean {
+        val ages = bootingAges[offer.typeInZone] ?: return false
+        val lastUpMs = recentBoots[offer.typeInZone]?.maxOfOrNull { it.upAtMs } ?: Long.MIN_VALUE
+        return ages.any { it > expectedWithinMs(offer) && lastUpMs < agesTakenAtMs - it }
+    }
+
     /** The median of the recent boot times and of the ages of machines that are already late, in milliseconds. */
     private fun medianBootMs(offer: Offer): Long {
         val nominalMs = nominalBootMs(offer.type)
--- a/src/main/kotlin/micatally/fleet/ScaleOut.kt
+++ b/src/main/kotlin/micatally/fleet/ScaleOut.kt
@@ -125,6 +125,7 @@
         OfferConditions(
             isBackingOff = { backoff.isBackingOff(it, now) },
             refusalsInRow = { backoff.refusalsInRow(it, now) },
+            areOverdue = { instances.bootTimes.areOverdue(it) },
             slowness = { instances.bootTimes.slowness(it) },
         )
 
--- a/src/main/kotlin/micatally/fleet/ScaleOutPlan.kt
+++ b/src/main/kotlin/micatally/fleet/ScaleOutPlan.kt
@@ -122,7 +122,8 @@
         cheapestOffer(placement, { !isGivenUp(it) }, ::refusalWeight)
             ?: cheapestOffer(placement, { true }, ::refusalWeight)
 
-    private fun isGivenUp(offer: Offer) = conditions.refusalsInRow(offer) >= REFUSALS_TO_GIVE_UP
+    private fun isGivenUp(offer: Offer) =
+        conditions.refusalsInRow(offer) >= REFUSALS_TO_GIVE_UP || conditions.areOverdue(offer)
 
     /** How many times more expensive the offer counts because the cloud has refused it. */
     private fun refusalWeight(offer: Offer) = 1.0 + conditions.refusalsInRow(offer)
--- a/src/test/kotlin/micatally/fleet/ScaleOutPlanTest.kt
+++ b/src/test/kotlin/micatally/fleet/ScaleOutPlanTest.kt
@@ -30,7 +30,7 @@
         resourceRequests: List<ResourceRequest>,
         pending: MutableList<PlannedMachine> = ArrayList(),
     ): Map<Offer, Int> {
-        val conditions = OfferConditions({ false }, { 0 }, { 1.0 })
+        val conditions = OfferConditions({ false }, { 0 }, { false }, { 1.0 })
         return ScaleOutPlan(listOf(small, large, gpus), conditions, pending, emptyMap(), 100, ZoneChoices())
             .plan(resourceRequests)
     }
--- a/src/test/kotlin/micatally/fleet/ZoneChoicesTest.kt
+++ b/src/test/kotlin/micatally/fleet/ZoneChoicesTest.kt
@@ -77,7 +77,12 @@
         val provisioned = ArrayList<Offer>()
         while (now <= cloud.boundMs) {
             val conditions =
-                OfferConditions({ backoff.isBackingOff(it, now) }, { backoff.refusalsInRow(it, now) }, { 1.0 })
+                OfferConditions(
+                    { backoff.isBackingOff(it, now) },
+                    { backoff.refusalsInRow(it, now) },
+                    { false },
+                    { 1.0 },
+                )
             val pending =
                 provisioned.mapTo(
                     ArrayList(),
--- a/src/test/kotlin/micatally/sim/CapacityShortageTest.kt
+++ b/src/test/kotlin/micatally/sim/CapacityShortageTest.kt
@@ -134,6 +134,22 @@
             assertEquals(1, provisioned { true }, "machines")
         }
 
+    /**
+     * Guards against a zone whose machines are provisioned and never come up: it was chosen again each time that they
+     * counted as late, since all others need three times as many machines.
+     */
+    @Test
+    fun `a zone whose machines don't come up is given up, also for one that needs more machines`() =
+        forEachSeed(before = {
+            workers.addRunning("small", "a", 4)
+            cloud.neverBoots = { it.zone == "a" }
+        }) {
+            allRun(listOf(submit(0, "daemon", 4, "cores" to 4.0, "circuit" to "a", "loaners" to false)))
+            val jobId = submitTogether(1, "gang", 9, "cores" to 2.0)
+            runUntilRunning(listOf(jobId), boots = LATE_BOOTS + 2)
+            assertEquals(1, provisioned { it.zone == "a" }, "machines in zone a")
+        }
+
     /**
      * Guards [micatally.fleet.GracefulEviction]: machines that a gang waits for were evicted as idle while the others that
      * it needs were booting, and then provisioned again.
@@ -191,6 +207,9 @@
         /** How many times slower than nominal machines boot where that is said; they are not late yet. */
         const val SLOW_BOOTS = 2
 
+        /** After this many boot times a machine that is not up counts as late. */
+        const val LATE_BOOTS = 4
+
         const val TASK_RUN_MS = 60_000L
     }
 }
