Tests: one fleetManager(); say what the test of a lost machine shows

Found in a last reading. A doc comment of ScaleOutPlan named only booting machines as pending. No assertion, bound or behaviour changes; the product's code differs in that comment alone.

--- a/src/main/kotlin/micatally/fleet/ScaleOutPlan.kt
+++ b/src/main/kotlin/micatally/fleet/ScaleOutPlan.kt
@@ -11,7 +11,7 @@
  * Tasks are first placed on the machines that are booting. For the rest, the plan adds machines of the offer with the
  * lowest cost per task. For tasks that must share a zone and may share several, it tries all of them and has one chosen.
  *
- * @param pending machines that are booting; the plan appends the machines that it adds
+ * @param pending machines that are booting or have just come up; the plan appends the machines that it adds
  * @param existing the number of machines by type and zone, including booting ones
  * @param limit the largest number of machines that the plan adds
  * @param zoneChoices chooses the zones for tasks that must share one
--- a/src/test/kotlin/micatally/sim/CapacityShortageTest.kt
+++ b/src/test/kotlin/micatally/sim/CapacityShortageTest.kt
@@ -48,8 +48,6 @@
         boots: Int,
     ) = runUntil(boots * BOOT_MS + fleet.lease / 2, "all tasks of $jobIds run at once") { jobIds.all { isRunning(it) } }
 
-    private fun Scenario.fleetManager() = (0 until fleet.nodes).firstOrNull { fleet.live[it]?.isFleetManager == true }
-
     /**
      * Guards [micatally.fleet.ZoneChoices]: only the zone with the most free capacity used to be asked for machines,
      * also while the cloud refused it, so the job never ran.
@@ -165,7 +163,7 @@
             assertEquals(1, provisioned { true }, "machines")
         }
 
-    /** Guards the replacements of a run that has not started: the run ends in time, and the next one may go elsewhere. */
+    /** Guards the next run of a gang: once the tasks of the former one are gone, it may go to another zone. */
     @Test
     fun `a gang that loses a machine in a zone without machines runs in another zone`() =
         withTwoMachinesInZoneA {
--- a/src/test/kotlin/micatally/sim/RandomShortagesTest.kt
+++ b/src/test/kotlin/micatally/sim/RandomShortagesTest.kt
@@ -35,11 +35,9 @@
     }
 
     private fun Scenario.endFleetManager() {
-        val leader = (0 until fleet.nodes).firstOrNull { fleet.live[it]?.isFleetManager == true } ?: return
+        val leader = fleetManager() ?: return
         fleet.crash(leader)
-        runUntil(fleet.lease * 3, "another node is fleet manager") {
-            (0 until fleet.nodes).any { fleet.live[it]?.isFleetManager == true }
-        }
+        runUntil(fleet.lease * 3, "another node is fleet manager") { fleetManager() != null }
         fleet.startNode(leader)
         fleet.runFor(fleet.lease / 2)
     }
--- a/src/test/kotlin/micatally/sim/ScaleOutTest.kt
+++ b/src/test/kotlin/micatally/sim/ScaleOutTest.kt
@@ -50,8 +50,6 @@
             runUntil(fleet.lease * 6, "all replicas run") { jobIds.all { tasks(it).size == 2 } }
         }
 
-    private fun Scenario.fleetManager() = (0 until fleet.nodes).firstOrNull { fleet.live[it]?.isFleetManager == true }
-
     private companion object {
         /** The largest number of simulated machines that the tasks of a test need. */
         const val MAX_MACHINES_NEEDED = 3
--- a/src/test/kotlin/micatally/sim/Scenario.kt
+++ b/src/test/kotlin/micatally/sim/Scenario.kt
@@ -225,6 +225,9 @@
         ?.get("pitbox-$shard")
         ?.isLedHere == true
 
+    /** The node that counts itself as the fleet manager; null if none does. */
+    fun fleetManager() = (0 until fleet.nodes).firstOrNull { fleet.live[it]?.isFleetManager == true }
+
     fun zoneOf(node: Int) =
         fleet.net.hosts
             .getValue("n$node")
