Log each command with its session and token, and attempts listed after their proven end

What callers saw: a task of a cancelled job stood on a machine 40 s after its cancellation. The logs that were kept show ends of tasks, but not under which token and session a start, kill or clear went out, and nothing that says that a machine lists an attempt whose end had been taken as proven.

Change: one line at info for each command sent (job, task, attempt, machine, session, token); a raise of the fencing token names the token; a lost shard names the token since which it was led; an attempt that a machine lists as not ended although it is not current any more is logged once as an error and counted (endedButListed in the line "cpu usage"). No decision depends on any of it.

--- a/src/main/kotlin/micatally/controller/Controller.kt
+++ b/src/main/kotlin/micatally/controller/Controller.kt
@@ -383,8 +383,18 @@
         val review = StateReview(membership, workerReach, jobManager, scheduler, machines, cpuUsage)
         val spotEvacuation = SpotEvacuation(machines, jobManager, dispatcher, settings.heartbeatIntervalMs)
         val fencingTokenRaise = FencingTokenRaise(membership, dispatcher, settings.leaseMs / 2, startedAtMs)
+        val ruleCounters = RuleCounters(quota, jobManager.endedAttempts)
         val usageReport =
-            CpuUsageReport(cpuUsage, clusterView, scheduler, peers, quota, budgets, settings.leaseMs, startedAtMs)
+            CpuUsageReport(
+                cpuUsage,
+                clusterView,
+                scheduler,
+                peers,
+                ruleCounters,
+                budgets,
+                settings.leaseMs,
+                startedAtMs,
+            )
         val deletedMachineRemoval = DeletedMachineRemoval(machines, settings.leaseMs)
         return PeriodicTasks(
             tickMs = settings.heartbeatIntervalMs / TICKS_PER_HEARTBEAT,
--- a/src/main/kotlin/micatally/controller/CpuUsageReport.kt
+++ b/src/main/kotlin/micatally/controller/CpuUsageReport.kt
@@ -1,7 +1,6 @@
 package micatally.controller
 
 import micatally.peer.Peers
-import micatally.quota.Quota
 import micatally.scheduling.ClusterView
 import micatally.scheduling.Scheduler
 
@@ -16,7 +15,7 @@
     private val clusterView: ClusterView,
     private val scheduler: Scheduler,
     private val peers: Peers,
-    private val quota: Quota,
+    private val ruleCounters: RuleCounters,
     private val budgets: RequestBudgets,
     private val intervalMs: Long,
     startedAtMs: Long,
@@ -34,7 +33,7 @@
         " machines=${clusterView.machines.byName.size} unusable=${describeUnusable(nowMs)} " +
             "waiting=${scheduler.pendingRequests.size} ${cpuUsage.takeDeltaBytes()} " +
             "missedStatuses=${peers.missedStatusCount} " +
-            "allotmentOveruse=${quota.audit.overuseCount} " +
+            "${ruleCounters.describe()} " +
             "writes=${budgets.stateWrites.describeWaits()} requests=${budgets.stateRequests.describeWaits()}"
 
     /** The number of machines on which no task may be placed, by reason, such as `DRAINING:2,SILENT:1`. */
--- a/src/main/kotlin/micatally/job/JobManager.kt
+++ b/src/main/kotlin/micatally/job/JobManager.kt
@@ -46,8 +46,14 @@
     val cancellations =
         Cancellations(scope, settings, membership.sharedKeys, store, collaborators::requestConfirmations, nowMs)
 
+    /** Counts attempts that go on although their end was taken as proven. */
+    val endedAttempts = EndedAttemptAudit()
+
     private val attempts = AttemptLifecycle(settings, store, gangs, faults, collaborators, nowMs)
-    private val reconciler = TaskReconciler(directory, attempts, gangs, store, machines, collaborators)
+    private val reconciler =
+        TaskReconciler(directory, attempts, gangs, store, machines, collaborators, endedAttempts) {
+            membership.sharedKeys.fencingToken
+        }
     private val adoption = JobAdoption(machines, store, attempts, gangs, cancellations, finalAnswers)
     private val loader = ShardLoader(settings, ShardRecords(state), adoption, reconciler, collaborators, nowMs)
     private val leadership =
--- a/src/main/kotlin/micatally/job/ShardLeadership.kt
+++ b/src/main/kotlin/micatally/job/ShardLeadership.kt
@@ -53,7 +53,12 @@
      */
     fun lose(shard: JobShard) {
         if (!shard.isLedHere) return
-        log.info("shard {} lost with {} jobs", shard.name, shard.jobs.size)
+        log.info(
+            "shard {} lost with {} jobs, led since fencing token {}",
+            shard.name,
+            shard.jobs.size,
+            shard.leader.fencingToken,
+        )
         shard.transitionTo(ShardState.LOST)
         for (job in shard.jobs.values) {
             for (attempt in job.attempts.values) release(attempt)
--- a/src/main/kotlin/micatally/job/TaskReconciler.kt
+++ b/src/main/kotlin/micatally/job/TaskReconciler.kt
@@ -16,6 +16,8 @@
     private val store: JobStore,
     private val machines: MachineRegistry,
     private val collaborators: JobCollaborators,
+    private val endedAttempts: EndedAttemptAudit,
+    private val fencingToken: () -> Long,
 ) {
     private val log = LoggerFactory.getLogger("micatally.job")
     private val valueLog = UnknownValueLog(log)
@@ -56,6 +58,9 @@
                 needsSync = applyReport(attempt, task, source) || needsSync
             } else {
                 needsSync = true
+                if (!task.isEnded && !machine.deleted && shards.isLedHere(task.jobId)) {
+                    endedAttempts.report(machine, task, job, fencingToken())
+                }
                 if (task.isDone) formerAttemptCompleted(job, task.taskIndex)
             }
         }
--- a/src/main/kotlin/micatally/membership/FencingTokenWriter.kt
+++ b/src/main/kotlin/micatally/membership/FencingTokenWriter.kt
@@ -22,6 +22,7 @@
      * @return true if the token was raised; false if it was not or if the outcome is unknown
      */
     suspend fun raise(why: String): Boolean {
+        val next = sharedKeys.fencingToken + 1
         val result =
             state.transact(1, Urgency.LEASE) {
                 Transaction(
@@ -29,7 +30,7 @@
                     listOf(Put(Keys.FENCING_TOKEN, FencingToken.encode(sharedKeys.fencingToken + 1))),
                 )
             }
-        log.info("fencing token raised: {} {}", why, result::class.simpleName)
+        log.info("raise of the fencing token to {} for {}: {}", next, why, result::class.simpleName)
         return result is TransactionResult.Applied
     }
 }
--- a/src/main/kotlin/micatally/worker/CommandDispatcher.kt
+++ b/src/main/kotlin/micatally/worker/CommandDispatcher.kt
@@ -142,6 +142,7 @@
         markSent(machine, batch.commands)
         machine.channel.needsStatus = false
         val body = commandRequest(batch.fencingToken, batch.incarnation, batch.commands).bytes()
+        logSending(machine, batch)
         val outcome = http.call(machine.addr, "POST", COMMANDS_PATH, body, responseTimeoutMs)
         if (outcome is Outcome.Answer && isUsable(outcome)) {
             handle(outcome, machine, batch)
@@ -152,6 +153,24 @@
         return false
     }
 
+    private fun logSending(
+        machine: Machine,
+        batch: CommandBatch,
+    ) {
+        for (command in batch.commands) {
+            log.info(
+                "{} {}/{}#{} sent to {} session {} token {}",
+                command.type.word,
+                command.jobId,
+                command.taskIndex,
+                command.attempt,
+                machine.name,
+                batch.incarnation,
+                batch.fencingToken,
+            )
+        }
+    }
+
     private fun isUsable(response: Outcome.Answer) = response.status == ACCEPTED || response.status == REJECTED
 
     private fun handle(
