Clear an ended task's entry only when no start command of it can arrive any more

Cause: a right that had not lapsed. A worker ignores a start command only while it lists the attempt. A clear ended that protection under the same token; only start commands without an answer held a clear back.

Change: worker.SentRuns records every start command of an attempt with its token, answered or not, until the machine has accepted a higher one, and states the invariant. An entry is cleared, and an attempt that is not listed counts as ended, only by a request with a higher token. The clear rides in the request that carries it, so no request is added. The token is raised for entries alone three leases after its last change (a lease, if a machine lists 200 ended tasks; it gets no tasks until then). Jobs that are over stay in memory while a machine lists them, since their leader clears the entries; the clears after a raise are spread over about four heartbeat intervals.

CommandPlannerTest: a clear was expected once a machine had confirmed the higher token; it is expected now as soon as the request carries it, which is as safe, since the request is refused or raises the token first. CommandChannelTest: hasUnansweredRun and mayRunArriveLate are one question now. The emulated worker reports a higher token early, at most once in half of a lease, as the protocol says.

--- a/src/main/kotlin/micatally/controller/Controller.kt
+++ b/src/main/kotlin/micatally/controller/Controller.kt
@@ -382,7 +382,7 @@
         val cancellations = jobManager.cancellations
         val review = StateReview(membership, workerReach, jobManager, scheduler, machines, cpuUsage)
         val spotEvacuation = SpotEvacuation(machines, jobManager, dispatcher, settings.heartbeatIntervalMs)
-        val fencingTokenRaise = FencingTokenRaise(membership, dispatcher, settings.leaseMs / 2, startedAtMs)
+        val fencingTokenRaise = FencingTokenRaise(membership, dispatcher.tokenDemand, machines, settings, startedAtMs)
         val ruleCounters = RuleCounters(quota, jobManager.endedAttempts)
         val usageReport =
             CpuUsageReport(
@@ -409,6 +409,7 @@
                     everyTicks = 20,
                 ) { scope.launch { fleetManager.pruneDeletionRecords() } },
                 PeriodicTask("cancellation confirmation", everyTicks = 4) { now -> cancellations.follow(now) },
+                PeriodicTask("removal of ended jobs", everyTicks = 20) { now -> jobManager.forgetEndedJobs(now) },
                 PeriodicTask("CPU usage report", everyTicks = 1) { now -> usageReport.run(now) },
                 PeriodicTask("deleted machine removal", everyTicks = 100) { now -> deletedMachineRemoval.run(now) },
             ),
--- a/src/main/kotlin/micatally/emulator/WorkerEmulator.kt
+++ b/src/main/kotlin/micatally/emulator/WorkerEmulator.kt
@@ -76,6 +76,9 @@
         private set
     private var renewedAtMs = nowMs()
 
+    /** When a higher token last caused an early heartbeat. */
+    private var tokenReportedAtMs = Long.MIN_VALUE / 2
+
     /** Whether the machine is faulty: every task that starts on it meanwhile ends with an error. */
     var sick = false
 
@@ -137,11 +140,20 @@
         val newToken = body.longOrNull("baton") ?: return errorResponse(BAD_REQUEST, "baton is missing")
         val addressedIncarnation = body.longOrNull("stint") ?: return errorResponse(BAD_REQUEST, "stint is missing")
         if (newToken < token || addressedIncarnation != incarnation) return statusResponse(CONFLICT)
-        token = newToken
+        adoptToken(newToken)
         execute(body)
         return statusResponse(OK)
     }
 
+    /** Accepts a token. The next heartbeat reports a higher one early, at most once in half of a lease. */
+    private fun adoptToken(newToken: Long) {
+        if (newToken == token) return
+        token = newToken
+        if (nowMs() - tokenReportedAtMs < leaseMs / 2) return
+        tokenReportedAtMs = nowMs()
+        heartbeats.noteChange()
+    }
+
     private fun statusResponse(status: Int) = HttpResponse(status, heartbeat().bytes())
 
     private fun execute(message: JsonObject) {
@@ -199,7 +211,7 @@
             val newToken = response.longOrNull("baton") ?: 0L
             val isInTime = nowMs() - sentAtMs <= HeartbeatLoop.HEARTBEAT_TIMEOUT_MS
             if (newToken < token || incarnationAtSend != incarnation || !isInTime) return
-            token = newToken
+            adoptToken(newToken)
             renewedAtMs = maxOf(renewedAtMs, sentAtMs)
             execute(response)
         }
--- a/src/main/kotlin/micatally/job/JobManager.kt
+++ b/src/main/kotlin/micatally/job/JobManager.kt
@@ -54,6 +54,7 @@
         TaskReconciler(directory, attempts, gangs, store, machines, collaborators, endedAttempts) {
             membership.sharedKeys.fencingToken
         }
+    private val endedJobs = EndedJobs(machines, settings.leaseMs * LEASES_KEPT)
     private val adoption = JobAdoption(machines, store, attempts, gangs, cancellations, finalAnswers)
     private val loader = ShardLoader(settings, ShardRecords(state), adoption, reconciler, collaborators, nowMs)
     private val leadership =
@@ -64,7 +65,7 @@
 
     /** Handles the outcomes of the writes of [JobStore]. */
     val storeOutcomes: JobStoreListener =
-        JobStoreOutcomes(scope, settings, leadership, attempts, cancellations, finalAnswers)
+        JobStoreOutcomes(leadership, attempts, cancellations, finalAnswers) { endedJobs.add(it, nowMs()) }
 
     /** Counts what the attempts of this controller's shards use of their teams' quotas. */
     val quota get() = collaborators.quota
@@ -151,6 +152,9 @@
     /** @see JobCancellation.cancel */
     fun cancel(job: Job) = cancellation.cancel(job)
 
+    /** Removes jobs from memory that are over and that no machine lists any more. Called regularly. */
+    fun forgetEndedJobs(nowMs: Long) = endedJobs.forget(nowMs)
+
     /**
      * Marks the tasks of cancelled jobs to be stopped, and requests a sync of each machine that does not match its
      * attempts yet. Called regularly.
@@ -159,4 +163,9 @@
         cancellation.stopUnfinished()
         reconciler.syncUnsettledMachines()
     }
+
+    private companion object {
+        /** Jobs that are over are kept in memory for this many leases of the workers at least. */
+        const val LEASES_KEPT = 2
+    }
 }
--- a/src/main/kotlin/micatally/job/JobStoreOutcomes.kt
+++ b/src/main/kotlin/micatally/job/JobStoreOutcomes.kt
@@ -1,18 +1,16 @@
 package micatally.job
 
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
-import micatally.settings.Settings
-
-/** Applies the outcomes of record writes to the jobs, their attempts and their shards. */
+/**
+ * Applies the outcomes of record writes to the jobs, their attempts and their shards.
+ *
+ * @param jobEnded called when a job is over, has no attempts left and is stored
+ */
 class JobStoreOutcomes(
-    private val scope: CoroutineScope,
-    private val settings: Settings,
     private val leadership: ShardLeadership,
     private val lifecycle: AttemptLifecycle,
     private val cancellations: Cancellations,
     private val finalAnswers: FinalAnswers,
+    private val jobEnded: (Job) -> Unit,
 ) : JobStoreListener {
     override fun recordWritten(
         job: Job,
@@ -22,19 +20,7 @@
         val isOver = job.durableState == JobState.DONE || job.durableState == JobState.CANCELLED
         if (!isOver) return
         if (cancellations.mayConfirm(job)) finalAnswers.remember(job.answer())
-        if (job.attempts.isEmpty() && job.durableVersion == job.version) removeLater(job)
-    }
-
-    /**
-     * Removes the job from memory after [LEASES_KEPT] leases. It is kept until then, because the entries of its ended
-     * tasks are cleared from the machines' task lists only while the job is known.
-     */
-    private fun removeLater(job: Job) {
-        val shard = job.shard
-        scope.launch {
-            delay(settings.leaseMs * LEASES_KEPT)
-            if (job.attempts.isEmpty()) shard.jobs.remove(job.jobId, job)
-        }
+        if (job.attempts.isEmpty() && job.durableVersion == job.version) jobEnded(job)
     }
 
     /**
@@ -62,8 +48,4 @@
         attempt: Attempt,
         why: String,
     ) = lifecycle.terminate(attempt, AttemptTermination(TerminationEvidence.NEVER_SENT, why))
-
-    private companion object {
-        const val LEASES_KEPT = 2
-    }
 }
--- a/src/main/kotlin/micatally/job/TaskReconciler.kt
+++ b/src/main/kotlin/micatally/job/TaskReconciler.kt
@@ -3,6 +3,7 @@
 import micatally.gang.GangSupervisor
 import micatally.wire.ExitReason
 import micatally.wire.ListedTask
+import micatally.worker.AttemptId
 import micatally.worker.Machine
 import micatally.worker.MachineRegistry
 import micatally.worker.StatusSource
@@ -36,7 +37,7 @@
     /** Marks the machine as deleted, and ends all attempts on it. */
     fun machineDeleted(machine: Machine) {
         machine.deleted = true
-        machine.channel.forgetUnansweredRuns()
+        machine.channel.forgetRuns()
         for (attempt in machine.attempts.toList()) {
             attempts.terminate(attempt, AttemptTermination(TerminationEvidence.MACHINE_DELETED, "machine gone"))
         }
@@ -178,21 +179,48 @@
         }
     }
 
-    /** Requests a sync of each machine that is not known to match its attempts. Called regularly. */
+    /**
+     * Requests a sync of each machine that is not known to match its attempts. Called several times in each heartbeat
+     * interval.
+     *
+     * Of the machines where only entries of ended tasks can be cleared, a small part is synced at a time: with a higher
+     * fencing token the entries of most machines can be cleared at once.
+     */
     fun syncUnsettledMachines() {
-        for (machine in machines.byName.values) if (isUnsettled(machine)) collaborators.requestSync(machine)
+        var clearsLeft = machines.byName.size / CLEAR_ROUNDS + 1
+        for (machine in machines.byName.values) {
+            if (machine.deleted || machine.channel.isSyncing) continue
+            if (isUnsettled(machine)) {
+                collaborators.requestSync(machine)
+            } else if (clearsLeft > 0 && hasEntryToClear(machine)) {
+                clearsLeft--
+                collaborators.requestSync(machine)
+            }
+        }
     }
 
     private fun isUnsettled(machine: Machine): Boolean {
-        if (machine.deleted || machine.channel.isSyncing) return false
-        if (machine.tasks.any { it.isEnded && shards.isLedHere(it.jobId) }) return true
         if (machine.attempts.isEmpty()) return false
         return machine.channel.needsStatus || machine.attempts.any { isUnsettled(it) }
     }
 
+    /** Whether the machine lists an ended task of a job led here whose entry may be cleared now. */
+    private fun hasEntryToClear(machine: Machine): Boolean {
+        if (machine.endedTaskCount == 0) return false
+        val token = fencingToken()
+        return machine.tasks.any {
+            it.isEnded && shards.isLedHere(it.jobId) && !machine.channel.mayRunArriveAfter(AttemptId.of(it), token)
+        }
+    }
+
     private fun isUnsettled(attempt: Attempt): Boolean {
         val awaitsRun = attempt.state == AttemptState.RECORDED || attempt.state == AttemptState.DISPATCHED
         val awaitsConfirmation = attempt.machine.channel.confirmedToken < attempt.job.shard.leader.fencingToken
         return attempt.stop != null || awaitsRun || awaitsConfirmation
     }
+
+    private companion object {
+        /** In how many calls the machines are synced that only have entries to clear: about four heartbeat intervals. */
+        const val CLEAR_ROUNDS = 16
+    }
 }
--- a/src/main/kotlin/micatally/scheduling/ClusterView.kt
+++ b/src/main/kotlin/micatally/scheduling/ClusterView.kt
@@ -105,6 +105,7 @@
             now - machine.heardAt >= settings.leaseMs / 2 + settings.heartbeatIntervalMs -> UnusableReason.SILENT
             now < machine.channel.unreachableUntilMs -> UnusableReason.UNREACHABLE
             now < machine.fullUntil -> UnusableReason.REFUSED_TASK
+            machine.isListFull -> UnusableReason.LIST_FULL
             now < machine.health.excludedUntil -> UnusableReason.FAULTY
             else -> null
         }
--- a/src/main/kotlin/micatally/scheduling/UnusableReason.kt
+++ b/src/main/kotlin/micatally/scheduling/UnusableReason.kt
@@ -23,6 +23,9 @@
     /** The machine lately refused a task for lack of capacity. */
     REFUSED_TASK,
 
+    /** The machine lists so many ended tasks that some have to be cleared first. */
+    LIST_FULL,
+
     /** Tasks of several jobs have failed on the machine. */
     FAULTY,
 }
--- a/src/main/kotlin/micatally/worker/CommandChannel.kt
+++ b/src/main/kotlin/micatally/worker/CommandChannel.kt
@@ -31,11 +31,7 @@
     var confirmedToken = 0L
         private set
 
-    /**
-     * Run commands that got no response, with the fencing token that they carried. Each may still arrive until the
-     * machine has accepted a higher token.
-     */
-    private val unansweredRuns = HashMap<AttemptId, Long>()
+    private val sentRuns = SentRuns()
 
     private var retryCallback: (() -> Unit)? = null
 
@@ -63,31 +59,29 @@
      */
     fun confirmToken(token: Long) {
         confirmedToken = maxOf(confirmedToken, token)
-        unansweredRuns.values.removeIf { it < confirmedToken }
+        sentRuns.forgetBelow(confirmedToken)
     }
 
-    /** Records that a run command was sent with this token and got no response. */
-    fun addUnansweredRun(
+    /** Records that a run command was sent with this token, whether or not it was answered. */
+    fun recordRun(
         attempt: AttemptId,
         token: Long,
-    ) {
-        unansweredRuns[attempt] = token
-    }
-
-    /** Whether a run command of the attempt got no response and has not been ruled out by a higher token since. */
-    fun hasUnansweredRun(attempt: AttemptId) = attempt in unansweredRuns
+    ) = sentRuns.add(attempt, token)
 
-    /** Whether a run command of the attempt may still reach the machine and start the task. */
-    fun mayRunArriveLate(attempt: AttemptId): Boolean {
-        val token = unansweredRuns[attempt] ?: return false
-        return token >= confirmedToken
-    }
+    /**
+     * Whether a run command of the attempt may start the task after the machine has carried out a request with
+     * [requestToken]; see [SentRuns].
+     */
+    fun mayRunArriveAfter(
+        attempt: AttemptId,
+        requestToken: Long,
+    ) = sentRuns.mayArriveAfter(attempt, maxOf(requestToken, confirmedToken))
 
     /**
      * To be called when the machine was deleted or has a new incarnation, since a new incarnation rejects every command
      * that was sent to the former one.
      */
-    fun forgetUnansweredRuns() = unansweredRuns.clear()
+    fun forgetRuns() = sentRuns.clear()
 
     /**
      * Returns the callback that was passed at the first call, always the same object, so that
--- a/src/main/kotlin/micatally/worker/CommandDispatcher.kt
+++ b/src/main/kotlin/micatally/worker/CommandDispatcher.kt
@@ -38,11 +38,8 @@
     private val responseTimeoutMs = settings.leaseMs * 4 / 10
     private val gate = CommandGate(settings.maxConcurrentCommands)
 
-    /**
-     * Whether the fencing token has to be raised, because a run command without a response may still arrive at its
-     * machine. The machine rejects it once it has accepted a higher token. Reset by the code that raises the token.
-     */
-    var needsHigherFencingToken = false
+    /** The fencing token that this controller needs so that run commands sent before can't start a task any more. */
+    val tokenDemand = FencingTokenDemand()
 
     private val planner =
         CommandPlanner(
@@ -51,7 +48,7 @@
             { membership.mayStart },
             attemptDirectory,
             cancelledTasks,
-            ::requireHigherFencingToken,
+            tokenDemand,
             nowMs,
         )
     private val responseHandler =
@@ -60,14 +57,10 @@
             machines,
             attemptDirectory,
             planner,
-            ::requireHigherFencingToken,
+            tokenDemand,
             ::requestSync,
         )
 
-    private fun requireHigherFencingToken() {
-        needsHigherFencingToken = true
-    }
-
     /**
      * Starts sending the machine what it needs to run the tasks that this controller wants on it. Returns at once.
      * Calls while a request is under way share the next request.
@@ -144,12 +137,11 @@
         val body = commandRequest(batch.fencingToken, batch.incarnation, batch.commands).bytes()
         logSending(machine, batch)
         val outcome = http.call(machine.addr, "POST", COMMANDS_PATH, body, responseTimeoutMs)
+        if (outcome !is Outcome.NotSent) recordRuns(machine, batch)
         if (outcome is Outcome.Answer && isUsable(outcome)) {
             handle(outcome, machine, batch)
             return true
         }
-        val mayHaveArrived = outcome is Outcome.NoResponse || outcome is Outcome.TooLarge
-        if (mayHaveArrived) recordUnansweredRuns(machine, batch)
         return false
     }
 
@@ -187,13 +179,13 @@
         }
     }
 
-    private fun recordUnansweredRuns(
+    private fun recordRuns(
         machine: Machine,
         batch: CommandBatch,
     ) {
         for (command in batch.commands) {
             if (command.type != CommandType.RUN) continue
-            machine.channel.addUnansweredRun(AttemptId.of(command), batch.fencingToken)
+            machine.channel.recordRun(AttemptId.of(command), batch.fencingToken)
         }
     }
 
--- a/src/main/kotlin/micatally/worker/CommandPlanner.kt
+++ b/src/main/kotlin/micatally/worker/CommandPlanner.kt
@@ -20,8 +20,7 @@
  * @param killIntervalMs minimum time between two kill commands for the same attempt, in milliseconds
  * @param fencingToken the highest fencing token that this controller knows
  * @param mayStart whether this controller may start tasks at present
- * @param requireHigherFencingToken called when a run command may still arrive and only a higher fencing token can rule
- *   it out
+ * @param tokenDemand told when the entry of an ended task can be cleared only with a higher fencing token
  */
 class CommandPlanner(
     private val killIntervalMs: Long,
@@ -29,7 +28,7 @@
     private val mayStart: () -> Boolean,
     private val attemptDirectory: AttemptDirectory,
     private val cancelledTasks: CancelledTasks,
-    private val requireHigherFencingToken: () -> Unit,
+    private val tokenDemand: FencingTokenDemand,
     private val nowMs: () -> Long,
 ) {
     private val killSentAtMs = HashMap<Attempt, Long>()
@@ -54,8 +53,8 @@
      * another controller has reported. If the commands do not fit in one request, another one is marked as needed.
      */
     fun plan(machine: Machine): CommandBatch? {
-        val draft = Draft(machine, nowMs())
         val token = fencingToken()
+        val draft = Draft(machine, token, nowMs())
         for (attempt in machine.attempts.toList()) planAttempt(draft, attempt)
         for (task in machine.tasks) {
             if (attemptDirectory.isLedHere(task.jobId) && !isCurrent(task, machine)) planFormerAttempt(draft, task)
@@ -166,9 +165,8 @@
         val channel = draft.machine.channel
         when {
             !task.isEnded -> draft.addKill(id, gracePeriodS = 0.0)
-            // Not cleared yet: a worker forgets a cleared attempt, so a run command that arrives later would start it
-            // again.
-            channel.mayRunArriveLate(id) -> requireHigherFencingToken()
+            channel.mayRunArriveAfter(id, draft.token) ->
+                tokenDemand.requireForEntries(draft.token, draft.machine.isListFull)
             channel.confirmedToken >= LOWEST_TOKEN -> draft.addClear(id)
             else -> draft.needsStatus = true
         }
@@ -213,6 +211,7 @@
     /** The request that is being planned. */
     private class Draft(
         val machine: Machine,
+        val token: Long,
         val nowMs: Long,
     ) {
         val commands = ArrayList<Command>()
--- a/src/main/kotlin/micatally/worker/CommandResponseHandler.kt
+++ b/src/main/kotlin/micatally/worker/CommandResponseHandler.kt
@@ -12,8 +12,7 @@
  * Processes a machine's response to a command request: terminates the attempts that the response proves to have ended,
  * and decides whether another request is needed. Used from the event loop only.
  *
- * @param requireHigherFencingToken called when a run command may still arrive and only a higher fencing token can rule
- *   it out
+ * @param tokenDemand told when an attempt can be proven to have ended only with a higher fencing token
  * @param requestSync starts another request to the machine
  */
 class CommandResponseHandler(
@@ -21,7 +20,7 @@
     private val machines: MachineRegistry,
     private val attemptDirectory: AttemptDirectory,
     private val planner: CommandPlanner,
-    private val requireHigherFencingToken: () -> Unit,
+    private val tokenDemand: FencingTokenDemand,
     private val requestSync: (Machine) -> Unit,
 ) {
     /** Handles a rejection: the machine knows a higher fencing token or has another incarnation. */
@@ -58,13 +57,13 @@
             if (!isConclusive) continue
             val task = listedTasks[AttemptId.of(attempt)]
             if (task == null) {
-                notListed(attempt)
+                notListed(attempt, batch.fencingToken)
             } else if (task.isEnded) {
                 listedAsEnded(attempt, task)
             }
         }
-        val hasEntriesToClear = machine.tasks.any { it.isEnded && attemptDirectory.isLedHere(it.jobId) }
-        if (hasEntriesToClear) channel.isSyncRequested = true
+        val hasEndedTasks = machine.tasks.any { it.isEnded && attemptDirectory.isLedHere(it.jobId) }
+        if (hasEndedTasks) channel.isSyncRequested = true
         if (channel.isSyncRequested && planner.plan(machine) == null) channel.isSyncRequested = false
     }
 
@@ -72,13 +71,15 @@
      * Handles an attempt that the response does not list. The request was sent after the attempt was recorded, so the
      * list is newer than the attempt and proves that the attempt is not on the machine.
      *
-     * It proves nothing if a run command of the attempt got no response: that command may still arrive until the
-     * machine has accepted a higher fencing token.
+     * It proves nothing while a run command of the attempt may still arrive; see [SentRuns].
      */
-    private fun notListed(attempt: Attempt) {
+    private fun notListed(
+        attempt: Attempt,
+        requestToken: Long,
+    ) {
         val channel = attempt.machine.channel
-        if (channel.hasUnansweredRun(AttemptId.of(attempt))) {
-            requireHigherFencingToken()
+        if (channel.mayRunArriveAfter(AttemptId.of(attempt), requestToken)) {
+            tokenDemand.requireForProof(requestToken)
             channel.needsStatus = true
             return
         }
--- a/src/main/kotlin/micatally/worker/Machine.kt
+++ b/src/main/kotlin/micatally/worker/Machine.kt
@@ -50,6 +50,20 @@
 
     /** The task list of the newest status. */
     var tasks: List<ListedTask> = emptyList()
+        set(value) {
+            field = value
+            endedTaskCount = value.count { it.isEnded }
+        }
+
+    /** The number of ended tasks in [tasks], which are listed until a command clears them. */
+    var endedTaskCount = 0
+        private set
+
+    /**
+     * Whether the list has so many ended tasks that no task is placed on the machine until some are cleared. The list
+     * has to stay far below the 64 KiB that one message may have.
+     */
+    val isListFull get() = endedTaskCount >= MAX_ENDED_TASKS
 
     /** When any controller first heard from the machine, as far as this one knows; 0 if none has. */
     var firstHeardAt = 0L
@@ -270,6 +284,9 @@
         /** The value of [freedBy] for a machine that has just started. */
         const val NOBODY = ""
 
+        /** Ended tasks in the list of a machine from which on no task is placed there; each takes up to 100 bytes. */
+        const val MAX_ENDED_TASKS = 200
+
         /** Initial value of times that have not been set, so far in the past that any interval has passed since. */
         private const val LONG_AGO = Long.MIN_VALUE / 2
     }
--- a/src/main/kotlin/micatally/worker/MachineRegistry.kt
+++ b/src/main/kotlin/micatally/worker/MachineRegistry.kt
@@ -169,7 +169,7 @@
     }
 
     private fun beginIncarnation(machine: Machine) {
-        machine.channel.forgetUnansweredRuns()
+        machine.channel.forgetRuns()
         machine.freedAt = nowMs()
         machine.freedBy = Machine.NOBODY
         listener.incarnationChanged(machine)
--- a/src/test/kotlin/micatally/sim/SimNet.kt
+++ b/src/test/kotlin/micatally/sim/SimNet.kt
@@ -90,6 +90,33 @@
     private val keptHeartbeats = ArrayList<HttpRequest>()
     val keptHeartbeatCount get() = keptHeartbeats.size
 
+    /** While true, a copy of each command request that is answered is kept for [deliverKeptCommands]. */
+    var keepsCommands = false
+    private val keptCommands = ArrayList<KeptCommand>()
+
+    /** A command request that a machine has carried out and answered. */
+    private class KeptCommand(
+        val to: Host,
+        val addr: String,
+        val request: HttpRequest,
+    )
+
+    /** The share of answered command requests of which a second copy is delivered late. */
+    var answeredCopyShare = 0.0
+
+    /** The range of the delay of those copies, in milliseconds. */
+    var answeredCopyDelayMs = 300L..60_000L
+
+    /**
+     * Delivers the kept command requests whose body satisfies [condition] once more, and drops them. Returns how many.
+     */
+    fun deliverKeptCommands(condition: (body: String) -> Boolean): Int {
+        val due = keptCommands.filter { condition(it.request.body.decodeToString()) }
+        keptCommands.removeAll(due.toSet())
+        for (command in due) run(command.to, command.addr, command.request, CompletableDeferred())
+        return due.size
+    }
+
     /** Delivers the kept heartbeats to these hosts now. */
     fun deliverKeptHeartbeats(names: List<String>) {
         val all = keptHeartbeats.toList()
@@ -153,6 +180,7 @@
         }
         if (target == "/v1/report" && keepsHeartbeats) keptHeartbeats.add(request)
         val outcome = answer.await()
+        if (target == "/orders") copyAnswered(KeptCommand(to, addr, request))
         delay(1 + random.nextLong(4) + if (target == "/orders") responseDelayMs[to.name] ?: 0L else 0L)
         if (from.name in inboundBlocked || cuts.any { it.between(from, to) || it.between(to, from) }) {
             delay(1_000_000)
@@ -160,6 +188,15 @@
         return outcome
     }
 
+    private fun copyAnswered(command: KeptCommand) {
+        if (keepsCommands) keptCommands.add(command)
+        if (answeredCopyShare <= 0.0 || random.nextDouble() >= answeredCopyShare) return
+        scope.launch {
+            delay(random.nextLong(answeredCopyDelayMs.first, answeredCopyDelayMs.last))
+            run(command.to, command.addr, command.request, CompletableDeferred())
+        }
+    }
+
     private fun run(
         to: Host,
         addr: String,
--- a/src/test/kotlin/micatally/sim/StaleMessageTest.kt
+++ b/src/test/kotlin/micatally/sim/StaleMessageTest.kt
@@ -35,7 +35,7 @@
 
     /**
      * Guards two rules: each command carries the fencing token and the machine's incarnation, and start commands
-     * without a response are remembered ([micatally.worker.CommandChannel.hasUnansweredRun]).
+     * without a response are remembered ([micatally.worker.SentRuns]).
      */
     @Test
     fun `commands and responses that are delayed while machines hang start nothing after a cancellation`() =
--- a/src/test/kotlin/micatally/worker/CommandChannelTest.kt
+++ b/src/test/kotlin/micatally/worker/CommandChannelTest.kt
@@ -14,22 +14,31 @@
      * Guards the comparison in `confirmToken`: a machine still accepts a late command that carries the confirmed token.
      */
     @Test
-    fun `a run command without a response may arrive late until a higher token is accepted`() {
-        channel.addUnansweredRun(attempt, 7)
-        assertTrue(channel.mayRunArriveLate(attempt))
+    fun `a run command may arrive late until a higher token is accepted`() {
+        channel.recordRun(attempt, 7)
+        assertTrue(channel.mayRunArriveAfter(attempt, 6))
         channel.confirmToken(7)
-        assertTrue(channel.mayRunArriveLate(attempt) && channel.hasUnansweredRun(attempt))
+        assertTrue(channel.mayRunArriveAfter(attempt, 7))
+        assertFalse(channel.mayRunArriveAfter(attempt, 8))
         channel.confirmToken(8)
-        assertFalse(channel.mayRunArriveLate(attempt) || channel.hasUnansweredRun(attempt))
+        assertFalse(channel.mayRunArriveAfter(attempt, 7))
+    }
+
+    @Test
+    fun `of several run commands of an attempt the one with the highest token counts`() {
+        channel.recordRun(attempt, 9)
+        channel.recordRun(attempt, 7)
+        channel.confirmToken(8)
+        assertTrue(channel.mayRunArriveAfter(attempt, 9))
+        assertFalse(channel.mayRunArriveAfter(attempt, 10))
     }
 
     /** A machine that has accepted a higher token rejects such a command, even if it has never listed the attempt. */
     @Test
     fun `a run command with a token below the confirmed one can't arrive late`() {
         channel.confirmToken(8)
-        channel.addUnansweredRun(attempt, 7)
-        assertTrue(channel.hasUnansweredRun(attempt))
-        assertFalse(channel.mayRunArriveLate(attempt))
+        channel.recordRun(attempt, 7)
+        assertFalse(channel.mayRunArriveAfter(attempt, 7))
     }
 
     @Test
--- a/src/test/kotlin/micatally/worker/CommandPlannerTest.kt
+++ b/src/test/kotlin/micatally/worker/CommandPlannerTest.kt
@@ -14,7 +14,6 @@
 import micatally.wire.Heartbeat
 import micatally.wire.ListedTask
 import org.junit.jupiter.api.Assertions.assertEquals
-import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertNull
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -22,7 +21,8 @@
 class CommandPlannerTest {
     private var nowMs = 100_000L
     private var mayStart = true
-    private var needsHigherToken = false
+    private var fencingToken = FENCING_TOKEN
+    private val tokenDemand = FencingTokenDemand()
     private val evidence = ArrayList<TerminationEvidence>()
 
     private val shard =
@@ -52,11 +52,11 @@
     private val planner =
         CommandPlanner(
             killIntervalMs = 1000,
-            fencingToken = { FENCING_TOKEN },
+            fencingToken = { fencingToken },
             mayStart = { mayStart },
             attemptDirectory = directory,
             cancelledTasks = cancelledTasks,
-            requireHigherFencingToken = { needsHigherToken = true },
+            tokenDemand = tokenDemand,
             nowMs = { nowMs },
         )
 
@@ -178,11 +178,23 @@
     fun `a former attempt is not cleared while a run command for it may arrive late`() {
         reportTasks(machine, listed(ListedTask.ENDED))
         machine.channel.confirmToken(FENCING_TOKEN)
-        machine.channel.addUnansweredRun(AttemptId(JOB, 0, 1), FENCING_TOKEN)
+        machine.channel.recordRun(AttemptId(JOB, 0, 1), FENCING_TOKEN)
         assertNull(commands())
-        assertTrue(needsHigherToken)
-        machine.channel.confirmToken(FENCING_TOKEN + 1)
+        assertEquals(RaiseReason.ENTRIES, tokenDemand.reasonToRaise(FENCING_TOKEN))
+        fencingToken++
         assertEquals(listOf("CLEAR 0#1"), commands())
+        assertNull(tokenDemand.reasonToRaise(fencingToken))
+    }
+
+    @Test
+    fun `a machine with a full list of entries that wait asks for a higher token sooner`() {
+        machine.channel.confirmToken(FENCING_TOKEN)
+        reportTasks(machine, *Array(Machine.MAX_ENDED_TASKS) { listed(ListedTask.ENDED, task = it) })
+        for (task in 0 until Machine.MAX_ENDED_TASKS) {
+            machine.channel.recordRun(AttemptId(JOB, task, 1), FENCING_TOKEN)
+        }
+        assertNull(commands())
+        assertEquals(RaiseReason.FULL_LIST, tokenDemand.reasonToRaise(FENCING_TOKEN))
     }
 
     /** Guards the filter in `firstPart`: the response would terminate attempts whose run command has not been sent. */
@@ -208,7 +220,7 @@
         shard.transitionTo(ShardState.LOST)
         attempt(AttemptState.RECORDED, task = 1)
         assertNull(commands())
-        assertFalse(needsHigherToken)
+        assertNull(tokenDemand.reasonToRaise(FENCING_TOKEN))
     }
 
     private companion object {
