--- a/src/main/kotlin/micatally/emulator/WorkerEmulator.kt
+++ b/src/main/kotlin/micatally/emulator/WorkerEmulator.kt
@@ -75,6 +75,7 @@
     var token = 0L
         private set
     private var renewedAtMs = nowMs()
+    private val copyRandom = Random(name.hashCode() + 1)
 
     /** When a higher token last caused an early heartbeat. */
     private var tokenReportedAtMs = Long.MIN_VALUE / 2
@@ -129,8 +130,26 @@
         while (hung) delay(HANG_POLL_MS)
     }
 
+    /**
+     * Delays of the copies of answered commands that arrive once more, in milliseconds; null if none do. A fifth of the
+     * commands is copied.
+     */
+    var commandCopyDelayMs: LongRange? = null
+
     /** Answers a request of a controller; suspends while the machine is hung. */
     suspend fun handle(request: HttpRequest): HttpResponse {
+        val response = handleOnce(request)
+        val delayMs = commandCopyDelayMs
+        if (delayMs != null && response.status == OK && copyRandom.nextInt(COMMANDS_PER_COPY) == 0) {
+            scope.launch {
+                delay(copyRandom.nextLong(delayMs.first, delayMs.last))
+                handleOnce(request)
+            }
+        }
+        return response
+    }
+
+    private suspend fun handleOnce(request: HttpRequest): HttpResponse {
         awaitNotHung()
         if (!isAlive) return errorResponse(UNAVAILABLE, "gone")
         checkLease()
@@ -219,6 +238,7 @@
 
     private companion object {
         const val LEASE_CHECK_MS = 100L
+        const val COMMANDS_PER_COPY = 5
         const val OK = 200
         const val BAD_REQUEST = 400
         const val NOT_FOUND = 404
--- a/src/main/kotlin/micatally/scale/FailureInjector.kt
+++ b/src/main/kotlin/micatally/scale/FailureInjector.kt
@@ -14,6 +14,7 @@
  *
  * @param workerScope scope of the loop that runs the emulated workers and the cloud
  * @param stateScope scope of the loop that runs the state store emulator
+ * @param leaseMs the lease of the workers, in milliseconds
  * @param beforeAllRestart called each time before all controllers are started again after they were killed together
  */
 class FailureInjector(
@@ -22,6 +23,7 @@
     private val fleet: LoopbackFleet,
     private val controllers: List<ControllerProcess>,
     private val random: Random,
+    private val leaseMs: Long,
     private val beforeAllRestart: () -> Unit = {},
 ) {
     /** How often each controller was restarted, by its index in the list of controllers. */
@@ -48,6 +50,7 @@
                     plan,
                 )
             FailurePlan.ZONE -> failWorkers(fleet.cloud.workers.filter { it.zone == plan.zone }, plan)
+            FailurePlan.COMMAND_COPIES -> copyCommands(plan)
             FailurePlan.CONTROLLERS -> restartControllers(plan)
             FailurePlan.STATE_OUTAGE -> {
                 fleet.state.down = true
@@ -73,6 +76,12 @@
         for (worker in workers) worker.hung = false
     }
 
+    private suspend fun copyCommands(plan: FailurePlan) {
+        for (worker in fleet.cloud.workers) worker.commandCopyDelayMs = MIN_COPY_DELAY_MS..leaseMs * 2
+        delay((plan.forSeconds * 1000).toLong())
+        for (worker in fleet.cloud.workers) worker.commandCopyDelayMs = null
+    }
+
     /** Kills randomly chosen controllers and starts them again after the time of the plan. */
     private suspend fun restartControllers(plan: FailurePlan) {
         val chosenIndices = controllers.indices.shuffled(random).take(plan.count)
@@ -84,4 +93,8 @@
             withContext(Dispatchers.IO) { controllers[i].start() }
         }
     }
+
+    private companion object {
+        const val MIN_COPY_DELAY_MS = 300L
+    }
 }
--- a/src/main/kotlin/micatally/scale/ScaleEnvironment.kt
+++ b/src/main/kotlin/micatally/scale/ScaleEnvironment.kt
@@ -78,7 +78,17 @@
             userLoop::nowMs,
         )
     private val failureInjector =
-        FailureInjector(workerLoop.scope, stateLoop.scope, fleet, controllers, Random(scenario.seed + 3)) {
+        FailureInjector(
+            workerLoop.scope,
+            stateLoop.scope,
+            fleet,
+            controllers,
+            Random(scenario.seed + 3),
+            (
+                scenario.workers.leaseSeconds *
+                    1000
+            ).toLong(),
+        ) {
             history.controllersRestarting()
         }
 
--- a/src/main/kotlin/micatally/scale/Scenario.kt
+++ b/src/main/kotlin/micatally/scale/Scenario.kt
@@ -178,7 +178,10 @@
 
         /** The state store answers each request with 503. */
         const val STATE_OUTAGE = "state-outage"
-        val KINDS = listOf(WORKERS, ZONE, CONTROLLERS, STATE_OUTAGE)
+
+        /** A fifth of the answered commands to workers arrive once more, up to two leases later. */
+        const val COMMAND_COPIES = "command-copies"
+        val KINDS = listOf(WORKERS, ZONE, CONTROLLERS, STATE_OUTAGE, COMMAND_COPIES)
     }
 }
 
