Tidy the fixes of a task that ran again: one question for the current attempt, one map of demands

No behaviour changed. Whether a listed attempt is the current one on its machine was asked in four places (CommandPlanner, CommandDispatcher, UnownedTasks, OwnershipExchange): AttemptDirectory.currentAttempt serves all. AttemptId prints itself as job/task#attempt, so the log lines agree with docs/operating.md and need not put it together. EndedJobs asks once whether a job has attempts. FencingTokenWriter logs the token that it has sent, also if the shared keys changed while the write waited. MessagesTest names the path /peer/owned.

--- a/src/main/kotlin/micatally/job/EndedJobs.kt
+++ b/src/main/kotlin/micatally/job/EndedJobs.kt
@@ -43,8 +43,9 @@
         job: Job,
         listed: Set<String>,
     ): Boolean {
-        if (job.attempts.isEmpty() && job.jobId in listed) return false
-        if (job.attempts.isEmpty()) job.shard.jobs.remove(job.jobId, job)
+        if (job.attempts.isNotEmpty()) return true
+        if (job.jobId in listed) return false
+        job.shard.jobs.remove(job.jobId, job)
         return true
     }
 }
--- a/src/main/kotlin/micatally/membership/FencingTokenWriter.kt
+++ b/src/main/kotlin/micatally/membership/FencingTokenWriter.kt
@@ -22,12 +22,13 @@
      * @return true if the token was raised; false if it was not or if the outcome is unknown
      */
     suspend fun raise(why: String): Boolean {
-        val next = sharedKeys.fencingToken + 1
+        var next = 0L
         val result =
             state.transact(1, Urgency.LEASE) {
+                next = sharedKeys.fencingToken + 1
                 Transaction(
                     listOf(Compare(Keys.FENCING_TOKEN, sharedKeys.modRevision(Keys.FENCING_TOKEN))),
-                    listOf(Put(Keys.FENCING_TOKEN, FencingToken.encode(sharedKeys.fencingToken + 1))),
+                    listOf(Put(Keys.FENCING_TOKEN, FencingToken.encode(next))),
                 )
             }
         log.info("raise of the fencing token to {} for {}: {}", next, why, result::class.simpleName)
--- a/src/main/kotlin/micatally/ownership/UnownedTasks.kt
+++ b/src/main/kotlin/micatally/ownership/UnownedTasks.kt
@@ -8,6 +8,7 @@
 import micatally.worker.AttemptId
 import micatally.worker.FencingTokenDemand
 import micatally.worker.Machine
+import micatally.worker.RaiseReason
 import micatally.worker.SentRuns
 import org.slf4j.LoggerFactory
 
@@ -103,8 +104,12 @@
         heartbeat: Heartbeat,
         task: ListedTask,
     ): Command? {
-        if (attemptDirectory.isLedHere(task.jobId)) return if (isFormer(heartbeat, task)) kill(task) else null
-        val attempt = byMachine[heartbeat.machine]?.get(AttemptId.of(task)) ?: return null
+        val id = AttemptId.of(task)
+        if (attemptDirectory.isLedHere(task.jobId)) {
+            val isFormer = attemptDirectory.currentAttempt(id, heartbeat.machine) == null
+            return if (isFormer && !task.isEnded) kill(task) else null
+        }
+        val attempt = byMachine[heartbeat.machine]?.get(id) ?: return null
         val ownership = attempt.ownership as? Ownership.Unwanted ?: return null
         return when {
             attempt.incarnation != heartbeat.incarnation -> null
@@ -114,16 +119,6 @@
         }
     }
 
-    /** Whether the task has not ended, although it is not the current attempt of a job that is led here. */
-    private fun isFormer(
-        heartbeat: Heartbeat,
-        task: ListedTask,
-    ): Boolean {
-        if (task.isEnded) return false
-        val current = attemptDirectory.attempt(task.jobId, task.taskIndex) ?: return true
-        return current.number != task.attempt || current.machine.name != heartbeat.machine
-    }
-
     private fun killUnwanted(
         attempt: ListedAttempt,
         task: ListedTask,
@@ -142,7 +137,7 @@
         ownership: Ownership.Unwanted,
     ): Command? {
         if (!SentRuns.isRuledOut(ownership.token, fencingToken())) {
-            tokenDemand.requireForEntries(ownership.token)
+            tokenDemand.require(RaiseReason.ENTRIES, ownership.token)
             return null
         }
         return Command(CommandType.CLEAR, task.jobId, task.taskIndex, task.attempt)
--- a/src/main/kotlin/micatally/peer/OwnershipExchange.kt
+++ b/src/main/kotlin/micatally/peer/OwnershipExchange.kt
@@ -14,6 +14,7 @@
 import micatally.wire.AttemptOnMachine
 import micatally.wire.OwnershipQuery
 import micatally.wire.OwnershipResponse
+import micatally.worker.AttemptId
 
 /** Asks the other controllers which attempts on machines they want, and answers the same question of theirs. */
 class OwnershipExchange internal constructor(
@@ -63,8 +64,8 @@
 
     private fun isOwned(attempt: AttemptOnMachine): Boolean {
         if (!jobManager.isLedHere(attempt.jobId)) return false
-        val current = jobManager.attempt(attempt.jobId, attempt.taskIndex) ?: return false
-        return current.number == attempt.attempt && current.machine.name == attempt.machine
+        val id = AttemptId(attempt.jobId, attempt.taskIndex, attempt.attempt)
+        return jobManager.currentAttempt(id, attempt.machine) != null
     }
 
     private companion object {
--- a/src/main/kotlin/micatally/worker/AttemptDirectory.kt
+++ b/src/main/kotlin/micatally/worker/AttemptDirectory.kt
@@ -18,6 +18,15 @@
         taskIndex: Int,
     ): Attempt?
 
+    /**
+     * The attempt of this id if it is the current one of its task and was placed on this machine; else null. The machine
+     * is compared too, because a replaced task of a gang has the same attempt number on two machines.
+     */
+    fun currentAttempt(
+        id: AttemptId,
+        machine: String,
+    ): Attempt? = attempt(id.jobId, id.taskIndex)?.takeIf { it.number == id.attempt && it.machine.name == machine }
+
     /** Whether the job may not start or restart tasks at present, because the quota of its team was lowered. */
     fun isSuspended(jobId: String): Boolean
 
--- a/src/main/kotlin/micatally/worker/AttemptId.kt
+++ b/src/main/kotlin/micatally/worker/AttemptId.kt
@@ -14,6 +14,8 @@
     val taskIndex: Int,
     val attempt: Long,
 ) {
+    override fun toString() = "$jobId/$taskIndex#$attempt"
+
     /** Creates the id from each type that refers to an attempt. */
     companion object {
         fun of(attempt: Attempt) = AttemptId(attempt.job.jobId, attempt.taskIndex, attempt.number)
--- a/src/main/kotlin/micatally/worker/CommandDispatcher.kt
+++ b/src/main/kotlin/micatally/worker/CommandDispatcher.kt
@@ -155,11 +155,9 @@
     ) {
         for (command in batch.commands) {
             log.info(
-                "{} {}/{}#{} sent to {} session {} token {}",
+                "{} {} sent to {} session {} token {}",
                 command.type.word,
-                command.jobId,
-                command.taskIndex,
-                command.attempt,
+                AttemptId.of(command),
                 machine.name,
                 batch.incarnation,
                 batch.fencingToken,
@@ -199,7 +197,7 @@
     ) {
         val now = nowMs()
         for (command in commands) {
-            val attempt = attemptOf(command, machine) ?: continue
+            val attempt = attemptDirectory.currentAttempt(AttemptId.of(command), machine.name) ?: continue
             when (command.type) {
                 CommandType.RUN -> {
                     attempt.sentAt = now
@@ -211,17 +209,6 @@
         }
     }
 
-    /**
-     * The current attempt that the command refers to; null if it has been replaced. The machine is compared too,
-     * because a replaced task of a gang has the same attempt number on two machines.
-     */
-    private fun attemptOf(
-        command: Command,
-        machine: Machine,
-    ) = attemptDirectory
-        .attempt(command.jobId, command.taskIndex)
-        ?.takeIf { it.number == command.attempt && it.machine === machine }
-
     private companion object {
         const val COMMANDS_PATH = "/orders"
         const val ACCEPTED = 200
--- a/src/main/kotlin/micatally/worker/CommandPlanner.kt
+++ b/src/main/kotlin/micatally/worker/CommandPlanner.kt
@@ -57,7 +57,9 @@
         val draft = Draft(machine, token, nowMs())
         for (attempt in machine.attempts.toList()) planAttempt(draft, attempt)
         for (task in machine.tasks) {
-            if (attemptDirectory.isLedHere(task.jobId) && !isCurrent(task, machine)) planFormerAttempt(draft, task)
+            if (!attemptDirectory.isLedHere(task.jobId)) continue
+            val current = attemptDirectory.currentAttempt(AttemptId.of(task), machine.name)
+            if (current == null) planFormerAttempt(draft, task)
         }
         if (draft.commands.isEmpty() && !draft.needsStatus) return null
         if (draft.commands.size > MAX_COMMANDS) return firstPart(draft, token)
@@ -145,15 +147,6 @@
         if (!draft.isReconciled(attempt)) draft.needsStatus = true
     }
 
-    /** Whether the listed task is the current attempt and [machine] is the one that the attempt was placed on. */
-    private fun isCurrent(
-        task: ListedTask,
-        machine: Machine,
-    ): Boolean {
-        val attempt = attemptDirectory.attempt(task.jobId, task.taskIndex) ?: return false
-        return attempt.number == task.attempt && attempt.machine === machine
-    }
-
     /**
      * Plans for a listed attempt that is no longer current: it is killed, and once it has ended its entry is cleared.
      */
@@ -165,13 +158,14 @@
         val channel = draft.machine.channel
         when {
             !task.isEnded -> draft.addKill(id, gracePeriodS = 0.0)
-            channel.mayRunArriveAfter(id, draft.token) ->
-                tokenDemand.requireForEntries(draft.token, draft.machine.isListFull)
+            channel.mayRunArriveAfter(id, draft.token) -> tokenDemand.require(clearReason(draft.machine), draft.token)
             channel.confirmedToken >= LOWEST_TOKEN -> draft.addClear(id)
             else -> draft.needsStatus = true
         }
     }
 
+    private fun clearReason(machine: Machine) = if (machine.isListFull) RaiseReason.FULL_LIST else RaiseReason.ENTRIES
+
     /**
      * The time that the task gets to save a checkpoint, in seconds; 0 if the checkpoint is not needed. The task of an
      * ended gang gets time only if it is already saving, so that a save under way is not interrupted.
--- a/src/main/kotlin/micatally/worker/CommandResponseHandler.kt
+++ b/src/main/kotlin/micatally/worker/CommandResponseHandler.kt
@@ -81,7 +81,7 @@
     ) {
         val channel = attempt.machine.channel
         if (channel.mayRunArriveAfter(AttemptId.of(attempt), requestToken)) {
-            tokenDemand.requireForProof(requestToken)
+            tokenDemand.require(RaiseReason.PROOF, requestToken)
             channel.needsStatus = true
             return
         }
--- a/src/main/kotlin/micatally/worker/EndedAttemptAudit.kt
+++ b/src/main/kotlin/micatally/worker/EndedAttemptAudit.kt
@@ -1,7 +1,6 @@
 package micatally.worker
 
 import com.google.common.cache.CacheBuilder
-import micatally.wire.Command
 import micatally.wire.CommandType
 import org.slf4j.LoggerFactory
 
@@ -27,24 +26,23 @@
     ) {
         val current = batch.coveredAttempts.map { AttemptId.of(it) }.toSet()
         for (command in batch.commands) {
-            if (command.type == CommandType.KILL && AttemptId.of(command) !in current) report(machine, batch, command)
+            val id = AttemptId.of(command)
+            if (command.type == CommandType.KILL && id !in current) report(machine, batch, id)
         }
     }
 
     private fun report(
         machine: Machine,
         batch: CommandBatch,
-        command: Command,
+        id: AttemptId,
     ) {
-        val key = "${machine.name} ${batch.incarnation} ${AttemptId.of(command)}"
+        val key = "${machine.name} ${batch.incarnation} $id"
         if (reported.getIfPresent(key) != null) return
         reported.put(key, true)
         count++
         log.error(
-            "task {}/{}#{} was on {} session {} after its end had been taken as proven, stopped with token {}",
-            command.jobId,
-            command.taskIndex,
-            command.attempt,
+            "task {} was on {} session {} after its end had been taken as proven, stopped with token {}",
+            id,
             machine.name,
             batch.incarnation,
             batch.fencingToken,
--- a/src/test/kotlin/micatally/compatibility/MessagesTest.kt
+++ b/src/test/kotlin/micatally/compatibility/MessagesTest.kt
@@ -812,8 +812,14 @@
     @Test
     fun `paths for controllers and operators`() {
         assertEquals(
-            listOf("/peer/news", "/peer/kills", "/peer/query", "/peer/cancel"),
-            listOf(PeerPaths.DELTA, PeerPaths.CANCELLED_TASKS, PeerPaths.QUERY_JOB, PeerPaths.CANCEL_JOB),
+            listOf("/peer/news", "/peer/kills", "/peer/query", "/peer/cancel", "/peer/owned"),
+            listOf(
+                PeerPaths.DELTA,
+                PeerPaths.CANCELLED_TASKS,
+                PeerPaths.QUERY_JOB,
+                PeerPaths.CANCEL_JOB,
+                PeerPaths.OWNERSHIP,
+            ),
         )
         assertEquals(
             listOf("get", "apply", "history", "rollback", "status", "applied").map { "/config/$it" },
