One request ends at most its own connection; loops restart after a failure

Users, workers and health checks got no answer from a controller after one request with a list some hundreds deep in an unknown field; the repeats of that request silenced the others. The process ran on and kept its lease.

Cause: a check in one path and not in another. The JSON reader recursed without a bound, which on the deploy file's stacks of 256 KB is a StackOverflowError; the server and the loops caught Exception alone; each connection was a child of the accept loop, so its Error cancelled the loop, all other connections and the listening socket.

Change: JsonReader reads with Jackson's streaming parser, which skips unknown fields and what lies deeper than 32 without a tree or a stack; it refuses what is no JSON or no UTF-8. Server isolates connections, answers 503 after any Throwable and counts open connections at their end. Work that a controller can't do without runs through launchSupervised: a failure is logged by name, counted, and the work goes on after a delay. Nothing thrown in a coroutine reaches the threads of the event loop any more. The log has refused and failed connections and requests, and failed work by name.

--- a/src/main/kotlin/micatally/api/SubmissionHandler.kt
+++ b/src/main/kotlin/micatally/api/SubmissionHandler.kt
@@ -39,7 +39,7 @@
     suspend fun submit(request: HttpRequest): HttpResponse {
         val body =
             try {
-                parseObject(request.body)
+                parseObject(request.body, JobSpec.KNOWN_FIELDS)
             } catch (e: MalformedMessage) {
                 return errorResponse(BAD_REQUEST, e.message ?: "")
             }
--- a/src/main/kotlin/micatally/api/WorkerApi.kt
+++ b/src/main/kotlin/micatally/api/WorkerApi.kt
@@ -47,7 +47,7 @@
     fun handleHeartbeat(request: HttpRequest): HttpResponse {
         val heartbeat =
             try {
-                Heartbeat.parse(parseObject(request.body))
+                Heartbeat.parse(parseObject(request.body, Heartbeat.KNOWN_FIELDS))
             } catch (e: MalformedMessage) {
                 return errorResponse(BAD_REQUEST, e.message ?: "")
             }
--- a/src/main/kotlin/micatally/archive/RecordArchive.kt
+++ b/src/main/kotlin/micatally/archive/RecordArchive.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import micatally.job.JobRecord
@@ -22,6 +21,7 @@
 import micatally.state.TransactionResult
 import micatally.state.Urgency
 import micatally.state.Write
+import micatally.supervision.launchSupervised
 import org.slf4j.LoggerFactory
 
 /** Gives the archive access to the loaded shards that this controller leads. */
@@ -74,7 +74,7 @@
             )
             return
         }
-        scope.launch {
+        scope.launchSupervised("record archive") {
             while (true) {
                 delay(settings.leaseMs * LEASES_BETWEEN_SCANS)
                 if (mode == ArchiveMode.ON) archive() else restore()
--- a/src/main/kotlin/micatally/cli/ControllerStart.kt
+++ b/src/main/kotlin/micatally/cli/ControllerStart.kt
@@ -1,5 +1,6 @@
 package micatally.cli
 
+import kotlinx.coroutines.CoroutineName
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import micatally.controller.Controller
@@ -7,6 +8,7 @@
 import micatally.http.Server
 import micatally.settings.OperatorSettings
 import micatally.settings.Settings
+import micatally.supervision.launchSupervised
 import java.io.IOException
 import kotlin.random.Random
 
@@ -88,13 +90,17 @@
         )
     bind(userWorkerServer, settings.listen, settings.leaseMs)
     bind(peerServer, settings.peerListen, settings.leaseMs)
-    loop.scope.launch {
+    loop.scope.launch(CoroutineName("start of the controller")) {
         controller.start()
         userWorkerServer.start()
         peerServer.start()
+    }
+    val servers = ServerReport(listOf("users and workers" to userWorkerServer, "peers" to peerServer), loop.failures)
+    loop.scope.launchSupervised("idle connections") {
         while (true) {
             delay(settings.leaseMs)
             client.closeIdleConnections()
+            servers.logIfChanged()
         }
     }
     return userWorkerServer to peerServer
--- a/src/main/kotlin/micatally/cli/EventLoop.kt
+++ b/src/main/kotlin/micatally/cli/EventLoop.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.CancellableContinuation
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineName
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Delay
 import kotlinx.coroutines.DisposableHandle
@@ -11,7 +12,7 @@
 import kotlinx.coroutines.Runnable
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
-import org.slf4j.LoggerFactory
+import micatally.supervision.BackgroundFailures
 import java.nio.channels.AsynchronousChannelGroup
 import java.util.concurrent.ScheduledThreadPoolExecutor
 import java.util.concurrent.TimeUnit
@@ -24,6 +25,7 @@
 @OptIn(InternalCoroutinesApi::class)
 private class SerialDispatcher(
     private val timers: ScheduledThreadPoolExecutor,
+    private val failures: BackgroundFailures,
 ) : CoroutineDispatcher(),
     Delay {
     private val sequentialExecutor = MoreExecutors.newSequentialExecutor(MoreExecutors.directExecutor())
@@ -31,7 +33,20 @@
     override fun dispatch(
         context: CoroutineContext,
         block: Runnable,
-    ) = sequentialExecutor.execute(block)
+    ) = execute(block)
+
+    /**
+     * Nothing that a coroutine throws may reach the executors: an Error would end the I/O thread, and the sequential
+     * executor would leave what waits behind it until the next event.
+     */
+    private fun execute(block: Runnable) =
+        sequentialExecutor.execute {
+            try {
+                block.run()
+            } catch (failure: Throwable) {
+                failures.record("event loop", failure)
+            }
+        }
 
     override fun scheduleResumeAfterDelay(
         timeMillis: Long,
@@ -39,7 +54,7 @@
     ) {
         val timer =
             timers.schedule({
-                sequentialExecutor.execute { with(continuation) { resumeUndispatched(Unit) } }
+                execute { with(continuation) { resumeUndispatched(Unit) } }
             }, timeMillis, TimeUnit.MILLISECONDS)
         continuation.invokeOnCancellation { timer.cancel(false) }
     }
@@ -49,7 +64,7 @@
         block: Runnable,
         context: CoroutineContext,
     ): DisposableHandle {
-        val timer = timers.schedule({ sequentialExecutor.execute(block) }, timeMillis, TimeUnit.MILLISECONDS)
+        val timer = timers.schedule({ execute(block) }, timeMillis, TimeUnit.MILLISECONDS)
         return DisposableHandle { timer.cancel(false) }
     }
 }
@@ -67,10 +82,14 @@
         ScheduledThreadPoolExecutor(1) { Thread(it, "$name-timers") }.apply { removeOnCancelPolicy = true }
     val group: AsynchronousChannelGroup =
         AsynchronousChannelGroup.withFixedThreadPool(1) { Thread(it, "$name-io").apply { isDaemon = true } }
-    private val log = LoggerFactory.getLogger("micatally.controller")
+
+    /** What has failed in the coroutines of [scope]. */
+    val failures = BackgroundFailures()
     private val exceptionHandler =
-        CoroutineExceptionHandler { _, e -> log.error("a coroutine of the event loop failed; the loop goes on", e) }
-    val scope = CoroutineScope(SupervisorJob() + SerialDispatcher(timers) + exceptionHandler)
+        CoroutineExceptionHandler { context, failure ->
+            failures.record(context[CoroutineName]?.name ?: "an unnamed coroutine", failure)
+        }
+    val scope = CoroutineScope(SupervisorJob() + SerialDispatcher(timers, failures) + exceptionHandler + failures)
 
     /** Monotonic time in milliseconds. */
     fun nowMs() = System.nanoTime() / 1_000_000
--- a/src/main/kotlin/micatally/config/ConfigurationSeed.kt
+++ b/src/main/kotlin/micatally/config/ConfigurationSeed.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import micatally.membership.Keys
 import micatally.membership.SharedKeyCache
 import micatally.settings.Settings
@@ -12,6 +11,7 @@
 import micatally.state.Transaction
 import micatally.state.TransactionResult
 import micatally.state.Urgency
+import micatally.supervision.launchSupervised
 import org.slf4j.LoggerFactory
 
 /**
@@ -37,13 +37,10 @@
     fun sharedKeysChanged() {
         if (!isDue || isWriting) return
         isWriting = true
-        scope.launch {
-            try {
+        scope
+            .launchSupervised("configuration seed") {
                 while (isDue) if (!write()) delay(settings.leaseMs / RETRIES_PER_LEASE)
-            } finally {
-                isWriting = false
-            }
-        }
+            }.invokeOnCompletion { isWriting = false }
     }
 
     /**
--- a/src/main/kotlin/micatally/config/ConfigurationWriter.kt
+++ b/src/main/kotlin/micatally/config/ConfigurationWriter.kt
@@ -3,7 +3,6 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.JsonObject
 import micatally.membership.Keys
@@ -15,6 +14,7 @@
 import micatally.state.Transaction
 import micatally.state.TransactionResult
 import micatally.state.Urgency
+import micatally.supervision.launchSupervised
 import micatally.wire.ChangeAnswer
 import micatally.wire.ChangeStatus
 import micatally.wire.ConfigurationChange
@@ -104,13 +104,9 @@
     private fun startWriting() {
         if (isWriting) return
         isWriting = true
-        scope.launch {
-            try {
-                while (queue.isNotEmpty()) commitBatch()
-            } finally {
-                isWriting = false
-            }
-        }
+        scope
+            .launchSupervised("configuration writes") { while (queue.isNotEmpty()) commitBatch() }
+            .invokeOnCompletion { isWriting = false }
     }
 
     /** A change that passed the checks, with the record and the value to store. */
--- a/src/main/kotlin/micatally/config/LiveConfiguration.kt
+++ b/src/main/kotlin/micatally/config/LiveConfiguration.kt
@@ -2,12 +2,12 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import micatally.membership.Keys
 import micatally.membership.SharedKeyCache
 import micatally.settings.Settings
 import micatally.settings.Team
 import micatally.settings.TeamDirectory
+import micatally.supervision.launchSupervised
 import org.slf4j.LoggerFactory
 
 /** The state of this controller's configuration compared with the stored one. */
@@ -85,15 +85,12 @@
         transitionTo(ConfigurationPhase.BEHIND)
         if (isLoading) return
         isLoading = true
-        scope.launch {
-            try {
+        scope
+            .launchSupervised("configuration load") {
                 while (phase == ConfigurationPhase.BEHIND) {
                     if (!load()) delay(retryMs)
                 }
-            } finally {
-                isLoading = false
-            }
-        }
+            }.invokeOnCompletion { isLoading = false }
     }
 
     /** Makes one attempt to load the newest version. Returns false if some value can't be read now. */
--- a/src/main/kotlin/micatally/controller/Controller.kt
+++ b/src/main/kotlin/micatally/controller/Controller.kt
@@ -1,5 +1,6 @@
 package micatally.controller
 
+import kotlinx.coroutines.CoroutineName
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import micatally.api.AdmissionRules
@@ -54,6 +55,7 @@
 import micatally.state.ReadResult
 import micatally.state.StateStoreClient
 import micatally.state.Urgency
+import micatally.supervision.launchSupervised
 import micatally.upgrade.FormatVersion
 import micatally.upgrade.Upgrade
 import micatally.worker.CommandDispatcher
@@ -359,7 +361,7 @@
         fleetManager.start()
         peers.start()
         archive.start()
-        scope.launch { periodicTasks().runForever() }
+        scope.launchSupervised("periodic tasks") { periodicTasks().runForever() }
     }
 
     /**
@@ -431,7 +433,7 @@
                 PeriodicTask(
                     "deletion record removal",
                     everyTicks = 20,
-                ) { scope.launch { fleetManager.pruneDeletionRecords() } },
+                ) { scope.launch(CoroutineName("deletion record removal")) { fleetManager.pruneDeletionRecords() } },
                 PeriodicTask("cancellation confirmation", everyTicks = 4) { now -> cancellations.follow(now) },
                 PeriodicTask("removal of ended jobs", everyTicks = 20) { now -> jobManager.forgetEndedJobs(now) },
                 PeriodicTask("CPU usage report", everyTicks = 1) { now -> usageReport.run(now) },
--- a/src/main/kotlin/micatally/controller/PeriodicTask.kt
+++ b/src/main/kotlin/micatally/controller/PeriodicTask.kt
@@ -1,6 +1,7 @@
 package micatally.controller
 
 import kotlinx.coroutines.delay
+import micatally.supervision.completes
 import org.slf4j.LoggerFactory
 
 /**
@@ -27,7 +28,7 @@
 ) {
     private val log = LoggerFactory.getLogger("micatally.controller")
 
-    /** Runs the tasks until the coroutine is cancelled or a task throws. The first tick comes after [tickMs]. */
+    /** Runs the tasks until the coroutine is cancelled. The first tick comes after [tickMs]. */
     suspend fun runForever() {
         log.debug(
             "starting periodic tasks with a tick of {} ms: {}",
@@ -45,7 +46,7 @@
     private suspend fun runTick(tick: Int) {
         val now = nowMs()
         for (task in tasks) {
-            if (tick % task.everyTicks == 0) task.run(now)
+            if (tick % task.everyTicks == 0) completes(task.name) { task.run(now) }
         }
     }
 }
--- a/src/main/kotlin/micatally/fleet/EvictionRecords.kt
+++ b/src/main/kotlin/micatally/fleet/EvictionRecords.kt
@@ -1,5 +1,6 @@
 package micatally.fleet
 
+import kotlinx.coroutines.CoroutineName
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.buildJsonObject
@@ -53,7 +54,9 @@
         conditions: List<Compare> = emptyList(),
         change: () -> Write?,
     ) {
-        scope.launch { state.transact(1, Urgency.SUMMARY) { transaction(conditions, change()) } }
+        scope.launch(CoroutineName("eviction record write")) {
+            state.transact(1, Urgency.SUMMARY) { transaction(conditions, change()) }
+        }
     }
 
     private fun transaction(
--- a/src/main/kotlin/micatally/fleet/FleetManager.kt
+++ b/src/main/kotlin/micatally/fleet/FleetManager.kt
@@ -2,13 +2,13 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import micatally.http.HttpCaller
 import micatally.membership.Keys
 import micatally.membership.Membership
 import micatally.settings.OperatorSettings
 import micatally.settings.Settings
 import micatally.state.StateStoreClient
+import micatally.supervision.launchSupervised
 import micatally.wire.ResourceRequest
 import micatally.worker.MachineRegistry
 import org.slf4j.LoggerFactory
@@ -115,10 +115,10 @@
 
     /** Starts the loops, which run until the scope ends. To be called once. */
     fun start() {
-        scope.launch { machineTypeCatalog.refreshLoop() }
-        scope.launch { leadership.electionLoop() }
-        scope.launch { inventory.pollLoop() }
-        scope.launch { reviewLoop() }
+        scope.launchSupervised("machine types") { machineTypeCatalog.refreshLoop() }
+        scope.launchSupervised("fleet manager election") { leadership.electionLoop() }
+        scope.launchSupervised("cloud inventory") { inventory.pollLoop() }
+        scope.launchSupervised("fleet review") { reviewLoop() }
     }
 
     /** The hosts of the other controllers that are alive. */
--- a/src/main/kotlin/micatally/fleet/MachineProber.kt
+++ b/src/main/kotlin/micatally/fleet/MachineProber.kt
@@ -1,5 +1,6 @@
 package micatally.fleet
 
+import kotlinx.coroutines.CoroutineName
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import micatally.http.HttpCaller
@@ -49,7 +50,7 @@
         if (machine.addr.isEmpty() || hasTooManyProbes || isTooSoon) return
         if (!probesInProgress.add(machine.name)) return
         machine.probedAt = now
-        scope.launch {
+        scope.launch(CoroutineName("machine probe")) {
             try {
                 val outcome = http.call(machine.addr, "GET", "/show", null, timeoutMs)
                 record(machine, outcome, nowMs() - now)
--- a/src/main/kotlin/micatally/fleet/ScaleIn.kt
+++ b/src/main/kotlin/micatally/fleet/ScaleIn.kt
@@ -1,5 +1,6 @@
 package micatally.fleet
 
+import kotlinx.coroutines.CoroutineName
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -63,7 +64,7 @@
         if (deletions.isEmpty()) return
         val names = deletions.map { it.machine }
         inProgress.addAll(names)
-        scope.launch {
+        scope.launch(CoroutineName("machine deletion")) {
             try {
                 delete(deletions)
             } finally {
--- a/src/main/kotlin/micatally/fleet/ScaleOut.kt
+++ b/src/main/kotlin/micatally/fleet/ScaleOut.kt
@@ -1,5 +1,6 @@
 package micatally.fleet
 
+import kotlinx.coroutines.CoroutineName
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -149,7 +150,7 @@
         action: suspend () -> Unit,
     ) {
         inProgress.add(request.name)
-        scope.launch {
+        scope.launch(CoroutineName("provisioning")) {
             try {
                 action()
             } finally {
@@ -236,7 +237,7 @@
             }
         for (request in settledRequests) {
             requests.removeAnswered(request)
-            scope.launch { requests.delete(request.name) }
+            scope.launch(CoroutineName("provisioning request removal")) { requests.delete(request.name) }
         }
     }
 
--- a/src/main/kotlin/micatally/http/Client.kt
+++ b/src/main/kotlin/micatally/http/Client.kt
@@ -81,6 +81,8 @@
                 log.warn("{} {}{}: the answer has more than {} bytes", method, addr, target, maxResponseBytes)
                 outcome = Outcome.TooLarge
             }
+        } catch (e: Error) {
+            log.error("{} {}{} failed: {}", method, addr, target, e.toString())
         } catch (e: Exception) {
             // The connection was refused or reset, or failed otherwise. The outcome depends only on whether bytes of
             // the request may have been sent.
@@ -124,19 +126,19 @@
         val channel =
             try {
                 AsynchronousSocketChannel.open(group)
-            } catch (e: Exception) {
+            } catch (e: Throwable) {
                 openSockets--
                 throw e
             }
         try {
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
             channel.connectTo(socketAddress(addr))
+            return Connection(channel, Parser({ channel.readInto(it) > 0 }))
         } catch (e: Throwable) {
             openSockets--
             channel.closeQuietly()
             throw e
         }
-        return Connection(channel, Parser({ channel.readInto(it) > 0 }))
     }
 
     private fun discard(connection: Connection) {
--- a/src/main/kotlin/micatally/http/Server.kt
+++ b/src/main/kotlin/micatally/http/Server.kt
@@ -1,11 +1,15 @@
 package micatally.http
 
-import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineName
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.supervisorScope
 import kotlinx.coroutines.withTimeoutOrNull
+import micatally.supervision.BackgroundFailures
 import org.slf4j.LoggerFactory
 import java.io.IOException
 import java.net.StandardSocketOptions
@@ -34,7 +38,9 @@
     private val handle: suspend (HttpRequest) -> HttpResponse,
 ) {
     private val log = LoggerFactory.getLogger("micatally.http")
-    private var openConnections = 0
+
+    /** What has become of the connections and requests of this server. */
+    val statistics = ServerStatistics()
     private lateinit var serverChannel: AsynchronousServerSocketChannel
 
     /** The port that the server is bound to. */
@@ -59,46 +65,59 @@
 
     /**
      * Starts to accept connections, after binding if [bind] has not been called. The server runs until the job is
-     * cancelled.
+     * cancelled. What fails on one connection ends neither the others nor the accepting.
      */
     fun start(): Job {
         if (!::serverChannel.isInitialized) bind()
-        return scope.launch {
-            while (true) {
-                val connection =
-                    try {
-                        serverChannel.acceptOne()
-                    } catch (e: CancellationException) {
-                        throw e
-                    } catch (e: Exception) {
-                        // Most likely the process has no free sockets. Without the delay this would be a busy loop.
-                        log.error("accepting a connection on {} failed, retrying soon: {}", addr, e.toString())
-                        delay(ACCEPT_RETRY_DELAY_MS)
-                        continue
-                    }
-                if (openConnections >= maxConnections) {
-                    connection.closeQuietly()
-                    continue
-                }
-                openConnections++
-                launch {
-                    try {
-                        serve(connection)
-                    } catch (
-                        e: CancellationException,
-                    ) {
-                        throw e
-                    } catch (e: Exception) {
-                        log.debug("connection closed after a failure: {}", e.toString())
-                    } finally {
-                        openConnections--
-                        connection.closeQuietly()
-                    }
-                }
+        return scope.launch(CoroutineName("server $addr")) { supervisorScope { acceptConnections() } }
+    }
+
+    private suspend fun CoroutineScope.acceptConnections() {
+        while (true) {
+            try {
+                startServing(serverChannel.acceptOne())
+            } catch (failure: Throwable) {
+                ensureActive()
+                // Most likely the process has no free sockets. Without the delay this would be a busy loop.
+                statistics.failed(failure)
+                log.error("accepting a connection on {} failed, retrying soon: {}", addr, failure.toString())
+                delay(ACCEPT_RETRY_DELAY_MS)
             }
         }
     }
 
+    private fun CoroutineScope.startServing(connection: AsynchronousSocketChannel) {
+        if (statistics.open >= maxConnections) {
+            statistics.refused++
+            connection.closeQuietly()
+            return
+        }
+        statistics.open++
+        try {
+            launch { serveUntilClosed(connection) }.invokeOnCompletion { release(connection) }
+        } catch (failure: Throwable) {
+            release(connection)
+            throw failure
+        }
+    }
+
+    private fun release(connection: AsynchronousSocketChannel) {
+        statistics.open--
+        connection.closeQuietly()
+    }
+
+    private suspend fun serveUntilClosed(connection: AsynchronousSocketChannel) {
+        try {
+            serve(connection)
+        } catch (failure: IOException) {
+            log.debug("connection closed after a failure: {}", failure.toString())
+        } catch (failure: Throwable) {
+            currentCoroutineContext().ensureActive()
+            statistics.failed(failure)
+            log.error("a connection on {} was closed after a failure: {}", addr, failure.toString())
+        }
+    }
+
     private suspend fun serve(connection: AsynchronousSocketChannel) {
         connection.setOption(StandardSocketOptions.TCP_NODELAY, true)
         val parser = Parser({ connection.readInto(it) > 0 }, 2048)
@@ -107,31 +126,56 @@
             if (!hasMessage) return
             val request =
                 try {
-                    withTimeoutOrNull(MESSAGE_TIMEOUT_MS) {
-                        val head = parser.head()
-                        val parts = head.startLine.split(' ')
-                        if (parts.size != 3 || !parts[2].startsWith("HTTP/1.")) throw HttpError(400, "bad request line")
-                        HttpRequest(parts[0], parts[1], parser.body(head, maxBodyBytes), !head.close)
-                    } ?: return
+                    withTimeoutOrNull(MESSAGE_TIMEOUT_MS) { readRequest(parser) } ?: return
                 } catch (e: HttpError) {
+                    statistics.requestRefused(e.status)
                     write(connection, errorResponse(e.status, e.message ?: ""), false)
                     return
                 }
-            val response =
-                try {
-                    handle(request)
-                } catch (e: CancellationException) {
-                    throw e
-                } catch (e: Exception) {
-                    log.error("handling {} {} failed, responding with status 503", request.method, request.path, e)
-                    HttpResponse(503, "{\"error\":\"internal\"}".encodeToByteArray(), retryAfterS = 1)
-                }
-            val keepOpen = request.keepAlive && !response.close && openConnections * 4 <= maxConnections * 3
+            val response = respond(request)
+            val keepOpen = request.keepAlive && !response.close && statistics.open * 4 <= maxConnections * 3
             write(connection, response, keepOpen)
             if (!keepOpen) return
         }
     }
 
+    private suspend fun readRequest(parser: Parser): HttpRequest {
+        val head = parser.head()
+        val parts = head.startLine.split(' ')
+        if (parts.size != 3 || !parts[2].startsWith("HTTP/1.")) throw HttpError(400, "bad request line")
+        return HttpRequest(parts[0], parts[1], parser.body(head, maxBodyBytes), !head.close)
+    }
+
+    private suspend fun respond(request: HttpRequest): HttpResponse =
+        try {
+            handle(request).also { if (it.status >= FIRST_ERROR_STATUS) statistics.requestRefused(it.status) }
+        } catch (failure: Error) {
+            reportFailure(request, failure)
+            internalError(close = true)
+        } catch (failure: Exception) {
+            currentCoroutineContext().ensureActive()
+            reportFailure(request, failure)
+            internalError(close = false)
+        }
+
+    private fun reportFailure(
+        request: HttpRequest,
+        failure: Throwable,
+    ) {
+        statistics.failed(failure)
+        log.error(
+            "handling {} {} with {} bytes on {} failed, responding with status 503: {}",
+            request.method,
+            request.path,
+            request.body.size,
+            addr,
+            BackgroundFailures.describe(failure),
+        )
+    }
+
+    private fun internalError(close: Boolean) =
+        HttpResponse(503, "{\"error\":\"internal\"}".encodeToByteArray(), retryAfterS = 1, close = close)
+
     private suspend fun write(
         connection: AsynchronousSocketChannel,
         response: HttpResponse,
@@ -166,6 +210,7 @@
         /** A connection is closed if receiving a request or sending a response takes longer than this. */
         const val MESSAGE_TIMEOUT_MS = 10_000L
         const val ACCEPT_RETRY_DELAY_MS = 100L
+        const val FIRST_ERROR_STATUS = 400
     }
 }
 
--- a/src/main/kotlin/micatally/job/Cancellations.kt
+++ b/src/main/kotlin/micatally/job/Cancellations.kt
@@ -1,5 +1,6 @@
 package micatally.job
 
+import kotlinx.coroutines.CoroutineName
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import micatally.membership.Keys
@@ -139,7 +140,7 @@
         }
         if (job.isAwaitingConfirmations) return
         job.isAwaitingConfirmations = true
-        scope.launch {
+        scope.launch(CoroutineName("cancellation confirmation")) {
             try {
                 requestConfirmations(job)
             } finally {
--- a/src/main/kotlin/micatally/job/JobStore.kt
+++ b/src/main/kotlin/micatally/job/JobStore.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import micatally.archive.RecordLookup
 import micatally.membership.Keys
 import micatally.state.Compare
@@ -12,6 +11,7 @@
 import micatally.state.Transaction
 import micatally.state.TransactionResult
 import micatally.state.Urgency
+import micatally.supervision.launchSupervised
 import org.slf4j.LoggerFactory
 
 /**
@@ -52,7 +52,7 @@
         job.version++
         if (job.isWriting || job.isWriteScheduled) return
         job.isWriteScheduled = true
-        scope.launch {
+        scope.launchSupervised("delayed record write") {
             delay(batchMs)
             job.isWriteScheduled = false
             if (!job.isWriting && job.durableVersion < job.version) write(job)
@@ -100,13 +100,7 @@
 
     private fun write(job: Job) {
         job.isWriting = true
-        scope.launch {
-            try {
-                writeLoop(job)
-            } finally {
-                job.isWriting = false
-            }
-        }
+        scope.launchSupervised("record write") { writeLoop(job) }.invokeOnCompletion { job.isWriting = false }
     }
 
     private suspend fun writeLoop(job: Job) {
--- a/src/main/kotlin/micatally/job/RecordPacking.kt
+++ b/src/main/kotlin/micatally/job/RecordPacking.kt
@@ -1,9 +1,9 @@
 package micatally.job
 
-import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.buildJsonObject
+import micatally.wire.JsonReader
 import micatally.wire.longOrNull
 import micatally.wire.textOrNull
 import java.io.ByteArrayInputStream
@@ -84,7 +84,7 @@
     ): JsonObject {
         val first = main.textOrNull(DATA) ?: return main
         val text = overflow.fold(StringBuilder(first)) { all, part -> all.append(part.textOrNull(CHUNK) ?: "") }
-        return Json.parseToJsonElement(inflate(Base64.getDecoder().decode(text.toString()))) as JsonObject
+        return JsonReader.readObject(inflate(Base64.getDecoder().decode(text.toString())))
     }
 
     private fun deflate(text: String): ByteArray {
--- a/src/main/kotlin/micatally/job/ShardLeadership.kt
+++ b/src/main/kotlin/micatally/job/ShardLeadership.kt
@@ -1,10 +1,12 @@
 package micatally.job
 
+import kotlinx.coroutines.CoroutineName
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import micatally.membership.Membership
 import micatally.membership.ShardLeader
 import micatally.settings.Settings
+import micatally.supervision.launchSupervised
 import org.slf4j.LoggerFactory
 
 /**
@@ -45,7 +47,7 @@
         shards.byName[name]?.let { if (it.isLedHere) lose(it) }
         val shard = JobShard(name, leader, nowMs())
         shards.add(shard)
-        scope.launch { loader.load(shard) }
+        scope.launchSupervised("shard load") { loader.load(shard) }
     }
 
     /**
@@ -75,7 +77,7 @@
      */
     fun loseAndRefresh(shard: JobShard) {
         lose(shard)
-        scope.launch { membership.refresh() }
+        scope.launch(CoroutineName("shared key refresh")) { membership.refresh() }
     }
 
     /**
--- a/src/main/kotlin/micatally/membership/CatchUp.kt
+++ b/src/main/kotlin/micatally/membership/CatchUp.kt
@@ -2,7 +2,8 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
+import micatally.supervision.completes
+import micatally.supervision.launchSupervised
 
 /**
  * Reads the shared keys again when a worker reports a higher fencing token than this controller knows.
@@ -28,7 +29,7 @@
         continuations.add(continuation)
         if (isRunning) return
         isRunning = true
-        scope.launch { run() }
+        scope.launchSupervised("catch up") { run() }
     }
 
     private suspend fun run() {
@@ -38,6 +39,6 @@
         isRunning = false
         val requested = continuations.toList()
         continuations.clear()
-        for (continuation in requested) continuation()
+        for (continuation in requested) completes("catch up") { continuation() }
     }
 }
--- a/src/main/kotlin/micatally/membership/Membership.kt
+++ b/src/main/kotlin/micatally/membership/Membership.kt
@@ -2,10 +2,11 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import micatally.settings.Settings
 import micatally.state.StateStoreClient
 import micatally.state.Urgency
+import micatally.supervision.launchSupervised
+import micatally.supervision.restartOnFailure
 import kotlin.random.Random
 
 /**
@@ -109,9 +110,9 @@
 
     /** Starts the background coroutines. To be called once, when [listener] is ready for events. */
     fun start() {
-        scope.launch { controllerLease.run() }
-        scope.launch { sharedKeyWatcher.run() }
-        scope.launch { startLeading() }
+        scope.launchSupervised("lease") { controllerLease.run() }
+        scope.launchSupervised("shared key watch") { sharedKeyWatcher.run() }
+        scope.launchSupervised("start of the leadership") { startLeading() }
     }
 
     /**
@@ -124,8 +125,8 @@
     private suspend fun startLeading() {
         while (sharedKeys.revision < 0 || lease == null) delay(settings.liveMs / START_POLLS_PER_TTL)
         leadershipMonitor.begin()
-        scope.launch { summaryWatcher.run() }
-        failover.run()
+        scope.launchSupervised("summary watch") { summaryWatcher.run() }
+        restartOnFailure("shard failover") { failover.run() }
     }
 
     /** Acquires a shard; see [ShardAcquisition.acquire]. */
--- a/src/main/kotlin/micatally/ownership/OwnershipReview.kt
+++ b/src/main/kotlin/micatally/ownership/OwnershipReview.kt
@@ -1,5 +1,6 @@
 package micatally.ownership
 
+import kotlinx.coroutines.CoroutineName
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import micatally.membership.SharedKeyCache
@@ -47,7 +48,7 @@
         val open = openQuestions(nowMs)
         if (open.isEmpty()) return
         isRunning = true
-        scope.launch {
+        scope.launch(CoroutineName("ownership review")) {
             try {
                 answer(open, nowMs)
             } finally {
--- a/src/main/kotlin/micatally/peer/Peers.kt
+++ b/src/main/kotlin/micatally/peer/Peers.kt
@@ -1,5 +1,6 @@
 package micatally.peer
 
+import kotlinx.coroutines.CoroutineName
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -9,6 +10,7 @@
 import micatally.scheduling.Scheduler
 import micatally.settings.Settings
 import micatally.state.StateStoreClient
+import micatally.supervision.launchSupervised
 import micatally.wire.ResourceRequest
 import micatally.worker.Machine
 import micatally.worker.MachineRegistry
@@ -83,8 +85,8 @@
 
     /** Starts the exchange. Called once, after all parts of the controller have been created. */
     fun start() {
-        scope.launch { exchangeLoop() }
-        scope.launch { publisher.run() }
+        scope.launchSupervised("exchange with peers") { exchangeLoop() }
+        scope.launchSupervised("summary publication") { publisher.run() }
     }
 
     private suspend fun exchangeLoop() {
@@ -100,7 +102,7 @@
 
     private fun startExchange(connection: PeerConnection) {
         connection.isExchanging = true
-        scope.launch {
+        scope.launch(CoroutineName("exchange with a peer")) {
             try {
                 deltaSender.sendDelta(connection)
             } finally {
--- a/src/main/kotlin/micatally/quota/AllotmentWriter.kt
+++ b/src/main/kotlin/micatally/quota/AllotmentWriter.kt
@@ -1,5 +1,6 @@
 package micatally.quota
 
+import kotlinx.coroutines.CoroutineName
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -82,7 +83,7 @@
         }
         val change = Change(shard, AllotmentId(shard.name, team.name), request)
         inFlight[team.name] = change
-        scope.launch {
+        scope.launch(CoroutineName("allotment write")) {
             try {
                 execute(change, urgency)
             } finally {
--- a/src/main/kotlin/micatally/scale/Scenario.kt
+++ b/src/main/kotlin/micatally/scale/Scenario.kt
@@ -104,10 +104,16 @@
     val transactionOperations: Int = 48,
 )
 
-/** How often a user polls the status of a job that is neither done nor cancelled. */
+/**
+ * What users do.
+ *
+ * @property pollSeconds how often a user polls the status of a job that is neither done nor cancelled
+ * @property hostileShare share of the submissions that have a deeply nested value in an unknown field
+ */
 @Serializable
 data class UserPlan(
     val pollSeconds: Double = 5.0,
+    val hostileShare: Double = 0.0,
 )
 
 /**
--- a/src/main/kotlin/micatally/scale/UserLoad.kt
+++ b/src/main/kotlin/micatally/scale/UserLoad.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import micatally.emulator.HostileSubmission
 import micatally.emulator.MessageObserver
 import micatally.http.HttpCaller
 import micatally.http.Outcome
@@ -69,7 +70,7 @@
         val jobId = job.spec.jobId
         val firstSentAtMs = nowMs()
         while (nowMs() - firstSentAtMs < SUBMIT_RETRY_LIMIT_MS) {
-            val answer = request("POST", "/work", job.spec.source.bytes(), REQUEST_TIMEOUT_MS)
+            val answer = request("POST", "/work", submission(job), REQUEST_TIMEOUT_MS)
             history.submissionAnswered(jobId, answer.status, answer.jobStatus, answer.sentAtMs)
             if (answer.status == 200 || answer.status == 201) {
                 latencies.record(LatencyKind.SUBMISSION, nowMs() - firstSentAtMs)
@@ -81,6 +82,11 @@
         return false
     }
 
+    private fun submission(job: PlannedJob): ByteArray {
+        val isHostile = plan.hostileShare > 0 && random.nextDouble() < plan.hostileShare
+        return if (isHostile) HostileSubmission.withDeepField(job.spec.source) else job.spec.source.bytes()
+    }
+
     /** Polls the job until it is done or cancelled, and cancels it when that is due. */
     private suspend fun follow(
         job: PlannedJob,
--- a/src/main/kotlin/micatally/scheduling/ReplicaMigration.kt
+++ b/src/main/kotlin/micatally/scheduling/ReplicaMigration.kt
@@ -1,5 +1,6 @@
 package micatally.scheduling
 
+import kotlinx.coroutines.CoroutineName
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -110,7 +111,7 @@
     private fun carryOutAll(due: List<Migration>) {
         planned.removeAll(due.toSet())
         isCheckingStateStore = true
-        scope.launch {
+        scope.launch(CoroutineName("replica migration")) {
             val hasStateStore =
                 try {
                     withTimeoutOrNull(settings.heartbeatIntervalMs / STATE_STORE_TIMEOUTS_PER_HEARTBEAT) {
--- a/src/main/kotlin/micatally/scheduling/Scheduler.kt
+++ b/src/main/kotlin/micatally/scheduling/Scheduler.kt
@@ -1,5 +1,6 @@
 package micatally.scheduling
 
+import kotlinx.coroutines.CoroutineName
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -63,10 +64,13 @@
     fun requestCycle() {
         if (isCycleRequested) return
         isCycleRequested = true
-        scope.launch {
-            val waitMs = nextCycleStartMs - nowMs()
-            if (waitMs > 0) delay(waitMs)
-            isCycleRequested = false
+        scope.launch(CoroutineName("scheduling cycle")) {
+            try {
+                val waitMs = nextCycleStartMs - nowMs()
+                if (waitMs > 0) delay(waitMs)
+            } finally {
+                isCycleRequested = false
+            }
             cpuUsage.measure(CpuUsage.Kind.SCHEDULING) { runCycle() }
         }
     }
--- a/src/main/kotlin/micatally/state/RateBudget.kt
+++ b/src/main/kotlin/micatally/state/RateBudget.kt
@@ -2,8 +2,8 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.suspendCancellableCoroutine
+import micatally.supervision.launchSupervised
 import kotlin.coroutines.Continuation
 import kotlin.coroutines.resume
 
@@ -142,16 +142,14 @@
     private fun serveWaiters() {
         if (isServing) return
         isServing = true
-        scope.launch {
-            try {
-                while (true) {
-                    refill()
-                    val queue = mostUrgentQueue() ?: break
-                    serveFirst(queue)
-                }
-            } finally {
-                isServing = false
-            }
+        scope.launchSupervised("rate budget") { serveAll() }.invokeOnCompletion { isServing = false }
+    }
+
+    private suspend fun serveAll() {
+        while (true) {
+            refill()
+            val queue = mostUrgentQueue() ?: return
+            serveFirst(queue)
         }
     }
 
--- a/src/main/kotlin/micatally/upgrade/Upgrade.kt
+++ b/src/main/kotlin/micatally/upgrade/Upgrade.kt
@@ -1,5 +1,6 @@
 package micatally.upgrade
 
+import kotlinx.coroutines.CoroutineName
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -112,7 +113,7 @@
     private fun launchWrite() {
         if (isWriting) return
         isWriting = true
-        scope.launch {
+        scope.launch(CoroutineName("upgrade write")) {
             try {
                 val result = state.transact(1, Urgency.ACCEPTANCE) { nextTransaction() }
                 if (result !is TransactionResult.Applied) delay(retryDelayMs)
--- a/src/main/kotlin/micatally/wire/JobSpec.kt
+++ b/src/main/kotlin/micatally/wire/JobSpec.kt
@@ -84,8 +84,8 @@
         private const val MAX_TEXT_LENGTH = 200
         private val JOB_ID = Regex("j-[0-9]{1,18}")
 
-        /** Names of the fields that are known; others are not stored. */
-        private val KNOWN_FIELDS =
+        /** Names of the fields that are known; others are neither read nor stored. */
+        val KNOWN_FIELDS: Set<String> =
             setOf(
                 "ref",
                 "lane",
--- a/src/main/kotlin/micatally/wire/JsonFields.kt
+++ b/src/main/kotlin/micatally/wire/JsonFields.kt
@@ -1,7 +1,5 @@
 package micatally.wire
 
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonNull
@@ -20,16 +18,11 @@
 
 val EMPTY_OBJECT = JsonObject(emptyMap())
 
-/** Parses the body of a message, which has to be a JSON object. */
-fun parseObject(body: ByteArray): JsonObject {
-    val element =
-        try {
-            Json.parseToJsonElement(body.decodeToString())
-        } catch (e: SerializationException) {
-            throw MalformedMessage("the body is not JSON", e)
-        }
-    return element as? JsonObject ?: throw MalformedMessage("the body is not a JSON object")
-}
+/** Parses the body of a message, which has to be a JSON object; see [JsonReader.readObject]. */
+fun parseObject(
+    body: ByteArray,
+    fields: Set<String>? = null,
+): JsonObject = JsonReader.readObject(body, fields)
 
 /** The field's value; null if the field is missing or is JSON null. */
 fun JsonObject.valueOrNull(name: String): JsonElement? = this[name]?.takeUnless { it is JsonNull }
--- a/src/main/kotlin/micatally/wire/WorkerMessages.kt
+++ b/src/main/kotlin/micatally/wire/WorkerMessages.kt
@@ -110,6 +110,10 @@
 ) {
     /** Parses a heartbeat. */
     companion object {
+        /** Names of the fields that are known; others need not be read. */
+        val KNOWN_FIELDS =
+            setOf("car", "addr", "rig", "circuit", "loaners", "stint", "tick", "baton", "recall_s", "laps")
+
         /** @throws MalformedMessage naming the first field that is missing or wrong */
         fun parse(json: JsonObject): Heartbeat =
             Heartbeat(
--- a/src/main/kotlin/micatally/worker/CommandDispatcher.kt
+++ b/src/main/kotlin/micatally/worker/CommandDispatcher.kt
@@ -1,5 +1,6 @@
 package micatally.worker
 
+import kotlinx.coroutines.CoroutineName
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -75,7 +76,7 @@
         if (channel.isSyncing && gate.waitingCount > 0) gate.promote(machine.name, urgencyOf(machine))
         if (channel.isSyncing || machine.deleted) return
         channel.isSyncing = true
-        scope.launch {
+        scope.launch(CoroutineName("commands")) {
             try {
                 sync(machine)
             } finally {
--- a/src/main/kotlin/micatally/worker/WorkerReach.kt
+++ b/src/main/kotlin/micatally/worker/WorkerReach.kt
@@ -1,5 +1,6 @@
 package micatally.worker
 
+import kotlinx.coroutines.CoroutineName
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
@@ -121,7 +122,7 @@
         if (isProbing) return
         isProbing = true
         val chosen = candidates.sortedBy { it.probedAt }.take(MACHINES_PER_ROUND)
-        scope.launch {
+        scope.launch(CoroutineName("worker probes")) {
             try {
                 val hasResponse = coroutineScope { chosen.map { async { probe(it) } }.awaitAll().any { it } }
                 if (hasResponse) failedRounds = 0 else failedRounds++
--- a/src/test/kotlin/micatally/sim/RandomFaultsTest.kt
+++ b/src/test/kotlin/micatally/sim/RandomFaultsTest.kt
@@ -61,6 +61,7 @@
     fun `no rule is broken while answered commands arrive once more`(seed: Int) {
         val fleet = SimFleet(seed, if (seed % 3 == 0) 5 else 3, timing = largeDeployment)
         fleet.net.answeredCopyShare = 0.2
+        fleet.users.hostileShare = 0.1
         fleet.net.keepsCommands = true
         HeldCommands(fleet).launch()
         runWithFaults(fleet, null) {
--- a/src/test/kotlin/micatally/sim/SimUsers.kt
+++ b/src/test/kotlin/micatally/sim/SimUsers.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import micatally.emulator.HostileSubmission
 import micatally.emulator.RuleChecker
 import micatally.http.HttpCaller
 import micatally.http.Outcome
@@ -20,6 +21,16 @@
     private val nodes: Int,
     private val isUp: (Int) -> Boolean,
 ) {
+    /** Share of the submissions that have a deeply nested value in an unknown field. */
+    var hostileShare = 0.0
+
+    private val hostileRandom = Random(1)
+
+    private fun submission(spec: JobSpec): ByteArray {
+        val isHostile = hostileShare > 0 && hostileRandom.nextDouble() < hostileShare
+        return if (isHostile) HostileSubmission.withDeepField(spec.source) else spec.source.bytes()
+    }
+
     /** Sends a request to a random running node. The status is 0 if there is none, or if no answer comes in time. */
     private suspend fun askRandomNode(
         method: String,
@@ -94,7 +105,7 @@
         pollAll: Boolean,
     ) {
         while (true) {
-            val (status, _) = askRandomNode("POST", "/work", spec.source.bytes(), 5000)
+            val (status, _) = askRandomNode("POST", "/work", submission(spec), 5000)
             time.note("submit ${spec.jobId} $status")
             rules.answeredSubmit(spec.jobId, status)
             if (pollAll && status in 200..201) pollAllNodes(spec)
@@ -127,7 +138,7 @@
 
     private suspend fun repeatSubmission(spec: JobSpec) {
         if (random.nextInt(20) != 0) return
-        rules.answeredSubmit(spec.jobId, askRandomNode("POST", "/work", spec.source.bytes(), 5000).first)
+        rules.answeredSubmit(spec.jobId, askRandomNode("POST", "/work", submission(spec), 5000).first)
     }
 
     private suspend fun pollUnknownJob() {
