--- a/src/main/kotlin/micatally/cli/ControllerStart.kt
+++ b/src/main/kotlin/micatally/cli/ControllerStart.kt
@@ -4,7 +4,9 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import micatally.controller.Controller
+import micatally.controller.UserWorkerRouter
 import micatally.http.Client
+import micatally.http.RequestMemory
 import micatally.http.Server
 import micatally.settings.OperatorSettings
 import micatally.settings.Settings
@@ -21,6 +23,14 @@
 private const val MAX_REQUEST_BYTES = 64 * 1024L
 private const val MAX_PEER_REQUEST_BYTES = 4L * 1024 * 1024
 
+/**
+ * The size of the heap divided by these is the memory for bodies of requests that users, workers and other controllers
+ * send. Workers have a part of their own, so that users can't end the workers' leases.
+ */
+private const val USER_MEMORY_DIVISOR = 16
+private const val HEARTBEAT_MEMORY_DIVISOR = 16
+private const val PEER_MEMORY_DIVISOR = 4
+
 /** One of the controller's addresses is in use by another process. */
 class AddressTaken(
     message: String,
@@ -77,8 +87,20 @@
             operator,
             System::nanoTime,
         )
+    val heapBytes = Runtime.getRuntime().maxMemory()
+    val userMemory = RequestMemory(heapBytes / USER_MEMORY_DIVISOR)
+    val heartbeatMemory = RequestMemory(heapBytes / HEARTBEAT_MEMORY_DIVISOR)
+    val peerMemory = RequestMemory(heapBytes / PEER_MEMORY_DIVISOR)
     val userWorkerServer =
-        Server(loop.scope, loop.group, settings.listen, settings.maxSockets / 2, MAX_REQUEST_BYTES, controller::handle)
+        Server(
+            loop.scope,
+            loop.group,
+            settings.listen,
+            settings.maxSockets / 2,
+            MAX_REQUEST_BYTES,
+            { target -> if (target == UserWorkerRouter.HEARTBEAT) heartbeatMemory else userMemory },
+            controller::handle,
+        )
     val peerServer =
         Server(
             loop.scope,
@@ -86,6 +108,7 @@
             settings.peerListen,
             settings.maxSockets / PEER_SOCKET_DIVISOR + EXTRA_PEER_SOCKETS,
             MAX_PEER_REQUEST_BYTES,
+            { peerMemory },
             controller::handlePeer,
         )
     bind(userWorkerServer, settings.listen, settings.leaseMs)
--- a/src/main/kotlin/micatally/controller/UserWorkerRouter.kt
+++ b/src/main/kotlin/micatally/controller/UserWorkerRouter.kt
@@ -44,14 +44,16 @@
         respond: () -> HttpResponse,
     ): HttpResponse = if (request.method == method) respond() else errorResponse(METHOD_NOT_ALLOWED, "use $method")
 
-    private companion object {
-        const val NOT_FOUND = 404
-        const val METHOD_NOT_ALLOWED = 405
+    /** The paths. */
+    companion object {
+        private const val NOT_FOUND = 404
+        private const val METHOD_NOT_ALLOWED = 405
 
+        /** The path of the workers' heartbeats. */
         const val HEARTBEAT = "/v1/report"
-        const val HEALTH = "/healthz"
-        const val JOBS = "/work"
-        const val JOB_PREFIX = "/work/"
-        const val CANCEL_SUFFIX = "/cancel"
+        private const val HEALTH = "/healthz"
+        private const val JOBS = "/work"
+        private const val JOB_PREFIX = "/work/"
+        private const val CANCEL_SUFFIX = "/cancel"
     }
 }
--- a/src/main/kotlin/micatally/emulator/LoopbackFleet.kt
+++ b/src/main/kotlin/micatally/emulator/LoopbackFleet.kt
@@ -152,7 +152,7 @@
             ANY_PORT,
             plan.maxConnections,
             MAX_BODY_BYTES,
-            observed,
+            handle = observed,
         ).also { it.start() }
     }
 
--- a/src/main/kotlin/micatally/http/Parser.kt
+++ b/src/main/kotlin/micatally/http/Parser.kt
@@ -11,7 +11,12 @@
 class HttpError(
     val status: Int,
     message: String,
-) : Exception(message)
+) : Exception(message) {
+    /** Statuses that callers treat in a way of their own. */
+    companion object {
+        const val UNAVAILABLE = 503
+    }
+}
 
 /** The source of the bytes that a [Parser] reads. */
 fun interface ByteSource {
@@ -35,6 +40,45 @@
     val keepAlive: Boolean,
 )
 
+/**
+ * The bytes of a body that have arrived. Its array doubles until it reaches [maxSize].
+ *
+ * @param take called before memory is taken, with its size in bytes; it throws if there is none
+ */
+private class BodyBuffer(
+    private val maxSize: Int,
+    private val take: (Int) -> Unit,
+) {
+    private var array = EMPTY_BODY
+
+    var size = 0
+        private set
+
+    /** Adds the next [count] bytes of [source]. */
+    fun append(
+        source: ByteBuffer,
+        count: Int,
+    ) {
+        if (size + count > array.size) grow(size + count)
+        source.get(array, size, count)
+        size += count
+    }
+
+    private fun grow(minSize: Int) {
+        val newSize = minOf(maxOf(minSize, array.size * 2, MIN_SIZE), maxSize)
+        take(newSize - array.size)
+        array = array.copyOf(newSize)
+    }
+
+    fun bytes(): ByteArray = if (size == array.size) array else array.copyOf(size)
+
+    private companion object {
+        const val MIN_SIZE = 1024
+    }
+}
+
+private val EMPTY_BODY = ByteArray(0)
+
 /**
  * An incremental HTTP/1.1 parser for the messages of one connection. It limits a line to [MAX_LINE_BYTES], a header to
  * [MAX_HEADER_LINES] and a body to the size that the caller gives.
@@ -115,50 +159,54 @@
         return Head(startLine, length, isChunked, close, keepAlive)
     }
 
-    /** Reads the body that belongs to [head], of at most [maxBytes] bytes. */
+    /**
+     * Reads the body that belongs to [head], of at most [maxBytes] bytes. The memory that it takes grows with what has
+     * arrived: what the header claims need never come.
+     *
+     * @param take called before memory is taken, with its size in bytes; it throws if there is none
+     */
     suspend fun body(
         head: Head,
         maxBytes: Long,
+        take: (Int) -> Unit = {},
     ): ByteArray {
-        if (head.isChunked) return readChunks(maxBytes)
+        if (head.isChunked) return readChunks(maxBytes, take)
         val length = head.contentLength ?: return EMPTY_BODY
         if (length > maxBytes) throw HttpError(413, "body too large")
-        return readExactly(length.toInt())
+        val body = BodyBuffer(length.toInt(), take)
+        readInto(body, length.toInt())
+        return body.bytes()
     }
 
-    private suspend fun readExactly(count: Int): ByteArray {
-        val bytes = ByteArray(count)
-        var position = 0
-        while (position < count) {
+    private suspend fun readInto(
+        body: BodyBuffer,
+        count: Int,
+    ) {
+        var missing = count
+        while (missing > 0) {
             if (!buffer.hasRemaining() && !fillBuffer()) throw HttpError(400, "the stream ended in a body")
-            val available = minOf(buffer.remaining(), count - position)
-            buffer.get(bytes, position, available)
-            position += available
+            val available = minOf(buffer.remaining(), missing)
+            body.append(buffer, available)
+            missing -= available
         }
-        return bytes
     }
 
-    private suspend fun readChunks(maxBytes: Long): ByteArray {
-        val chunks = ArrayList<ByteArray>()
-        var totalBytes = 0L
+    private suspend fun readChunks(
+        maxBytes: Long,
+        take: (Int) -> Unit,
+    ): ByteArray {
+        val body = BodyBuffer(maxBytes.toInt(), take)
         while (true) {
             val chunkBytes = readLine().substringBefore(';').trim().toLongOrNull(16)
             if (chunkBytes == null || chunkBytes < 0) throw HttpError(400, "bad chunk size")
-            totalBytes += chunkBytes
-            if (totalBytes > maxBytes) throw HttpError(413, "body too large")
+            if (chunkBytes > maxBytes - body.size) throw HttpError(413, "body too large")
             if (chunkBytes == 0L) break
-            chunks.add(readExactly(chunkBytes.toInt()))
+            readInto(body, chunkBytes.toInt())
             if (readLine().isNotEmpty()) throw HttpError(400, "bad chunk end")
         }
         var trailerCount = 0
         while (readLine().isNotEmpty()) if (++trailerCount > MAX_HEADER_LINES) throw HttpError(431, "too many trailers")
-        val body = ByteArray(totalBytes.toInt())
-        var position = 0
-        for (chunk in chunks) {
-            chunk.copyInto(body, position)
-            position += chunk.size
-        }
-        return body
+        return body.bytes()
     }
 
     /** Limits of a message. */
@@ -167,6 +215,5 @@
 
         /** Also the limit of the trailer lines after a body in chunks. */
         const val MAX_HEADER_LINES = 64
-        private val EMPTY_BODY = ByteArray(0)
     }
 }
--- a/src/main/kotlin/micatally/http/Server.kt
+++ b/src/main/kotlin/micatally/http/Server.kt
@@ -27,6 +27,7 @@
  * later ones could not connect.
  *
  * @param maxBodyBytes maximum size of a request body; larger requests are refused
+ * @param memoryOf the memory for the body of a request to this target
  * @param handle produces the response to a request. If it throws, the response has status 503.
  */
 class Server(
@@ -35,6 +36,7 @@
     private val addr: String,
     private val maxConnections: Int,
     private val maxBodyBytes: Long,
+    private val memoryOf: (target: String) -> RequestMemory = RequestMemory(Long.MAX_VALUE).let { all -> { all } },
     private val handle: suspend (HttpRequest) -> HttpResponse,
 ) {
     private val log = LoggerFactory.getLogger("micatally.http")
@@ -123,27 +125,51 @@
         val parser = Parser({ connection.readInto(it) > 0 }, 2048)
         while (true) {
             val hasMessage = withTimeoutOrNull(MAX_IDLE_MS) { parser.awaitMessage() } ?: return
-            if (!hasMessage) return
+            if (!hasMessage || !answerNext(connection, parser)) return
+        }
+    }
+
+    /** Reads the request that has begun and answers it. Returns whether the connection stays open. */
+    private suspend fun answerNext(
+        connection: AsynchronousSocketChannel,
+        parser: Parser,
+    ): Boolean {
+        var memory: RequestMemory.Account? = null
+        try {
             val request =
-                try {
-                    withTimeoutOrNull(MESSAGE_TIMEOUT_MS) { readRequest(parser) } ?: return
-                } catch (e: HttpError) {
-                    statistics.requestRefused(e.status)
-                    write(connection, errorResponse(e.status, e.message ?: ""), false)
-                    return
-                }
+                withTimeoutOrNull(MESSAGE_TIMEOUT_MS) {
+                    val head = readHead(parser)
+                    val taken = memoryOf(head.target).open()
+                    memory = taken
+                    val body = parser.body(head.fields, maxBodyBytes, taken::take)
+                    HttpRequest(head.method, head.target, body, !head.fields.close)
+                } ?: return false
             val response = respond(request)
             val keepOpen = request.keepAlive && !response.close && statistics.open * 4 <= maxConnections * 3
             write(connection, response, keepOpen)
-            if (!keepOpen) return
+            return keepOpen
+        } catch (e: HttpError) {
+            statistics.requestRefused(e.status)
+            val retryAfterS = if (e.status == HttpError.UNAVAILABLE) 1 else null
+            write(connection, errorResponse(e.status, e.message ?: "", retryAfterS), false)
+            return false
+        } finally {
+            memory?.close()
         }
     }
 
-    private suspend fun readRequest(parser: Parser): HttpRequest {
-        val head = parser.head()
-        val parts = head.startLine.split(' ')
+    /** What precedes the body of a request. */
+    private class RequestHead(
+        val method: String,
+        val target: String,
+        val fields: Head,
+    )
+
+    private suspend fun readHead(parser: Parser): RequestHead {
+        val fields = parser.head()
+        val parts = fields.startLine.split(' ')
         if (parts.size != 3 || !parts[2].startsWith("HTTP/1.")) throw HttpError(400, "bad request line")
-        return HttpRequest(parts[0], parts[1], parser.body(head, maxBodyBytes), !head.close)
+        return RequestHead(parts[0], parts[1], fields)
     }
 
     private suspend fun respond(request: HttpRequest): HttpResponse =
